Add the design, the build, and the base package

The base package holds time, ids, findings, a seeded random source, hashing, counters and structured log events.

--- /dev/null
+++ b/packages/base/include/cactusshelf/base/errors.h
@@ -0,0 +1,28 @@
+#ifndef CACTUSSHELF_BASE_ERRORS_H_
+#define CACTUSSHELF_BASE_ERRORS_H_
+
+#include <stdexcept>
+
+namespace cactusshelf {
+
+// Base of all exceptions thrown by cactusshelf.
+class Error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Bytes from outside that cannot be decoded.
+class DecodeError : public Error {
+ public:
+  using Error::Error;
+};
+
+// Settings or command line arguments that cannot be used.
+class SettingsError : public Error {
+ public:
+  using Error::Error;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_BASE_ERRORS_H_
--- /dev/null
+++ b/packages/base/include/cactusshelf/base/findings.h
@@ -0,0 +1,46 @@
+#ifndef CACTUSSHELF_BASE_FINDINGS_H_
+#define CACTUSSHELF_BASE_FINDINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cactusshelf {
+
+// Position in a text file. Line and column count from 1; 0 means unknown.
+struct Place {
+  std::string file;
+  std::uint32_t line = 0;
+  std::uint32_t column = 0;
+
+  friend bool operator==(const Place&, const Place&) = default;
+};
+
+// One fault found in the input of an operator.
+struct Finding {
+  Place place;
+  std::string message;
+
+  friend bool operator==(const Finding&, const Finding&) = default;
+};
+
+// Collects findings so that all faults of an input are reported together.
+// Not thread-safe.
+class Findings {
+ public:
+  void Add(Place place, std::string message);
+  void Append(const Findings& other);
+
+  bool empty() const { return items_.empty(); }
+  const std::vector<Finding>& items() const { return items_; }
+
+  // One "file:line:column: message" line for each finding, ordered by place.
+  std::string Format() const;
+
+ private:
+  std::vector<Finding> items_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_BASE_FINDINGS_H_
--- /dev/null
+++ b/packages/base/src/random.cc
@@ -0,0 +1,35 @@
+#include "cactusshelf/base/random.h"
+
+#include <cassert>
+#include <cmath>
+
+namespace cactusshelf {
+
+std::uint64_t Random::Below(std::uint64_t bound) {
+  assert(bound > 0);
+  // Rejection of the incomplete last range keeps the result unbiased.
+  const std::uint64_t limit = -bound % bound;
+  std::uint64_t n = engine_();
+  while (n < limit) {
+    n = engine_();
+  }
+  return n % bound;
+}
+
+double Random::Real() {
+  constexpr int kMantissaBits = 53;
+  return std::ldexp(static_cast<double>(engine_() >> (64 - kMantissaBits)), -kMantissaBits);
+}
+
+double Random::Exponential(double mean) {
+  assert(mean > 0);
+  return -mean * std::log1p(-Real());
+}
+
+Duration Random::Between(Duration low, Duration high) {
+  assert(low <= high);
+  const auto span = static_cast<std::uint64_t>((high - low).count()) + 1;
+  return low + Duration(static_cast<Duration::rep>(Below(span)));
+}
+
+}  // namespace cactusshelf
