--- /dev/null
+++ b/packages/node/include/cactusshelf/node/node_event.h
@@ -0,0 +1,156 @@
+#ifndef CACTUSSHELF_NODE_NODE_EVENT_H_
+#define CACTUSSHELF_NODE_NODE_EVENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cactusshelf/base/strong_id.h"
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Shared immutable body of a request or an answer. Never null in an event or effect.
+using Body = std::shared_ptr<const std::string>;
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+// Names chosen by the shell (callers) or by the node (attempts, appends, calls) to match an answer
+// to what it answers. Never reused within a process.
+enum class CallerToken : std::uint64_t {};
+enum class AttemptToken : std::uint64_t {};
+enum class AppendToken : std::uint64_t {};
+enum class WorkerCallToken : std::uint64_t {};
+
+// Events are what the shell reports to EntryNode.
+namespace node_event {
+
+// A caller sent a complete request to /v1/services/.
+struct CallerRequest {
+  CallerToken token{};
+  std::string method;
+  std::string path;  // Path and query as received.
+  std::vector<HttpHeader> headers;
+  Body body;
+};
+
+// The caller closed its connection before it was answered.
+struct CallerGone {
+  CallerToken token{};
+};
+
+// At least one byte of the attempt's request was handed to a connection.
+struct AttemptSent {
+  AttemptToken token{};
+};
+
+// A complete answer of an endpoint.
+struct AttemptAnswered {
+  AttemptToken token{};
+  int status = 0;
+  std::vector<HttpHeader> headers;
+  Body body;
+};
+
+enum class AttemptFailure { kConnect, kReset, kTruncated, kTimeout, kTooLarge };
+
+// The attempt ended without a complete answer. `sent` is false only if no byte of the request was
+// handed to a connection.
+struct AttemptFailed {
+  AttemptToken token{};
+  AttemptFailure failure = AttemptFailure::kConnect;
+  bool sent = true;
+};
+
+struct LogEntry {
+  std::uint64_t offset = 0;
+  WallTime time;
+  std::string data;
+};
+
+// Result of ReadLog. `first` is the oldest offset that the log still holds, `next` the offset after
+// its last record. `started` is the time at which the read was sent.
+struct LogRead {
+  Time started;
+  std::uint64_t first = 0;
+  std::uint64_t next = 0;
+  std::vector<LogEntry> entries;
+};
+
+struct LogReadFailed {
+  std::string reason;
+};
+
+struct AppendDone {
+  AppendToken token{};
+  std::uint64_t offset = 0;
+};
+
+// The append may have taken effect.
+struct AppendFailed {
+  AppendToken token{};
+  std::string reason;
+};
+
+enum class HostState { kLive, kLeaving };
+
+struct HostEntry {
+  std::string name;
+  HostState state = HostState::kLive;
+};
+
+struct HostsRead {
+  std::vector<HostEntry> hosts;
+};
+
+struct HostsReadFailed {
+  std::string reason;
+};
+
+// A message from a peer, as the CBOR bytes that its EntryNode handed to SendToPeer.
+struct PeerMessage {
+  std::string bytes;
+};
+
+struct WorkerAnswered {
+  WorkerCallToken token{};
+  int status = 0;
+  std::string body;
+};
+
+// The command may have taken effect, unless `sent` is false.
+struct WorkerFailed {
+  WorkerCallToken token{};
+  bool sent = true;
+  std::string reason;
+};
+
+// An effect was dropped by the shell since its `valid_until` had passed.
+struct EffectExpired {
+  std::variant<AttemptToken, WorkerCallToken> token;
+};
+
+// The time of NextWakeup was reached.
+struct Timer {};
+
+// A planned stop was requested.
+struct DrainRequested {};
+
+}  // namespace node_event
+
+using NodeEvent =
+    std::variant<node_event::CallerRequest, node_event::CallerGone, node_event::AttemptSent,
+                 node_event::AttemptAnswered, node_event::AttemptFailed, node_event::LogRead,
+                 node_event::LogReadFailed, node_event::AppendDone, node_event::AppendFailed,
+                 node_event::HostsRead, node_event::HostsReadFailed, node_event::PeerMessage,
+                 node_event::WorkerAnswered, node_event::WorkerFailed, node_event::EffectExpired,
+                 node_event::Timer, node_event::DrainRequested>;
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_NODE_NODE_EVENT_H_
