--- a/packages/node/include/cactusshelf/node/entry_node.h
+++ b/packages/node/include/cactusshelf/node/entry_node.h
@@ -16,8 +16,10 @@
 
 // What one process knows of itself from its settings.
 struct NodeOptions {
-  std::string host_name;    // Name of the entry host, as in the host list.
-  std::string incarnation;  // Unique to this process; distinguishes restarts on one host.
+  std::string host_name;  // Name of the entry host, as in the host list.
+  // Start time of this process in microseconds since 1970; greater than that of earlier ones on
+  // the host.
+  std::uint64_t incarnation = 0;
   DomainId domain;
   std::string peer_address;  // "IP:port" at which peers reach this process.
   std::string http_address;  // "IP:port" at which callers and operators reach it.
--- a/packages/node/include/cactusshelf/node/node_effect.h
+++ b/packages/node/include/cactusshelf/node/node_effect.h
@@ -62,7 +62,7 @@
 // At most one read is outstanding; it ends with HostsRead or HostsReadFailed.
 struct ReadHosts {};
 
-// POST `body` (JSON) to /v1/commands of the worker at `address`.
+// POST `body` (JSON) to /v1/commands of the worker at `address`, or GET /v1/state if it is empty.
 struct CallWorker {
   WorkerCallToken token{};
   std::string address;
