--- /dev/null
+++ b/packages/version/include/cactusshelf/version/configuration.h
@@ -0,0 +1,89 @@
+#ifndef CACTUSSHELF_VERSION_CONFIGURATION_H_
+#define CACTUSSHELF_VERSION_CONFIGURATION_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <ranges>
+#include <set>
+#include <vector>
+
+#include "cactusshelf/base/findings.h"
+#include "cactusshelf/version/entry_index.h"
+#include "cactusshelf/version/file_set.h"
+
+namespace cactusshelf {
+
+// The typed entries of a valid file set. Immutable; safe to share between threads. Pointers and
+// ranges that it returns are valid as long as the configuration.
+class Configuration {
+  // Defined first, since its return type is deduced.
+  template <typename T>
+  auto All(const std::vector<T>& (ConfigFile::*entries)() const) const {
+    return files_.files() | std::views::values |
+           std::views::transform(
+               [entries](const std::shared_ptr<const ConfigFile>& file) -> const std::vector<T>& {
+                 return ((*file).*entries)();
+               }) |
+           std::views::join;
+  }
+
+ public:
+  // The empty configuration.
+  Configuration() = default;
+
+  // Builds the configuration of `files`. On faults returns null and adds all findings.
+  static std::shared_ptr<const Configuration> Make(const FileSet& files, Findings& findings);
+
+  // As Make(), but costs time in proportion to the files that differ from those of this
+  // configuration.
+  std::shared_ptr<const Configuration> Update(const FileSet& files, Findings& findings) const;
+
+  const FileSet& files() const { return files_; }
+
+  // Ranges over all entries of a kind, ordered by file name and then as in the file.
+  auto customers() const { return All(&ConfigFile::customers); }
+  auto accounts() const { return All(&ConfigFile::accounts); }
+  auto teams() const { return All(&ConfigFile::teams); }
+  auto services() const { return All(&ConfigFile::services); }
+  auto workers() const { return All(&ConfigFile::workers); }
+  auto jobs() const { return All(&ConfigFile::jobs); }
+  auto retirements() const { return All(&ConfigFile::retirements); }
+
+  // Null if there is no such entry.
+  const Customer* Find(const CustomerId& id) const;
+  const Account* Find(const AccountId& id) const;
+  const Team* Find(const TeamId& id) const;
+  const Service* Find(const ServiceId& id) const;
+  const Worker* Find(const WorkerId& id) const;
+  const Job* Find(const JobId& id) const;
+  const Retirement* FindRetirement(const CustomerId& customer) const;
+
+  bool IsRetired(const CustomerId& customer) const { return FindRetirement(customer) != nullptr; }
+
+  // The customer that an entry belongs to; empty for workers and for unknown keys.
+  CustomerId OwnerOf(const EntryKey& key) const;
+
+  // Cells named by workers, with the number of their workers.
+  const std::map<CellId, std::uint32_t>& cells() const { return cells_; }
+
+  // Keys of entries that were added, removed or changed between `before` and `after`. Costs time in
+  // proportion to the files that differ.
+  static std::set<EntryKey> Difference(const Configuration& before, const Configuration& after);
+
+ private:
+  template <typename T>
+  const T* FindEntry(EntryKind kind, const std::string& name,
+                     const std::vector<T>& (ConfigFile::*entries)() const) const;
+
+  void CheckFile(const ConfigFile& file, Findings& findings) const;
+  void CheckRemoved(const ConfigFile& file, Findings& findings) const;
+
+  FileSet files_;
+  EntryIndex index_;
+  std::map<CellId, std::uint32_t> cells_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_VERSION_CONFIGURATION_H_
--- /dev/null
+++ b/packages/version/include/cactusshelf/version/entry_index.h
@@ -0,0 +1,52 @@
+#ifndef CACTUSSHELF_VERSION_ENTRY_INDEX_H_
+#define CACTUSSHELF_VERSION_ENTRY_INDEX_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "cactusshelf/version/config_file.h"
+
+namespace cactusshelf {
+
+// Index of the entries of a file set by key. A copy shares its shards with the original until one
+// of them is changed, so that adding or removing a file costs time in proportion to the entries of
+// that file and not of the file set. The files must outlive the index. Not thread-safe for writing.
+class EntryIndex {
+ public:
+  struct Location {
+    const ConfigFile* file = nullptr;
+    std::size_t definition = 0;
+  };
+
+  struct Item {
+    // More than one if the key is defined twice.
+    std::vector<Location> definitions;
+    // Files that refer to the key, with the number of references.
+    std::vector<std::pair<const ConfigFile*, std::uint32_t>> referrers;
+  };
+
+  void Add(const ConfigFile& file);
+  void Remove(const ConfigFile& file);
+
+  // Null if the key is neither defined nor referred to. Valid until the next change.
+  const Item* Find(const EntryKey& key) const;
+
+ private:
+  // 26,000 jobs and 5,200 workers give about 60 entries for each shard.
+  static constexpr std::size_t kShards = 512;
+  using Shard = std::map<EntryKey, Item>;
+
+  Item& Edit(const EntryKey& key);
+  void DropIfUnused(const EntryKey& key);
+
+  std::array<std::shared_ptr<Shard>, kShards> shards_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_VERSION_ENTRY_INDEX_H_
--- /dev/null
+++ b/packages/version/include/cactusshelf/version/log_follower.h
@@ -0,0 +1,73 @@
+#ifndef CACTUSSHELF_VERSION_LOG_FOLLOWER_H_
+#define CACTUSSHELF_VERSION_LOG_FOLLOWER_H_
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/version/log_protocol.h"
+#include "cactusshelf/version/log_record.h"
+#include "cactusshelf/version/log_state.h"
+
+namespace cactusshelf {
+
+// The log was trimmed and holds no snapshot that a reader could start from.
+class NoSnapshotError : public Error {
+ public:
+  using Error::Error;
+};
+
+// Folds the answers to consecutive reads of the log, starting from the latest snapshot if the
+// records before were trimmed. Not thread-safe.
+class LogFollower {
+ public:
+  struct Applied {
+    Offset offset = 0;
+    WallTime time{};
+    LogChange change;
+  };
+
+  LogFollower() = default;
+  explicit LogFollower(LogState state) : state_(std::move(state)) {}
+
+  // Offset to read from next.
+  Offset next_read() const { return scan_ ? scan_->next : state_.offset(); }
+
+  // Applies a reply to a read from next_read(); records that were applied before are skipped.
+  // Throws NoSnapshotError if the log was trimmed past the state and no usable snapshot is in it,
+  // and LogGapError or DecodeError for a reply that contradicts itself or earlier replies. The
+  // state is unchanged then, except for the records before the fault.
+  std::vector<Applied> Consume(const ReadReply& reply);
+
+  // Whether the state includes all records that the last reply reported.
+  bool caught_up() const { return !scan_ && state_.offset() >= end_; }
+
+  // False while the follower searches a trimmed log for the latest snapshot; state() then is that
+  // from before.
+  bool loaded() const { return !scan_.has_value(); }
+  const LogState& state() const { return state_; }
+
+  // Snapshots that could not be loaded.
+  std::uint64_t rejected_snapshots() const { return rejected_snapshots_; }
+
+ private:
+  // Search for the latest usable snapshot in a trimmed log.
+  struct Scan {
+    Offset next = 0;
+    std::vector<SnapshotRecord> candidates;
+  };
+
+  void ScanReply(const ReadReply& reply);
+  void FinishScan(Offset first);
+
+  LogState state_;
+  std::optional<Scan> scan_;
+  Offset end_ = 0;
+  std::uint64_t rejected_snapshots_ = 0;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_VERSION_LOG_FOLLOWER_H_
--- /dev/null
+++ b/packages/version/include/cactusshelf/version/log_record.h
@@ -0,0 +1,157 @@
+#ifndef CACTUSSHELF_VERSION_LOG_RECORD_H_
+#define CACTUSSHELF_VERSION_LOG_RECORD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/base/strong_id.h"
+#include "cactusshelf/version/file_set.h"
+#include "cactusshelf/version/offset.h"
+
+namespace cactusshelf {
+
+// In the records below, `applied` is LogState::offset() of the writer: all records with a lower
+// offset had been applied.
+
+// A change of the configuration.
+struct Publish {
+  // Chosen by the publisher and repeated when the publish is appended again. Not empty.
+  std::string publication_id;
+  // The revision that the changes were made against.
+  Revision base;
+  FileChanges changes;
+
+  friend bool operator==(const Publish&, const Publish&) = default;
+};
+
+// Appended by an entry host process before it serves anything.
+struct Join {
+  // "<host name>/<incarnation>".
+  MemberId member;
+  // Greater than that of any earlier process of the same host.
+  std::uint64_t incarnation = 0;
+  DomainId domain;
+  // Address of the peer transport and of the HTTP server, each "<IP address>:<port>".
+  std::string peer_address;
+  std::string http_address;
+  Offset applied = 0;
+
+  friend bool operator==(const Join&, const Join&) = default;
+};
+
+enum class RemoveReason {
+  // The failure detectors of `by` and `confirmed_by` consider the member dead.
+  kFailed,
+  // The host list no longer contains the member's host.
+  kNotListed,
+};
+
+// Appended by another member.
+struct Remove {
+  MemberId member;
+  MemberId by;
+  RemoveReason reason = RemoveReason::kFailed;
+  // For kFailed: a member other than `member` and `by`. Otherwise empty.
+  MemberId confirmed_by;
+
+  friend bool operator==(const Remove&, const Remove&) = default;
+};
+
+// Appended by an entry host process after a graceful stop.
+struct Leave {
+  MemberId member;
+
+  friend bool operator==(const Leave&, const Leave&) = default;
+};
+
+enum class JobEvent {
+  // The job was admitted to `cell`.
+  kAssigned,
+  // No task of the job runs and none will: it completed, or its tasks were stopped.
+  kFinished,
+  // The job can never run; `detail` names the limiting resource.
+  kRejected,
+};
+
+struct JobUpdate {
+  JobId job;
+  JobEvent event = JobEvent::kAssigned;
+  CellId cell;
+  std::string detail;
+
+  friend bool operator==(const JobUpdate&, const JobUpdate&) = default;
+};
+
+// Events of jobs, batched by a member.
+struct Jobs {
+  MemberId by;
+  std::vector<JobUpdate> updates;
+
+  friend bool operator==(const Jobs&, const Jobs&) = default;
+};
+
+// States that nothing of a retired customer is in flight at a member or, if `cell` is set, that no
+// task of the customer runs on the workers of the cell.
+struct Attest {
+  CustomerId customer;
+  MemberId member;
+  Offset applied = 0;
+  // Requests of the customer in flight at the member. Must be 0.
+  std::uint64_t in_flight = 0;
+
+  struct Cell {
+    CellId cell;
+    // Membership epoch under which the member owns the cell.
+    Offset epoch = 0;
+    // Tasks of the customer on the workers of the cell. Must be 0.
+    std::uint64_t tasks = 0;
+    // Every worker answered under `epoch`, or its leases expired.
+    bool all_workers_visited = false;
+
+    friend bool operator==(const Cell&, const Cell&) = default;
+  };
+  std::optional<Cell> cell;
+
+  friend bool operator==(const Attest&, const Attest&) = default;
+};
+
+// The folded state after all records with an offset lower than `offset`.
+struct SnapshotRecord {
+  MemberId by;
+  Offset offset = 0;
+  // LogState::chain() at `offset`.
+  std::string chain;
+  // Bytes of Snapshot::Encode().
+  std::string state;
+
+  friend bool operator==(const SnapshotRecord&, const SnapshotRecord&) = default;
+};
+
+using LogRecord = std::variant<Publish, Join, Remove, Leave, Jobs, Attest, SnapshotRecord>;
+
+inline constexpr int kLogRecordFormat = 1;
+// Bounds what a reader allocates for one record. A snapshot at the target size is about 6 MB.
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{32} << 20;
+// Deepest nesting of a record; a depth bound keeps hostile input from exhausting the stack.
+inline constexpr int kMaxRecordDepth = 12;
+
+// Lower-case name of the record type, for instance "publish".
+std::string_view TypeName(const LogRecord& record);
+
+// CBOR map with format version, type, payload and the SHA-256 digest of the payload. Throws Error
+// if the result is larger than kMaxRecordBytes.
+std::string EncodeRecord(const LogRecord& record);
+
+// Throws DecodeError for bytes that are not a record of this format, are too large or too deeply
+// nested, or whose digest does not match.
+LogRecord DecodeRecord(std::string_view bytes);
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_VERSION_LOG_RECORD_H_
