--- a/packages/version/include/cactusshelf/version/configuration.h
+++ b/packages/version/include/cactusshelf/version/configuration.h
@@ -4,12 +4,12 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <ranges>
 #include <set>
 #include <vector>
 
 #include "cactusshelf/base/findings.h"
 #include "cactusshelf/version/entry_index.h"
+#include "cactusshelf/version/entry_range.h"
 #include "cactusshelf/version/file_set.h"
 
 namespace cactusshelf {
@@ -17,17 +17,6 @@
 // The typed entries of a valid file set. Immutable; safe to share between threads. Pointers and
 // ranges that it returns are valid as long as the configuration.
 class Configuration {
-  // Defined first, since its return type is deduced.
-  template <typename T>
-  auto All(const std::vector<T>& (ConfigFile::*entries)() const) const {
-    return files_.files() | std::views::values |
-           std::views::transform(
-               [entries](const std::shared_ptr<const ConfigFile>& file) -> const std::vector<T>& {
-                 return ((*file).*entries)();
-               }) |
-           std::views::join;
-  }
-
  public:
   // The empty configuration.
   Configuration() = default;
@@ -42,13 +31,13 @@
   const FileSet& files() const { return files_; }
 
   // Ranges over all entries of a kind, ordered by file name and then as in the file.
-  auto customers() const { return All(&ConfigFile::customers); }
-  auto accounts() const { return All(&ConfigFile::accounts); }
-  auto teams() const { return All(&ConfigFile::teams); }
-  auto services() const { return All(&ConfigFile::services); }
-  auto workers() const { return All(&ConfigFile::workers); }
-  auto jobs() const { return All(&ConfigFile::jobs); }
-  auto retirements() const { return All(&ConfigFile::retirements); }
+  EntryRange<Customer> customers() const { return {files_, &ConfigFile::customers}; }
+  EntryRange<Account> accounts() const { return {files_, &ConfigFile::accounts}; }
+  EntryRange<Team> teams() const { return {files_, &ConfigFile::teams}; }
+  EntryRange<Service> services() const { return {files_, &ConfigFile::services}; }
+  EntryRange<Worker> workers() const { return {files_, &ConfigFile::workers}; }
+  EntryRange<Job> jobs() const { return {files_, &ConfigFile::jobs}; }
+  EntryRange<Retirement> retirements() const { return {files_, &ConfigFile::retirements}; }
 
   // Null if there is no such entry.
   const Customer* Find(const CustomerId& id) const;
