--- a/packages/version/include/cactusshelf/version/entries.h
+++ b/packages/version/include/cactusshelf/version/entries.h
@@ -8,20 +8,12 @@
 #include <vector>
 
 #include "cactusshelf/base/findings.h"
+#include "cactusshelf/base/resources.h"
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
 
 namespace cactusshelf {
 
-// Amounts of what a worker offers or a task needs. A processor is 1,000 milliprocessors.
-struct Resources {
-  std::int64_t milliprocessors = 0;
-  std::int64_t memory_bytes = 0;
-  std::int64_t accelerators = 0;
-
-  friend bool operator==(const Resources&, const Resources&) = default;
-};
-
 // [[customer]]
 struct Customer {
   CustomerId name;
--- a/packages/version/include/cactusshelf/version/log_state.h
+++ b/packages/version/include/cactusshelf/version/log_state.h
@@ -31,7 +31,7 @@
   using Error::Error;
 };
 
-struct Member {
+struct RegisteredMember {
   MemberId id;
   std::uint64_t incarnation = 0;
   DomainId domain;
@@ -40,7 +40,7 @@
   Offset join_offset = 0;
   WallTime joined_at{};
 
-  friend bool operator==(const Member&, const Member&) = default;
+  friend bool operator==(const RegisteredMember&, const RegisteredMember&) = default;
 };
 
 enum class JobStatus {
@@ -117,12 +117,12 @@
 };
 
 struct MemberJoined {
-  Member member;
+  RegisteredMember member;
 };
 
 // The member left, or was removed if `remove` is set.
 struct MemberGone {
-  Member member;
+  RegisteredMember member;
   std::optional<Remove> remove;
 };
 
@@ -188,7 +188,7 @@
   // Log timestamp of the publish that is in force.
   std::optional<WallTime> revision_time() const { return revision_time_; }
 
-  const std::map<MemberId, Member>& members() const { return members_; }
+  const std::map<MemberId, RegisteredMember>& members() const { return members_; }
 
   // Offset of the last record that changed the members; 0 before the first.
   Offset membership_epoch() const { return membership_epoch_; }
@@ -266,7 +266,7 @@
   std::optional<WallTime> revision_time_;
   std::deque<Publication> publications_;
   std::map<std::string, Publication> publications_by_id_;
-  std::map<MemberId, Member> members_;
+  std::map<MemberId, RegisteredMember> members_;
   std::map<MemberId, JoinEvidence> joins_;
   // Highest incarnation seen for each host, and the hosts in the order they were first seen.
   std::map<std::string, std::uint64_t> incarnations_;
