Declare the public interfaces of the request and connection packages

Router is the state machine of one entry host's requests: inputs with the time, typed effects out, typed peer messages without a codec. The owner of a request id is found by a function handed in, so the package does not depend on membership.

--- /dev/null
+++ b/packages/connection/include/cactusshelf/connection/peer_message.h
@@ -0,0 +1,17 @@
+#ifndef CACTUSSHELF_CONNECTION_PEER_MESSAGE_H_
+#define CACTUSSHELF_CONNECTION_PEER_MESSAGE_H_
+
+#include <variant>
+
+#include "cactusshelf/connection/slot_messages.h"
+#include "cactusshelf/request/claim_messages.h"
+
+namespace cactusshelf {
+
+// Any message between the routers of two entry hosts. Delivery may fail, repeat and reorder.
+using PeerMessage =
+    std::variant<Claim, ClaimReply, ClaimDone, FetchAnswer, Answer, Lend, Return, Demand>;
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_PEER_MESSAGE_H_
--- /dev/null
+++ b/packages/connection/include/cactusshelf/connection/router_options.h
@@ -0,0 +1,46 @@
+#ifndef CACTUSSHELF_CONNECTION_ROUTER_OPTIONS_H_
+#define CACTUSSHELF_CONNECTION_ROUTER_OPTIONS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Switches that disable one protection each, so that tests can show that their checks fail
+// without it. Production code leaves all of them at their defaults.
+struct RouterProtections {
+  bool claims = true;     // Non-idempotent requests run only with a claim.
+  bool tenure = true;     // Ids issued before the owner's tenure are unknown.
+  bool no_resend = true;  // A non-idempotent request is sent at most once.
+  bool not_run_only_if_proven = true;
+  bool drop_late_answers = true;
+  bool drop_truncated = true;
+  bool slot_tokens = true;
+  bool lease_margin = true;  // Lenders wait 5% beyond the lease; borrowers end before it.
+  bool avoid_leaving = true;
+  bool retry_budget = true;
+  bool ejection_floor = true;
+  bool admission = true;
+};
+
+struct RouterOptions {
+  Duration longest_timeout = std::chrono::seconds(30);
+  Duration max_clock_skew = std::chrono::milliseconds(500);
+  Duration claim_window = std::chrono::minutes(10);
+  Duration claim_resend = std::chrono::milliseconds(250);
+  std::size_t max_claims = 1'000'000;
+  std::size_t max_stored_answer_bytes = std::size_t{64} << 20;
+  Duration token_lease = std::chrono::seconds(2);
+  Duration demand_period = std::chrono::milliseconds(250);
+  std::size_t queue_capacity = 1024;  // Requests per service.
+  double retry_ratio = 0.1;           // Retries and hedges per request.
+  double ejection_limit = 0.3;        // Part of the endpoints of a service.
+  RouterProtections protections;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_ROUTER_OPTIONS_H_
--- /dev/null
+++ b/packages/connection/include/cactusshelf/connection/slot_messages.h
@@ -0,0 +1,57 @@
+#ifndef CACTUSSHELF_CONNECTION_SLOT_MESSAGES_H_
+#define CACTUSSHELF_CONNECTION_SLOT_MESSAGES_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "cactusshelf/base/strong_id.h"
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Slots of one endpoint; bit n stands for slot n.
+struct SlotSet {
+  EndpointId endpoint;
+  std::uint64_t slots = 0;
+
+  friend bool operator==(const SlotSet&, const SlotSet&) = default;
+};
+
+// Number of a lease, increasing within the lending member. 0 marks a transfer of the slots
+// themselves rather than a lease.
+using LeaseNumber = std::uint64_t;
+
+// Slots that a service could use at the sender.
+struct ServiceDemand {
+  ServiceId service;
+  std::uint32_t slots = 0;
+};
+
+// Sent to every peer each demand period. A Lend in reply extends the leases of the sender.
+struct Demand {
+  // Clock of the sender, echoed by Lend. The lease counts from here on the clock of the borrower,
+  // so that it ends there before it ends at the lender.
+  Time asked_at;
+  std::vector<ServiceDemand> services;
+  // Endpoints that the sender learned are leaving.
+  std::vector<EndpointId> leaving;
+};
+
+// Home of the slots to borrower: the slots are lent until `asked_at + lease`.
+struct Lend {
+  Time asked_at;
+  Duration lease{};
+  LeaseNumber number = 0;
+  std::vector<SlotSet> slots;
+};
+
+// Borrower to home: the slots of lease `number` are no longer in use. With number 0: the sender
+// was the home of the slots, has stopped using them, and hands them to their new home.
+struct Return {
+  LeaseNumber number = 0;
+  std::vector<SlotSet> slots;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SLOT_MESSAGES_H_
--- /dev/null
+++ b/packages/request/include/cactusshelf/request/request_id.h
@@ -0,0 +1,54 @@
+#ifndef CACTUSSHELF_REQUEST_REQUEST_ID_H_
+#define CACTUSSHELF_REQUEST_REQUEST_ID_H_
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cactusshelf/base/random.h"
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Id of a request: a UUIDv7, which carries its time of issue. Immutable.
+class RequestId {
+ public:
+  // Number of shards over which the ownership of request ids is distributed.
+  static constexpr std::uint32_t kShards = 1024;
+
+  // Parses the canonical text form, in either case. Empty if `text` is not a UUID of version 7
+  // and variant 2.
+  static std::optional<RequestId> Parse(std::string_view text);
+
+  // A new id issued at `issued`. Precondition: `issued` is not before 1970.
+  static RequestId Make(WallTime issued, Random& random);
+
+  WallTime IssuedAt() const;
+
+  // Key of the shard of this id, for the ownership function: "request/<n>", n < kShards.
+  std::string ShardKey() const;
+
+  // Canonical lower-case text form.
+  std::string ToString() const;
+
+  std::size_t Hash() const;
+
+  friend auto operator<=>(const RequestId&, const RequestId&) = default;
+
+ private:
+  explicit RequestId(const std::array<std::uint8_t, 16>& bytes) : bytes_(bytes) {}
+
+  std::array<std::uint8_t, 16> bytes_;
+};
+
+}  // namespace cactusshelf
+
+template <>
+struct std::hash<cactusshelf::RequestId> {
+  std::size_t operator()(const cactusshelf::RequestId& id) const noexcept { return id.Hash(); }
+};
+
+#endif  // CACTUSSHELF_REQUEST_REQUEST_ID_H_
