--- a/packages/connection/include/cactusshelf/connection/router.h
+++ b/packages/connection/include/cactusshelf/connection/router.h
@@ -11,7 +11,7 @@
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
 #include "cactusshelf/connection/attempt_event.h"
-#include "cactusshelf/connection/peer_message.h"
+#include "cactusshelf/connection/router_message.h"
 #include "cactusshelf/connection/request.h"
 #include "cactusshelf/connection/router_effect.h"
 #include "cactusshelf/connection/router_options.h"
@@ -48,7 +48,7 @@
   void OnRequest(Now now, RequestToken token, Request request);
   void OnCallerGone(Now now, RequestToken token);
   void OnAttemptEvent(Now now, AttemptId attempt, AttemptEvent event);
-  void OnPeerMessage(Now now, const MemberId& from, PeerMessage message);
+  void OnPeerMessage(Now now, const MemberId& from, RouterMessage message);
   void OnTimer(Now now);
 
   // This member may act as an owner until `valid_until`.
--- a/packages/connection/include/cactusshelf/connection/router_effect.h
+++ b/packages/connection/include/cactusshelf/connection/router_effect.h
@@ -7,7 +7,7 @@
 
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
-#include "cactusshelf/connection/peer_message.h"
+#include "cactusshelf/connection/router_message.h"
 #include "cactusshelf/connection/request.h"
 #include "cactusshelf/request/content.h"
 #include "cactusshelf/request/outcome.h"
@@ -43,7 +43,7 @@
 
 struct SendToPeer {
   MemberId to;
-  PeerMessage message;
+  RouterMessage message;
   // The shell drops the message after this time: it needs the authority of this member.
   std::optional<Time> valid_until;
 };
--- a/packages/connection/include/cactusshelf/connection/peer_message.h
+++ b/packages/connection/include/cactusshelf/connection/router_message.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSSHELF_CONNECTION_PEER_MESSAGE_H_
-#define CACTUSSHELF_CONNECTION_PEER_MESSAGE_H_
+#ifndef CACTUSSHELF_CONNECTION_ROUTER_MESSAGE_H_
+#define CACTUSSHELF_CONNECTION_ROUTER_MESSAGE_H_
 
 #include <variant>
 
@@ -9,9 +9,9 @@
 namespace cactusshelf {
 
 // Any message between the routers of two entry hosts. Delivery may fail, repeat and reorder.
-using PeerMessage =
+using RouterMessage =
     std::variant<Claim, ClaimReply, ClaimDone, FetchAnswer, Answer, Lend, Return, Demand>;
 
 }  // namespace cactusshelf
 
-#endif  // CACTUSSHELF_CONNECTION_PEER_MESSAGE_H_
+#endif  // CACTUSSHELF_CONNECTION_ROUTER_MESSAGE_H_
--- a/packages/connection/include/cactusshelf/connection/slot_messages.h
+++ b/packages/connection/include/cactusshelf/connection/slot_messages.h
@@ -22,7 +22,7 @@
 using LeaseNumber = std::uint64_t;
 
 // Slots that a service could use at the sender.
-struct ServiceDemand {
+struct SlotDemand {
   ServiceId service;
   std::uint32_t slots = 0;
 };
@@ -32,7 +32,7 @@
   // Clock of the sender, echoed by Lend. The lease counts from here on the clock of the borrower,
   // so that it ends there before it ends at the lender.
   Time asked_at;
-  std::vector<ServiceDemand> services;
+  std::vector<SlotDemand> services;
   // Endpoints that the sender learned are leaving.
   std::vector<EndpointId> leaving;
 };
