--- /dev/null
+++ b/packages/placement/include/cactusshelf/placement/resources.h
@@ -0,0 +1,39 @@
+#ifndef CACTUSSHELF_PLACEMENT_RESOURCES_H_
+#define CACTUSSHELF_PLACEMENT_RESOURCES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace cactusshelf {
+
+enum class ResourceKind { kProcessors, kMemory, kAccelerators };
+
+// "processors", "memory" or "accelerators".
+std::string_view ToString(ResourceKind kind);
+
+// An amount of the resources of a worker. Amounts may be negative in differences.
+struct Resources {
+  std::int64_t millicores = 0;  // Thousandths of a processor.
+  std::int64_t memory_bytes = 0;
+  std::int64_t accelerators = 0;
+
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+  friend Resources operator+(Resources left, const Resources& right) { return left += right; }
+  friend Resources operator-(Resources left, const Resources& right) { return left -= right; }
+  friend Resources operator*(const Resources& amount, std::int64_t n) {
+    return {amount.millicores * n, amount.memory_bytes * n, amount.accelerators * n};
+  }
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+// True if `need` is at most `available` in every resource.
+bool Fits(const Resources& need, const Resources& available);
+
+// The first resource of which `need` exceeds `available`, or nothing if it fits.
+std::optional<ResourceKind> FirstExceeded(const Resources& need, const Resources& available);
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_PLACEMENT_RESOURCES_H_
