--- a/packages/placement/include/cactusshelf/placement/cell_scheduler.h
+++ b/packages/placement/include/cactusshelf/placement/cell_scheduler.h
@@ -9,10 +9,10 @@
 
 #include "cactusshelf/base/counters.h"
 #include "cactusshelf/base/random.h"
+#include "cactusshelf/base/resources.h"
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
 #include "cactusshelf/placement/cell_options.h"
-#include "cactusshelf/placement/resources.h"
 #include "cactusshelf/placement/specs.h"
 #include "cactusshelf/placement/worker_messages.h"
 
--- a/packages/placement/include/cactusshelf/placement/specs.h
+++ b/packages/placement/include/cactusshelf/placement/specs.h
@@ -4,9 +4,9 @@
 #include <cstdint>
 #include <vector>
 
+#include "cactusshelf/base/resources.h"
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
-#include "cactusshelf/placement/resources.h"
 
 // What the configuration and the log say about a cell.
 namespace cactusshelf {
--- a/packages/placement/include/cactusshelf/placement/worker_messages.h
+++ b/packages/placement/include/cactusshelf/placement/worker_messages.h
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
+#include "cactusshelf/base/resources.h"
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
-#include "cactusshelf/placement/resources.h"
 
 // The messages between the owner of a cell and a worker, with their JSON encoding.
 //
--- a/packages/placement/src/worker_messages.cc
+++ b/packages/placement/src/worker_messages.cc
@@ -60,7 +60,7 @@
 }
 
 Json Encode(const Resources& amount) {
-  return {{"millicores", amount.millicores},
+  return {{"milliprocessors", amount.milliprocessors},
           {"memory_bytes", amount.memory_bytes},
           {"accelerators", amount.accelerators}};
 }
@@ -68,7 +68,7 @@
 Resources DecodeResources(const Json& json) {
   JsonReader reader(json, "resources");
   Resources amount;
-  amount.millicores = reader.Signed("millicores");
+  amount.milliprocessors = reader.Signed("milliprocessors");
   amount.memory_bytes = reader.Signed("memory_bytes");
   amount.accelerators = reader.Signed("accelerators");
   reader.Finish();
--- a/packages/placement/tests/resources_test.cc
+++ b/packages/placement/tests/resources_test.cc
@@ -1,4 +1,4 @@
-#include "cactusshelf/placement/resources.h"
+#include "cactusshelf/base/resources.h"
 
 #include <catch2/catch.hpp>
 
