--- /dev/null
+++ b/packages/membership/include/cactusshelf/membership/authority.h
@@ -0,0 +1,101 @@
+#ifndef CACTUSSHELF_MEMBERSHIP_AUTHORITY_H_
+#define CACTUSSHELF_MEMBERSHIP_AUTHORITY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cactusshelf/base/strong_id.h"
+#include "cactusshelf/base/time.h"
+#include "cactusshelf/membership/ownership_map.h"
+#include "cactusshelf/membership/peer_messages.h"
+
+namespace cactusshelf {
+
+struct AuthoritySettings {
+  Duration authority_lease = std::chrono::seconds(2);
+  // Confirmations are asked for once no log read that began within this time has succeeded. Half
+  // of the lease leaves two rounds of queries before rule 1 ends.
+  Duration log_silence = std::chrono::seconds(1);
+  Duration confirm_interval = std::chrono::milliseconds(500);
+  // A member whose host was never seen on the host list must confirm for this long after its join
+  // was applied, because the host list is delayed.
+  Duration host_list_settle = std::chrono::seconds(60);
+};
+
+// Whether this member may act as an owner at all (section 4.3 of the design).
+//  Rule 1: it read the log to its end, in a read that began within `authority_lease`, and was a
+//          member as of that end.
+//  Rule 2: every other member still on the host list, and at least one, promised within
+//          `authority_lease` of the query not to take over. Without the promise of at least one
+//          member, a member cut off from the log could not notice that it was removed.
+// Not thread-safe.
+class Authority {
+ public:
+  Authority(MemberId self, AuthoritySettings settings);
+
+  // The map that this member acts on from now on.
+  void OnMap(OwnershipMap map, Time now);
+
+  // A log read that began at `started` returned all records up to the end of the log, and these
+  // are applied. Reads that return a full batch or fail are not reported.
+  void OnLogRead(Time started);
+
+  // Names of all hosts on the host list, live or leaving.
+  void OnHostList(std::set<std::string> hosts, Time now);
+
+  void OnConfirmReply(const ConfirmReply& reply);
+
+  // Queries that are due at `now`: to the members that must confirm under rule 2 while log reads
+  // fail, and to `awaited` (OwnershipTenure::AwaitedMembers) in any case.
+  std::vector<OutgoingMessage> Poll(const std::vector<MemberId>& awaited, Time now);
+
+  // When Poll is to be called next. Poll may be called at any time.
+  Time next_poll() const { return next_poll_; }
+
+  // Answer to the query of another member, according to the map this member acts on.
+  ConfirmReply Answer(const Confirm& confirm) const;
+
+  // End of the authority that this member has at `now`, or empty if it has none. Effects that need
+  // authority carry this time.
+  std::optional<Time> ValidUntil(Time now) const;
+
+ private:
+  // When the host of a member was listed.
+  struct Listing {
+    Time first_known;
+    bool seen = false;
+  };
+  struct Query {
+    MemberId to;
+    Time sent;
+  };
+
+  bool MustConfirm(const Member& member, Time now) const;
+  std::optional<Time> LogValidUntil() const;
+  std::optional<Time> PromisedUntil(Time now) const;
+  void UpdateListings(Time now);
+  void ForgetOldQueries(Time now);
+
+  MemberId self_;
+  AuthoritySettings settings_;
+  OwnershipMap map_;
+  std::optional<std::set<std::string>> hosts_;
+  std::map<MemberId, Listing> listings_;
+  std::optional<Time> read_started_;
+  // Time of sending of the last query that was answered with a promise.
+  std::map<MemberId, Time> promises_;
+  std::map<std::uint64_t, Query> queries_;
+  std::uint64_t last_query_ = 0;
+  Time next_poll_;
+};
+
+// Host name part of a member id.
+std::string HostOf(const MemberId& member);
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_MEMBERSHIP_AUTHORITY_H_
