--- a/packages/membership/include/cactusshelf/membership/peer_messages.h
+++ b/packages/membership/include/cactusshelf/membership/peer_messages.h
@@ -104,11 +104,11 @@
   friend bool operator==(const ConfirmReply&, const ConfirmReply&) = default;
 };
 
-using PeerMessage = std::variant<Ping, PingReq, Ack, Confirm, ConfirmReply>;
+using MembershipMessage = std::variant<Ping, PingReq, Ack, Confirm, ConfirmReply>;
 
 struct OutgoingMessage {
   MemberId to;
-  PeerMessage message;
+  MembershipMessage message;
 
   friend bool operator==(const OutgoingMessage&, const OutgoingMessage&) = default;
 };
