--- a/packages/version/include/cactusshelf/version/config_file.h
+++ b/packages/version/include/cactusshelf/version/config_file.h
@@ -2,6 +2,7 @@
 #define CACTUSSHELF_VERSION_CONFIG_FILE_H_
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,12 +16,15 @@
 // the files that a publish leaves unchanged with the configuration before it.
 class ConfigFile {
  public:
+  static constexpr std::size_t kNoIndex = std::numeric_limits<std::size_t>::max();
+
   // Where an entry is defined, in the order of the file.
   struct Definition {
     EntryKey key;
     Place place;
-    // Index into the vector of the entry's kind.
-    std::size_t index = 0;
+    // Index into the vector of the entry's kind; kNoIndex for an address and for an entry with
+    // faults.
+    std::size_t index = kNoIndex;
   };
 
   // A name in one entry that must be defined by another entry of the file set.
@@ -41,6 +45,8 @@
   const std::string& name() const { return name_; }
   const std::string& text() const { return text_; }
   const Findings& findings() const { return findings_; }
+  // False if the text is not TOML, so that nothing is known about its entries.
+  bool parsed() const { return parsed_; }
   const std::vector<Definition>& definitions() const { return definitions_; }
   const std::vector<Reference>& references() const { return references_; }
 
@@ -60,6 +66,7 @@
   std::string name_;
   std::string text_;
   Findings findings_;
+  bool parsed_ = false;
   std::vector<Definition> definitions_;
   std::vector<Reference> references_;
   std::vector<Customer> customers_;
--- a/packages/version/include/cactusshelf/version/configuration.h
+++ b/packages/version/include/cactusshelf/version/configuration.h
@@ -56,9 +56,12 @@
   // Cells named by workers, with the number of their workers.
   const std::map<CellId, std::uint32_t>& cells() const { return cells_; }
 
+  // Where the entry is defined; empty if there is no such entry.
+  Place PlaceOf(const EntryKey& key) const;
+
   // Keys of entries that were added, removed or changed between `before` and `after`. Costs time in
-  // proportion to the files that differ.
-  static std::set<EntryKey> Difference(const Configuration& before, const Configuration& after);
+  // proportion to the files that differ. An entry with faults counts as changed.
+  static std::set<EntryKey> Difference(const FileSet& before, const FileSet& after);
 
  private:
   template <typename T>
@@ -66,7 +69,10 @@
                      const std::vector<T>& (ConfigFile::*entries)() const) const;
 
   void CheckFile(const ConfigFile& file, Findings& findings) const;
-  void CheckRemoved(const ConfigFile& file, Findings& findings) const;
+  void CheckRemoved(const ConfigFile& file,
+                    const std::vector<std::shared_ptr<const ConfigFile>>& added,
+                    Findings& findings) const;
+  void CountCells(const ConfigFile& file, int sign);
 
   FileSet files_;
   EntryIndex index_;
--- a/packages/version/include/cactusshelf/version/entries.h
+++ b/packages/version/include/cactusshelf/version/entries.h
@@ -102,7 +102,17 @@
   friend bool operator==(const Retirement&, const Retirement&) = default;
 };
 
-enum class EntryKind { kCustomer, kAccount, kTeam, kService, kWorker, kJob, kRetirement };
+enum class EntryKind {
+  kCustomer,
+  kAccount,
+  kTeam,
+  kService,
+  kWorker,
+  kJob,
+  kRetirement,
+  // Address of an endpoint or worker, indexed only to find duplicates.
+  kAddress,
+};
 
 // Name of the TOML table, for instance "customer".
 std::string_view ToString(EntryKind kind);
--- a/packages/version/include/cactusshelf/version/log_record.h
+++ b/packages/version/include/cactusshelf/version/log_record.h
@@ -139,7 +139,24 @@
 // Bounds what a reader allocates for one record. A snapshot at the target size is about 6 MB.
 inline constexpr std::size_t kMaxRecordBytes = std::size_t{32} << 20;
 // Deepest nesting of a record; a depth bound keeps hostile input from exhausting the stack.
-inline constexpr int kMaxRecordDepth = 12;
+inline constexpr int kMaxRecordDepth = 8;
+
+enum class RecordFault { kTooLarge, kTooDeep, kMalformed, kUnknownFormat, kDigest, kInvalidField };
+
+// Reason label of counters, for instance "digest".
+std::string_view ToString(RecordFault fault);
+
+// A record that cannot be decoded.
+class RecordError : public DecodeError {
+ public:
+  RecordError(RecordFault fault, const std::string& message)
+      : DecodeError(message), fault_(fault) {}
+
+  RecordFault fault() const { return fault_; }
+
+ private:
+  RecordFault fault_;
+};
 
 // Lower-case name of the record type, for instance "publish".
 std::string_view TypeName(const LogRecord& record);
@@ -148,7 +165,7 @@
 // if the result is larger than kMaxRecordBytes.
 std::string EncodeRecord(const LogRecord& record);
 
-// Throws DecodeError for bytes that are not a record of this format, are too large or too deeply
+// Throws RecordError for bytes that are not a record of this format, are too large or too deeply
 // nested, or whose digest does not match.
 LogRecord DecodeRecord(std::string_view bytes);
 
--- a/packages/version/include/cactusshelf/version/retirement.h
+++ b/packages/version/include/cactusshelf/version/retirement.h
@@ -32,7 +32,8 @@
   // What the certificate requires, derived by the fold when it applied the retirement: the members
   // and the cells of the configuration at that offset.
   kScope,
-  // Cells whose workers changed before the certificate was complete, derived by the fold. These
+  // Cells to which workers were added before the certificate was complete, derived by the fold.
+  // These
   // cells have to attest again, since a worker that moved may still run a task.
   kScopeChange,
   kJoin,
@@ -110,8 +111,11 @@
 // The evidence of one retirement. A pure function of the items added. Not thread-safe.
 class RetirementCase {
  public:
-  // `publish` is the retirement and `joins` the join records of the members at that offset.
-  RetirementCase(const RetirementScope& scope, Evidence publish, std::vector<Evidence> joins);
+  // `earlier` holds, ordered by offset, the join record of each member of the scope and the remove
+  // record of those that were removed before the retirement and could still act at its time.
+  // `publish` is the retirement. Chains are filled in.
+  RetirementCase(RetirementScope scope, const std::vector<Evidence>& earlier,
+                 const Evidence& publish);
 
   // Rebuilds a case from its evidence. Throws DecodeError, naming the first item at fault, if an
   // item is altered, missing, out of order or not part of the case.
@@ -121,14 +125,15 @@
   // while the certificate is not complete and only if the record proves something new.
   void OnLeave(const Leave& leave, Evidence evidence);
   void OnRemove(const Remove& remove, Evidence evidence);
-  // False if the attestation does not count for this case.
+  // False if the attestation proves nothing new for this case.
   bool OnAttest(const Attest& attest, Evidence evidence);
+  // `cells` are those that workers were added or moved to.
   void OnWorkersChanged(const std::set<CellId>& cells, Offset offset, WallTime time);
-  // Called for every record; `bytes` is hashed only if a removal lapses.
+  // Called for every record, after the calls above; `bytes` is hashed only if a removal lapses.
   void OnTime(Offset offset, WallTime time, std::string_view bytes);
 
   const RetirementScope& scope() const { return scope_; }
-  WallTime retired_at() const { return evidence_.front().time; }
+  WallTime retired_at() const { return retired_at_; }
   const std::vector<Evidence>& evidence() const { return evidence_; }
 
   // Ordered by kind and name; empty if the certificate is complete.
@@ -137,11 +142,14 @@
   std::optional<Certificate> certificate() const;
 
  private:
-  RetirementCase() = default;
   void Add(Evidence evidence);
+  bool AnyLapsed(WallTime time) const;
+  void Lapse(Evidence evidence);
+  void Replay(const Evidence& evidence);
   void UpdateComplete();
 
   RetirementScope scope_;
+  WallTime retired_at_{};
   std::vector<Evidence> evidence_;
   std::set<MemberId> open_members_;
   // Members removed after the retirement, with the time of the removal.
@@ -160,6 +168,9 @@
 
   // Null if the customer is not retired.
   const RetirementCase* Find(const CustomerId& customer) const;
+
+  // Customers whose certificate is not complete.
+  const std::set<CustomerId>& open() const { return open_; }
   const Cases& cases() const { return cases_; }
 
   // Offset of the latest retirement. A join must name an offset past it.
@@ -172,6 +183,10 @@
   void OnTime(Offset offset, WallTime time, std::string_view bytes);
 
  private:
+  // Calls `visit` with each case whose certificate is not complete.
+  template <typename Visit>
+  void ForEachOpen(Visit visit);
+
   Cases cases_;
   // Customers whose certificate is not complete; the others cost nothing.
   std::set<CustomerId> open_;
--- /dev/null
+++ b/packages/version/src/codec.h
@@ -0,0 +1,63 @@
+#ifndef CACTUSSHELF_VERSION_SRC_CODEC_H_
+#define CACTUSSHELF_VERSION_SRC_CODEC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cactusshelf/base/strong_id.h"
+#include "cactusshelf/base/time.h"
+#include "cactusshelf/version/offset.h"
+
+namespace cactusshelf {
+
+using Json = nlohmann::json;
+
+// Longest identifier, address or message in a record.
+inline constexpr std::size_t kMaxTextBytes = 1024;
+
+std::string EncodeCbor(const Json& value);
+
+// Throws RecordError for bytes that are not one CBOR value or nest deeper than `max_depth`.
+Json DecodeCbor(std::string_view bytes, int max_depth);
+
+Json Binary(std::string_view bytes);
+
+// Read a field of a JSON object. Throw RecordError (kInvalidField) if `object` is not an object, or
+// the field is missing or of another type.
+const Json& Field(const Json& object, const char* key);
+const Json& ArrayField(const Json& object, const char* key);
+const Json& ObjectField(const Json& object, const char* key);
+std::string BytesField(const Json& object, const char* key);
+// At most kMaxTextBytes long.
+std::string TextField(const Json& object, const char* key);
+std::uint64_t UnsignedField(const Json& object, const char* key);
+std::int64_t SignedField(const Json& object, const char* key);
+bool BooleanField(const Json& object, const char* key);
+WallTime TimeField(const Json& object, const char* key);
+// Null or unsigned.
+std::optional<std::uint64_t> OptionalUnsignedField(const Json& object, const char* key);
+
+// As TextField(), but not empty.
+template <typename Id>
+Id IdField(const Json& object, const char* key);
+
+std::int64_t ToMilliseconds(WallTime time);
+
+[[noreturn]] void ThrowInvalidField(std::string_view key);
+
+template <typename Id>
+Id IdField(const Json& object, const char* key) {
+  Id id(TextField(object, key));
+  if (id.empty()) {
+    ThrowInvalidField(key);
+  }
+  return id;
+}
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_VERSION_SRC_CODEC_H_
--- a/packages/version/src/entries.cc
+++ b/packages/version/src/entries.cc
@@ -1,8 +1,5 @@
 #include "cactusshelf/version/entries.h"
 
-#include "cactusshelf/version/log_follower.h"
-#include "cactusshelf/version/snapshot.h"
-
 namespace cactusshelf {
 
 std::string_view ToString(EntryKind kind) {
@@ -21,6 +18,8 @@
       return "job";
     case EntryKind::kRetirement:
       return "retirement";
+    case EntryKind::kAddress:
+      return "address";
   }
   return "unknown";
 }
