--- a/packages/version/include/cactusshelf/version/entries.h
+++ b/packages/version/include/cactusshelf/version/entries.h
@@ -62,6 +62,8 @@
   std::int32_t slots = 0;
   std::int32_t connections = 0;
   Duration default_deadline{0};
+  // What one endpoint takes of the worker at its IP address; zero if not declared.
+  Resources endpoint_need;
   std::vector<Endpoint> endpoints;
 
   friend bool operator==(const Service&, const Service&) = default;
--- a/packages/version/src/config_file.cc
+++ b/packages/version/src/config_file.cc
@@ -154,6 +154,9 @@
     if (entry.default_deadline > kLongestRequestTimeout) {
       reader.AddFinding("default_deadline", "'default_deadline' is longer than 30s");
     }
+    if (reader.Has("endpoint_need")) {
+      entry.endpoint_need = reader.AmountsTable("endpoint_need");
+    }
     if (const toml::array* endpoints = reader.Array("endpoints")) {
       ParseEndpoints(reader, *endpoints, entry);
     }
--- a/packages/version/src/entry_reader.h
+++ b/packages/version/src/entry_reader.h
@@ -41,6 +41,8 @@
   // False if the key is missing.
   bool OptionalBoolean(std::string_view key);
 
+  bool Has(std::string_view key) const { return table_.contains(key); }
+
   // Null if the key is missing or is not an array.
   const toml::array* Array(std::string_view key);
 
