--- a/packages/version/include/cactusshelf/version/entries.h
+++ b/packages/version/include/cactusshelf/version/entries.h
@@ -62,6 +62,8 @@
   std::int32_t slots = 0;
   std::int32_t connections = 0;
   Duration default_deadline{0};
+  // What one endpoint takes of the worker at its IP address; zero if not declared.
+  Resources endpoint_need;
   std::vector<Endpoint> endpoints;
 
   friend bool operator==(const Service&, const Service&) = default;
@@ -102,7 +104,17 @@
   friend bool operator==(const Retirement&, const Retirement&) = default;
 };
 
-enum class EntryKind { kCustomer, kAccount, kTeam, kService, kWorker, kJob, kRetirement };
+enum class EntryKind {
+  kCustomer,
+  kAccount,
+  kTeam,
+  kService,
+  kWorker,
+  kJob,
+  kRetirement,
+  // Address of an endpoint or worker, indexed only to find duplicates.
+  kAddress,
+};
 
 // Name of the TOML table, for instance "customer".
 std::string_view ToString(EntryKind kind);
