--- a/packages/request/include/cactusshelf/request/intent_table.h
+++ b/packages/request/include/cactusshelf/request/intent_table.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
+#include <unordered_set>
 #include <vector>
 
 #include "cactusshelf/base/strong_id.h"
@@ -53,8 +53,8 @@
   void Expire(WallTime now);
 
   IntentTableOptions options_;
-  std::set<MemberId> members_;
-  // Ids order by their time of issue, so the oldest claims come first.
+  std::unordered_set<MemberId> members_;
+  // The oldest claims come first.
   std::map<RequestId, Entry> claims_;
   // Claims issued before this time may have been dropped. Never decreases, so that a clock that
   // is set back does not grant a dropped claim again.
--- a/packages/request/include/cactusshelf/request/request_id.h
+++ b/packages/request/include/cactusshelf/request/request_id.h
@@ -2,8 +2,8 @@
 #define CACTUSSHELF_REQUEST_REQUEST_ID_H_
 
 #include <array>
-#include <compare>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,7 +36,9 @@
 
   std::size_t Hash() const;
 
-  friend auto operator<=>(const RequestId&, const RequestId&) = default;
+  friend bool operator==(const RequestId&, const RequestId&) = default;
+  // Ids order by their time of issue.
+  friend bool operator<(const RequestId& a, const RequestId& b) { return a.bytes_ < b.bytes_; }
 
  private:
   explicit RequestId(const std::array<std::uint8_t, 16>& bytes) : bytes_(bytes) {}
--- a/packages/request/tests/request_test.cc
+++ b/packages/request/tests/request_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "cactusshelf/request/answer_store.h"
 #include "cactusshelf/request/hedge_policy.h"
@@ -18,8 +19,8 @@
 
 constexpr WallTime kEpoch{milliseconds(1'800'000'000'000)};
 constexpr IntentTableOptions kOptions{milliseconds(500), minutes(10), 3, true};
-const MemberId kHostA("a/1");
-const MemberId kHostB("b/1");
+const MemberId host_a("a/1");
+const MemberId host_b("b/1");
 
 TEST_CASE("an id that is no UUIDv7 is not taken for one, since its time would be wrong") {
   CHECK(RequestId::Parse("018f3c2a-7b10-7abc-8def-0123456789ab"));
@@ -103,35 +104,35 @@
 TEST_CASE("the owner grants an id once, and again only after a release by its holder") {
   Random random(2);
   IntentTable table(kOptions);
-  table.SetMembers({kHostA, kHostB});
+  table.SetMembers({host_a, host_b});
   const RequestId id = RequestId::Make(kEpoch, random);
   const WallTime tenure = kEpoch - seconds(10);
   const auto decide = [&](const MemberId& from, ClaimNumber number) {
     return table.Decide(kEpoch, from, Claim{id, number}, tenure, std::nullopt);
   };
-  CHECK(decide(kHostA, 1).verdict == ClaimVerdict::kGranted);
-  CHECK(decide(kHostA, 1).verdict == ClaimVerdict::kGranted);
-  CHECK(decide(kHostA, 2).verdict == ClaimVerdict::kRunning);
-  CHECK(decide(kHostB, 1).runner == kHostA);
-  table.Done(kHostB, ClaimDone{id, 1, Outcome::kNotRun});
-  table.Done(kHostA, ClaimDone{id, 2, Outcome::kNotRun});
-  CHECK(decide(kHostB, 1).verdict == ClaimVerdict::kRunning);
-  table.Done(kHostA, ClaimDone{id, 1, Outcome::kNotRun});
-  CHECK(decide(kHostB, 1).verdict == ClaimVerdict::kGranted);
-  table.Done(kHostB, ClaimDone{id, 1, Outcome::kAnswered});
-  table.Done(kHostB, ClaimDone{id, 1, Outcome::kNotRun});
-  CHECK(decide(kHostA, 3).verdict == ClaimVerdict::kDone);
+  CHECK(decide(host_a, 1).verdict == ClaimVerdict::kGranted);
+  CHECK(decide(host_a, 1).verdict == ClaimVerdict::kGranted);
+  CHECK(decide(host_a, 2).verdict == ClaimVerdict::kRunning);
+  CHECK(decide(host_b, 1).runner == host_a);
+  table.Done(host_b, ClaimDone{id, 1, Outcome::kNotRun});
+  table.Done(host_a, ClaimDone{id, 2, Outcome::kNotRun});
+  CHECK(decide(host_b, 1).verdict == ClaimVerdict::kRunning);
+  table.Done(host_a, ClaimDone{id, 1, Outcome::kNotRun});
+  CHECK(decide(host_b, 1).verdict == ClaimVerdict::kGranted);
+  table.Done(host_b, ClaimDone{id, 1, Outcome::kAnswered});
+  table.Done(host_b, ClaimDone{id, 1, Outcome::kNotRun});
+  CHECK(decide(host_a, 3).verdict == ClaimVerdict::kDone);
 }
 
 TEST_CASE("a claim of a member that is gone is unknown, never granted again") {
   Random random(3);
   IntentTable table(kOptions);
-  table.SetMembers({kHostA, kHostB});
+  table.SetMembers({host_a, host_b});
   const RequestId id = RequestId::Make(kEpoch, random);
-  table.Decide(kEpoch, kHostA, Claim{id, 1}, kEpoch - seconds(10), std::nullopt);
-  table.SetMembers({kHostB});
+  table.Decide(kEpoch, host_a, Claim{id, 1}, kEpoch - seconds(10), std::nullopt);
+  table.SetMembers({host_b});
   const ClaimReply reply =
-      table.Decide(kEpoch, kHostB, Claim{id, 1}, kEpoch - seconds(10), std::nullopt);
+      table.Decide(kEpoch, host_b, Claim{id, 1}, kEpoch - seconds(10), std::nullopt);
   CHECK(reply.verdict == ClaimVerdict::kUnknown);
   CHECK(reply.reason == Reason::kRunnerGone);
 }
@@ -139,11 +140,11 @@
 TEST_CASE("the rules of the owner apply in their order") {
   Random random(4);
   IntentTable table(kOptions);
-  table.SetMembers({kHostA});
+  table.SetMembers({host_a});
   const WallTime tenure = kEpoch - seconds(10);
   const auto decide = [&](WallTime issued, std::optional<WallTime> authority_end) {
     const Claim claim{RequestId::Make(issued, random), 1};
-    return table.Decide(kEpoch, kHostA, claim, tenure, authority_end);
+    return table.Decide(kEpoch, host_a, claim, tenure, authority_end);
   };
   CHECK(decide(kEpoch + milliseconds(501), {}).verdict == ClaimVerdict::kRefused);
   CHECK(decide(kEpoch - minutes(10) - milliseconds(1), {}).reason == Reason::kIdTooOld);
@@ -159,15 +160,15 @@
 TEST_CASE("a clock set back does not grant a claim that was dropped by age") {
   Random random(5);
   IntentTable table(kOptions);
-  table.SetMembers({kHostA});
+  table.SetMembers({host_a});
   const Claim claim{RequestId::Make(kEpoch, random), 1};
   const WallTime tenure = kEpoch - minutes(60);
-  CHECK(table.Decide(kEpoch, kHostA, claim, tenure, {}).verdict == ClaimVerdict::kGranted);
+  CHECK(table.Decide(kEpoch, host_a, claim, tenure, {}).verdict == ClaimVerdict::kGranted);
   const Claim later{RequestId::Make(kEpoch + minutes(11), random), 2};
-  table.Decide(kEpoch + minutes(11), kHostA, later, tenure, {});
+  table.Decide(kEpoch + minutes(11), host_a, later, tenure, {});
   CHECK(table.size() == 1);
   const Claim repeated{claim.id, 3};
-  CHECK(table.Decide(kEpoch, kHostA, repeated, tenure, {}).verdict == ClaimVerdict::kUnknown);
+  CHECK(table.Decide(kEpoch, host_a, repeated, tenure, {}).verdict == ClaimVerdict::kUnknown);
 }
 
 TEST_CASE("stored answers stay within their memory and age bounds") {
