--- /dev/null
+++ b/testing/standins/src/exchange.cc
@@ -0,0 +1,96 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+
+namespace cactusshelf {
+
+Exchange::Exchange(SoupServerMessage* message, GSocket* socket)
+    : message_(message), socket_(socket) {
+  g_object_ref(message_);
+  g_object_ref(socket_);
+}
+
+Exchange::~Exchange() {
+  g_object_unref(socket_);
+  g_object_unref(message_);
+}
+
+std::string Exchange::Method() const { return soup_server_message_get_method(message_); }
+
+std::string Exchange::Path() const { return g_uri_get_path(soup_server_message_get_uri(message_)); }
+
+std::string Exchange::Header(const char* name) const {
+  const char* value =
+      soup_message_headers_get_one(soup_server_message_get_request_headers(message_), name);
+  return value == nullptr ? "" : value;
+}
+
+std::int64_t Exchange::QueryNumber(const char* name, std::int64_t fallback) const {
+  const char* query = g_uri_get_query(soup_server_message_get_uri(message_));
+  if (query == nullptr) {
+    return fallback;
+  }
+  GHashTable* fields = soup_form_decode(query);
+  const auto* value = static_cast<const char*>(g_hash_table_lookup(fields, name));
+  const std::string text = value == nullptr ? "" : value;
+  g_hash_table_unref(fields);
+  return value == nullptr ? fallback : std::stoll(text);
+}
+
+std::string Exchange::Body() const {
+  SoupMessageBody* body = soup_server_message_get_request_body(message_);
+  GBytes* bytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  std::string text = size == 0 ? "" : std::string(data, size);
+  g_bytes_unref(bytes);
+  return text;
+}
+
+void Exchange::AddAnswerHeader(const char* name, const std::string& value) {
+  soup_message_headers_replace(soup_server_message_get_response_headers(message_), name,
+                               value.c_str());
+}
+
+void Exchange::Answer(unsigned status, const nlohmann::json& body) {
+  const std::string text = body.dump();
+  soup_server_message_set_status(message_, status, nullptr);
+  soup_server_message_set_response(message_, "application/json", SOUP_MEMORY_COPY, text.data(),
+                                   text.size());
+  Resume();
+}
+
+void Exchange::AnswerCut(unsigned status, const nlohmann::json& body, std::size_t n) {
+  const std::string text = body.dump();
+  std::string sent =
+      "HTTP/1.1 " + std::to_string(status) +
+      " Cut\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) +
+      "\r\n\r\n";
+  sent += text.substr(0, std::min(n, text.size()));
+  g_socket_send(socket_, sent.data(), sent.size(), nullptr, nullptr);
+  Close();
+}
+
+void Exchange::Close() {
+  g_socket_shutdown(socket_, TRUE, TRUE, nullptr);
+  // libsoup fails to write this answer and drops the connection.
+  soup_server_message_set_status(message_, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+  Resume();
+}
+
+void Exchange::Hold() {
+  held_ = true;
+  soup_server_message_pause(message_);
+}
+
+void Exchange::Resume() {
+  assert(!answered_);
+  answered_ = true;
+  if (held_) {
+    soup_server_message_unpause(message_);
+  }
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/testing/standins/src/timer.h
@@ -0,0 +1,21 @@
+#ifndef CACTUSSHELF_STANDINS_TIMER_H_
+#define CACTUSSHELF_STANDINS_TIMER_H_
+
+#include <functional>
+
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Runs `action` once on the default GLib main loop after `delay`; at once if it is zero.
+void RunAfter(Duration delay, std::function<void()> action);
+
+// Runs `action` on the default GLib main loop every `period`, for the life of the process.
+void RunEvery(Duration period, std::function<void()> action);
+
+Time MonotonicNow();
+WallTime WallNow();
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_STANDINS_TIMER_H_
