Compose the state machines of an entry host in EntryNode

Requests, log reading, membership, cells and attestations are connected here and nowhere else, so that the shell and tests drive one state machine.

--- a/packages/node/include/cactusshelf/node/entry_node.h
+++ b/packages/node/include/cactusshelf/node/entry_node.h
@@ -9,6 +9,7 @@
 
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
+#include "cactusshelf/connection/routing_table.h"
 #include "cactusshelf/node/node_effect.h"
 #include "cactusshelf/node/node_event.h"
 
@@ -32,6 +33,10 @@
   Duration gossip_period = std::chrono::milliseconds(500);
   Duration host_list_period = std::chrono::seconds(2);
   std::size_t max_body_bytes = 1 << 20;
+  // Peer addresses that a process without state asks while the log cannot be read.
+  std::vector<std::string> seed_peers;
+  // Distance and cost of the links from this failure domain to others.
+  std::vector<DomainLink> links;
   double tail_latency_weight = 1.0;
   double eviction_weight = 1.0;
   double throughput_weight = 1.0;
--- a/packages/node/include/cactusshelf/node/node_effect.h
+++ b/packages/node/include/cactusshelf/node/node_effect.h
@@ -75,8 +75,13 @@
   LogEvent event;
 };
 
-// Draining is complete; the process should end with exit code 0.
-struct Stop {};
+// The process should end. `exit_code` is 0 after a planned stop and kExitRemoved if the other
+// members removed this one, which then has to start again as a new member.
+struct Stop {
+  int exit_code = 0;
+};
+
+inline constexpr int kExitRemoved = 3;
 
 }  // namespace node_effect
 
--- a/packages/node/include/cactusshelf/node/node_event.h
+++ b/packages/node/include/cactusshelf/node/node_event.h
@@ -2,23 +2,17 @@
 #define CACTUSSHELF_NODE_NODE_EVENT_H_
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
+#include "cactusshelf/request/content.h"
 
 namespace cactusshelf {
 
-// Shared immutable body of a request or an answer. Never null in an event or effect.
-using Body = std::shared_ptr<const std::string>;
-
-struct HttpHeader {
-  std::string name;
-  std::string value;
-};
+using HttpHeader = Header;
 
 // Names chosen by the shell (callers) or by the node (attempts, appends, calls) to match an answer
 // to what it answers. Never reused within a process.
--- /dev/null
+++ b/packages/node/src/cell_manager.cc
@@ -0,0 +1,382 @@
+#include "cell_manager.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ranges>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/base/rendezvous.h"
+#include "ip_address.h"
+
+namespace cactusshelf {
+namespace {
+
+constexpr Duration kWorkerTimeout = std::chrono::seconds(2);
+constexpr int kStatusOk = 200;
+
+// Endpoints that share a host with `worker`, by IP address.
+std::vector<ServiceOnWorker> ServicesOn(const Worker& worker, const Configuration& configuration) {
+  std::vector<ServiceOnWorker> services;
+  const std::string ip = IpOf(worker.address);
+  for (const Service& service : configuration.services()) {
+    const auto count = std::ranges::count_if(
+        service.endpoints, [&](const Endpoint& it) { return IpOf(it.address) == ip; });
+    if (count > 0) {
+      services.push_back({service.name, static_cast<std::uint32_t>(count), service.endpoint_need});
+    }
+  }
+  return services;
+}
+
+std::vector<WorkerSpec> WorkersOf(const CellId& cell, const Configuration& configuration) {
+  std::vector<WorkerSpec> workers;
+  for (const Worker& it : configuration.workers()) {
+    if (it.cell == cell) {
+      workers.push_back({it.name, it.domain, it.rack, it.capacity, ServicesOn(it, configuration)});
+    }
+  }
+  return workers;
+}
+
+std::vector<TeamSpec> TeamsOf(const Configuration& configuration) {
+  std::vector<TeamSpec> teams;
+  for (const Team& it : configuration.teams()) {
+    const Customer* customer = configuration.Find(it.customer);
+    teams.push_back({it.name, it.customer, customer == nullptr ? 0 : customer->priority, it.quota});
+  }
+  return teams;
+}
+
+// The cell of a new job: the same on each member with the same configuration.
+std::optional<CellId> CellFor(const JobId& job, const Configuration& configuration) {
+  const auto& cells = configuration.cells();
+  const auto name = [](const auto& it) -> const std::string& { return it.first.str(); };
+  const auto it = RendezvousOwner(cells, job.str(), name);
+  if (it == cells.end()) {
+    return std::nullopt;
+  }
+  return it->first;
+}
+
+std::string DescribeRefusal(const JobRefusal& refusal) {
+  switch (refusal.reason) {
+    case RefusalReason::kTooLargeForWorkers:
+      return "no worker of the cell has enough " + std::string(ToString(refusal.limiting));
+    case RefusalReason::kTooLargeForQuota:
+      return "one task exceeds the quota of the team: " + std::string(ToString(refusal.limiting));
+    case RefusalReason::kUnknownTeam:
+      return "unknown team";
+    case RefusalReason::kRetiredCustomer:
+      return "the customer is retired";
+    case RefusalReason::kAlreadyCancelled:
+      return "the job was cancelled";
+  }
+  return "refused";
+}
+
+}  // namespace
+
+std::string CellKey(const CellId& cell) { return "cell/" + cell.str(); }
+
+CellManager::CellManager(MemberId self, CellOptions options, Random random)
+    : self_(std::move(self)), options_(std::move(options)), random_(random) {}
+
+void CellManager::UpdateOwnership(Now now, const LogState& state, const MembershipView& view) {
+  const Configuration& configuration = *state.configuration();
+  bool taken = false;
+  for (const auto& [cell, workers] : configuration.cells()) {
+    const bool may_act = view.MayAct(CellKey(cell), now.monotonic);
+    if (may_act && !cells_.contains(cell)) {
+      Take(now, cell, state, view.map().epoch());
+      taken = true;
+    }
+  }
+  for (auto it = cells_.begin(); it != cells_.end();) {
+    if (view.MayAct(CellKey(it->first), now.monotonic)) {
+      ++it;
+      continue;
+    }
+    it->second.scheduler.LoseOwnership(now.monotonic);
+    CollectEffects(now, it->first, it->second);
+    counters_.Merge(it->second.scheduler.counters());
+    it = cells_.erase(it);
+  }
+  if (taken) {
+    assigning_.clear();
+    AssignNewJobs(state);
+  }
+}
+
+void CellManager::Take(Now now, const CellId& cell, const LogState& state, Epoch epoch) {
+  CellScheduler scheduler(options_, Random(random_.Next()));
+  OwnedCell& owned = cells_.emplace(cell, OwnedCell{std::move(scheduler), epoch}).first->second;
+  LoadConfiguration(now, cell, owned, state);
+  for (const auto& [job, job_state] : state.jobs()) {
+    if (job_state.cell == cell) {
+      ApplyJobState(now, owned, job, state);
+    }
+  }
+  // The tenure begins only after the authority of earlier owners ended.
+  owned.scheduler.TakeOwnership(now.monotonic, epoch, now.monotonic);
+  owned.scheduler.SetAuthority(now.monotonic, authority_until_);
+  CollectEffects(now, cell, owned);
+}
+
+void CellManager::Stop(Now now) {
+  for (auto& [cell, owned] : cells_) {
+    owned.scheduler.LoseOwnership(now.monotonic);
+  }
+  cells_.clear();
+  outgoing_.clear();
+}
+
+void CellManager::LoadConfiguration(Now now, const CellId& cell, OwnedCell& owned,
+                                    const LogState& state) {
+  const Configuration& configuration = *state.configuration();
+  for (const Worker& it : configuration.workers()) {
+    addresses_[it.name] = it.address;
+  }
+  for (const auto& [customer, retirement] : state.retirements().cases()) {
+    owned.scheduler.RetireCustomer(now.monotonic, customer);
+  }
+  owned.scheduler.ApplyTeams(now.monotonic, TeamsOf(configuration));
+  owned.scheduler.ApplyWorkers(now.monotonic, WorkersOf(cell, configuration));
+}
+
+void CellManager::OnConfiguration(Now now, const LogState& state) {
+  for (auto& [cell, owned] : cells_) {
+    LoadConfiguration(now, cell, owned, state);
+    for (const auto& [job, job_state] : state.jobs()) {
+      if (job_state.cell == cell) {
+        ApplyJobState(now, owned, job, state);
+      }
+    }
+    CollectEffects(now, cell, owned);
+  }
+  AssignNewJobs(state);
+}
+
+void CellManager::AssignNewJobs(const LogState& state) {
+  const Configuration& configuration = *state.configuration();
+  for (const Job& it : configuration.jobs()) {
+    if (it.cancelled || state.jobs().contains(it.name)) {
+      continue;
+    }
+    const auto cell = CellFor(it.name, configuration);
+    if (cell && cells_.contains(*cell) && assigning_.insert(it.name).second) {
+      updates_.push_back({it.name, JobEvent::kAssigned, *cell, ""});
+    }
+  }
+}
+
+void CellManager::OnJobs(Now now, const LogState& state, const std::vector<JobUpdate>& updates) {
+  std::set<CellId> touched;
+  for (const JobUpdate& it : updates) {
+    assigning_.erase(it.job);
+    const auto job_state = state.jobs().find(it.job);
+    const CellId cell = job_state == state.jobs().end() ? it.cell : job_state->second.cell;
+    if (OwnedCell* owned = FindCell(cell)) {
+      ApplyJobState(now, *owned, it.job, state);
+      touched.insert(cell);
+    }
+  }
+  for (const CellId& it : touched) {
+    CollectEffects(now, it, *FindCell(it));
+  }
+}
+
+void CellManager::ApplyJobState(Now now, OwnedCell& owned, const JobId& job,
+                                const LogState& state) {
+  const auto it = state.jobs().find(job);
+  const Job* entry = state.configuration()->Find(job);
+  const bool runnable =
+      it != state.jobs().end() && it->second.status == JobStatus::kAssigned && entry != nullptr;
+  if (runnable) {
+    Admit(now, owned, *entry, state);
+    return;
+  }
+  owned.scheduler.CancelJob(now.monotonic, job);
+}
+
+void CellManager::Admit(Now now, OwnedCell& owned, const Job& job, const LogState& state) {
+  const Team* team = state.configuration()->Find(job.team);
+  JobSpec spec;
+  spec.id = job.name;
+  spec.team = job.team;
+  spec.customer = team == nullptr ? CustomerId() : team->customer;
+  spec.job_class = job.job_class;
+  spec.tasks = static_cast<std::uint32_t>(job.tasks);
+  spec.size = job.need;
+  spec.expected_run_time = job.expected_run_time;
+  spec.urgent = job.urgent;
+  const auto refusal = owned.scheduler.AdmitJob(now.monotonic, spec);
+  if (refusal && refusal->reason != RefusalReason::kAlreadyCancelled) {
+    const CellId cell = state.jobs().at(job.name).cell;
+    updates_.push_back({job.name, JobEvent::kRejected, cell, DescribeRefusal(*refusal)});
+  }
+}
+
+void CellManager::SetAuthority(Now now, Time valid_until) {
+  if (valid_until == authority_until_) {
+    return;
+  }
+  authority_until_ = valid_until;
+  for (auto& [cell, owned] : cells_) {
+    owned.scheduler.SetAuthority(now.monotonic, valid_until);
+    CollectEffects(now, cell, owned);
+  }
+}
+
+bool CellManager::OnWorkerAnswered(Now now, const node_event::WorkerAnswered& answer) {
+  const auto it = calls_.find(answer.token);
+  if (it == calls_.end()) {
+    return false;
+  }
+  const Call call = it->second;
+  calls_.erase(it);
+  OwnedCell* owned = FindCell(call.cell);
+  if (owned == nullptr) {
+    return true;
+  }
+  try {
+    if (answer.status != kStatusOk) {
+      throw DecodeError("status " + std::to_string(answer.status));
+    }
+    const auto json = nlohmann::json::parse(answer.body);
+    if (call.reads_state) {
+      owned->scheduler.OnWorkerState(now.monotonic, call.worker, json.get<WorkerState>());
+    } else {
+      owned->scheduler.OnCommandResult(now.monotonic, call.command, json.get<CommandResult>());
+    }
+    counters_.Add("cactusshelf_worker_calls_total", "answered");
+  } catch (const std::exception&) {
+    // An answer that cannot be read says nothing about whether the command took effect.
+    counters_.Add("cactusshelf_worker_calls_total", "unreadable_answer");
+    owned->scheduler.OnCommandLost(now.monotonic, call.command);
+  }
+  CollectEffects(now, call.cell, *owned);
+  return true;
+}
+
+bool CellManager::OnWorkerFailed(Now now, WorkerCallToken token) {
+  const auto it = calls_.find(token);
+  if (it == calls_.end()) {
+    return false;
+  }
+  const Call call = it->second;
+  calls_.erase(it);
+  counters_.Add("cactusshelf_worker_calls_total", "failed");
+  if (OwnedCell* owned = FindCell(call.cell)) {
+    owned->scheduler.OnCommandLost(now.monotonic, call.command);
+    CollectEffects(now, call.cell, *owned);
+  }
+  return true;
+}
+
+void CellManager::OnTimer(Now now) {
+  for (auto& [cell, owned] : cells_) {
+    const auto wakeup = owned.scheduler.NextWakeup();
+    if (wakeup && *wakeup <= now.monotonic) {
+      owned.scheduler.OnTimer(now.monotonic);
+      CollectEffects(now, cell, owned);
+    }
+  }
+}
+
+void CellManager::CollectEffects(Now now, const CellId& cell, OwnedCell& owned) {
+  for (CellEffect& effect : owned.scheduler.TakeEffects()) {
+    const auto handle = [&](auto& it) {
+      using Effect = std::decay_t<decltype(it)>;
+      if constexpr (std::is_same_v<Effect, JobFinished>) {
+        updates_.push_back({it.job, JobEvent::kFinished, cell, ""});
+      } else if constexpr (std::is_same_v<Effect, JobRefused>) {
+        const std::string detail =
+            "no worker of the cell has enough " + std::string(ToString(it.limiting));
+        updates_.push_back({it.job, JobEvent::kRejected, cell, detail});
+      } else {
+        AddCall(now, cell, WorkerCommand(std::move(it)));
+      }
+    };
+    std::visit(handle, effect);
+  }
+}
+
+void CellManager::AddCall(Now /*now*/, const CellId& cell, const WorkerCommand& command) {
+  const CommandHeader& header = HeaderOf(command);
+  const bool reads_state = std::holds_alternative<ReadState>(command);
+  const WorkerCallToken token{++last_token_};
+  calls_.emplace(token, Call{cell, header.id, header.worker, reads_state});
+  node_effect::CallWorker call;
+  call.token = token;
+  call.address = addresses_[header.worker];
+  call.body = reads_state ? std::string() : nlohmann::json(command).dump();
+  call.timeout = kWorkerTimeout;
+  call.valid_until = header.valid_until;
+  outgoing_.push_back(std::move(call));
+}
+
+std::vector<node_effect::CallWorker> CellManager::TakeCalls(Now /*now*/) {
+  return std::exchange(outgoing_, {});
+}
+
+std::vector<JobUpdate> CellManager::TakeUpdates() { return std::exchange(updates_, {}); }
+
+std::optional<Attest::Cell> CellManager::CellEvidence(Now now, const CellId& cell,
+                                                      const CustomerId& customer, Epoch epoch,
+                                                      const MembershipView& view) {
+  OwnedCell* owned = FindCell(cell);
+  if (owned == nullptr) {
+    return std::nullopt;
+  }
+  if (owned->epoch < epoch) {
+    // An owner of an older epoch proves nothing, since a later owner may have acted since.
+    owned->epoch = view.map().epoch();
+    owned->scheduler.TakeOwnership(now.monotonic, owned->epoch, now.monotonic);
+    owned->scheduler.SetAuthority(now.monotonic, authority_until_);
+    CollectEffects(now, cell, *owned);
+    return std::nullopt;
+  }
+  const bool visited =
+      !owned->scheduler.is_recovering() && owned->scheduler.unvisited_workers().empty();
+  if (!visited || owned->scheduler.tasks_of(customer) != 0) {
+    return std::nullopt;
+  }
+  return Attest::Cell{cell, owned->epoch, 0, true};
+}
+
+CellManager::OwnedCell* CellManager::FindCell(const CellId& cell) {
+  const auto it = cells_.find(cell);
+  return it == cells_.end() ? nullptr : &it->second;
+}
+
+std::optional<Time> CellManager::NextWakeup() const {
+  std::optional<Time> next;
+  for (const auto& [cell, owned] : cells_) {
+    const auto wakeup = owned.scheduler.NextWakeup();
+    if (wakeup && (!next || *wakeup < *next)) {
+      next = wakeup;
+    }
+  }
+  return next;
+}
+
+void CellManager::MergeCounters(Counters& counters) const {
+  counters.Merge(counters_);
+  for (const auto& [cell, owned] : cells_) {
+    counters.Merge(owned.scheduler.counters());
+  }
+}
+
+std::vector<CellManager::CellStatus> CellManager::Status() const {
+  std::vector<CellStatus> status;
+  for (const auto& [cell, owned] : cells_) {
+    status.push_back({cell, owned.epoch, owned.scheduler.is_recovering(),
+                      owned.scheduler.waiting_jobs(), owned.scheduler.unvisited_workers().size()});
+  }
+  return status;
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/node/src/log_reader.h
@@ -0,0 +1,69 @@
+#ifndef CACTUSSHELF_NODE_LOG_READER_H_
+#define CACTUSSHELF_NODE_LOG_READER_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactusshelf/base/counters.h"
+#include "cactusshelf/base/time.h"
+#include "cactusshelf/node/node_effect.h"
+#include "cactusshelf/node/node_event.h"
+#include "cactusshelf/version/log_follower.h"
+#include "record_cache.h"
+
+namespace cactusshelf {
+
+// Reads the log in a loop and folds its records. While reads fail, takes records from peers that
+// are ahead, and checks them by their chain. Not thread-safe.
+class LogReader {
+ public:
+  // How long the log service may hold a read. Authority needs a read that began within 2 s, so the
+  // reads have to be shorter than half of that.
+  static constexpr Duration kReadWait = std::chrono::milliseconds(500);
+  static constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
+  static constexpr Duration kCatchUpAfter = std::chrono::seconds(1);
+
+  struct Result {
+    std::vector<LogFollower::Applied> applied;
+    bool reached_end = false;
+    // Records were skipped by loading a snapshot.
+    bool skipped = false;
+    // Why the reply could not be used; empty if it could.
+    std::string fault;
+  };
+
+  const LogState& state() const { return follower_.state(); }
+  bool loaded() const { return loaded_; }
+
+  // The read to start now, if any.
+  std::optional<node_effect::ReadLog> Poll(Time now);
+
+  Result OnRead(Time now, const node_event::LogRead& read);
+  void OnReadFailed(Time now);
+
+  // Whether to ask a peer whose state is at `peer_offset` for records.
+  bool WantsCatchUp(Time now, Offset peer_offset);
+  CatchUpReply Answer(const CatchUp& request) const;
+  Result OnCatchUpReply(const CatchUpReply& reply);
+
+  std::optional<Time> NextWakeup() const;
+  const Counters& counters() const { return counters_; }
+
+ private:
+  Result Consume(LogFollower& follower, const ReadReply& reply);
+  void Remember(const ReadReply& reply, Offset before);
+
+  LogFollower follower_;
+  RecordCache cache_;
+  bool loaded_ = false;
+  bool reading_ = false;
+  Time next_read_{};
+  Time last_success_{};
+  Time next_catch_up_{};
+  Counters counters_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_NODE_LOG_READER_H_
--- /dev/null
+++ b/packages/node/src/snapshot_writer.cc
@@ -0,0 +1,23 @@
+#include "snapshot_writer.h"
+
+#include "cactusshelf/version/snapshot.h"
+
+namespace cactusshelf {
+
+bool SnapshotWriter::Poll(Time now, const LogState& state) {
+  if (!Snapshot::IsDue(state, log_retention_)) {
+    write_at_.reset();
+    return false;
+  }
+  if (!write_at_) {
+    write_at_ = now + random_.Between(Duration::zero(), kMaxDelay);
+  }
+  if (now < *write_at_) {
+    return false;
+  }
+  // Written again after another delay if this record does not reach the log.
+  write_at_ = now + kMaxDelay + random_.Between(Duration::zero(), kMaxDelay);
+  return true;
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/node/src/snapshot_writer.h
@@ -0,0 +1,32 @@
+#ifndef CACTUSSHELF_NODE_SNAPSHOT_WRITER_H_
+#define CACTUSSHELF_NODE_SNAPSHOT_WRITER_H_
+
+#include <optional>
+
+#include "cactusshelf/base/random.h"
+#include "cactusshelf/base/time.h"
+#include "cactusshelf/version/log_state.h"
+
+namespace cactusshelf {
+
+// Decides when this member writes a snapshot. A random delay after a snapshot became due lets one
+// member write it and the others see it. Not thread-safe.
+class SnapshotWriter {
+ public:
+  static constexpr Duration kMaxDelay = std::chrono::seconds(10);
+
+  SnapshotWriter(Duration log_retention, Random random)
+      : log_retention_(log_retention), random_(random) {}
+
+  // Whether to write a snapshot now. To be called after each read of the log.
+  bool Poll(Time now, const LogState& state);
+
+ private:
+  Duration log_retention_;
+  Random random_;
+  std::optional<Time> write_at_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_NODE_SNAPSHOT_WRITER_H_
