--- /dev/null
+++ b/packages/connection/include/cactusshelf/connection/endpoint_picker.h
@@ -0,0 +1,81 @@
+#ifndef CACTUSSHELF_CONNECTION_ENDPOINT_PICKER_H_
+#define CACTUSSHELF_CONNECTION_ENDPOINT_PICKER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <vector>
+
+#include "cactusshelf/base/random.h"
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Chooses among the candidates of one service: in each failure domain a few at random, and of
+// those the one with the lowest cost. The work does not grow with the number of endpoints.
+// Not thread-safe.
+class EndpointPicker {
+ public:
+  // Endpoints to look at in each failure domain. With two the best known host is missed often
+  // once a domain has a slow one; beyond six the tail improves no further.
+  static constexpr std::size_t kSamples = 6;
+
+  struct Choice {
+    std::uint32_t endpoint = 0;
+    std::size_t domain = 0;
+  };
+
+  // Makes endpoint `n` of `domain` a candidate, or stops it from being one.
+  void SetCandidate(std::uint32_t n, std::size_t domain, bool candidate);
+
+  std::size_t CountIn(std::size_t domain) const {
+    return domain < domains_.size() ? domains_[domain].size() : 0;
+  }
+
+  // `domain_cost(domain)` is a lower bound of the costs in a domain; `cost(n)` the cost of
+  // endpoint n in that domain, or empty if it cannot be used. Empty if no candidate can be used.
+  template <typename DomainCost, typename Cost>
+  std::optional<Choice> Pick(Random& random, DomainCost domain_cost, Cost cost) const {
+    std::optional<Choice> best;
+    Duration best_cost = Duration::max();
+    for (std::size_t domain = 0; domain < domains_.size(); ++domain) {
+      const Duration base = domain_cost(domain);
+      if (domains_[domain].empty() || base >= best_cost) {
+        continue;
+      }
+      PickIn(domain, base, random, cost, best, best_cost);
+    }
+    return best;
+  }
+
+ private:
+  static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+
+  template <typename Cost>
+  void PickIn(std::size_t domain, Duration base, Random& random, Cost& cost,
+              std::optional<Choice>& best, Duration& best_cost) const {
+    const std::vector<std::uint32_t>& candidates = domains_[domain];
+    const std::size_t start = random.Below(candidates.size());
+    std::size_t usable = 0;
+    for (std::size_t i = 0; i < candidates.size() && usable < kSamples; ++i) {
+      const std::uint32_t n = candidates[(start + i) % candidates.size()];
+      const std::optional<Duration> own = cost(n);
+      if (!own) {
+        continue;
+      }
+      ++usable;
+      if (base + *own < best_cost) {
+        best_cost = base + *own;
+        best = Choice{n, domain};
+      }
+    }
+  }
+
+  std::vector<std::vector<std::uint32_t>> domains_;
+  std::vector<std::size_t> positions_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_ENDPOINT_PICKER_H_
--- a/packages/connection/include/cactusshelf/connection/router.h
+++ b/packages/connection/include/cactusshelf/connection/router.h
@@ -11,9 +11,9 @@
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
 #include "cactusshelf/connection/attempt_event.h"
-#include "cactusshelf/connection/router_message.h"
 #include "cactusshelf/connection/request.h"
 #include "cactusshelf/connection/router_effect.h"
+#include "cactusshelf/connection/router_message.h"
 #include "cactusshelf/connection/router_options.h"
 #include "cactusshelf/connection/routing_table.h"
 #include "cactusshelf/request/ownership.h"
@@ -54,10 +54,14 @@
   // This member may act as an owner until `valid_until`.
   void SetAuthority(Now now, Time valid_until);
 
-  // Refuses new requests, finishes those in flight, and hands its slots to the other members.
-  // Complete when in_flight() is 0.
+  // Refuses new requests, finishes those in flight, then hands its slots to the other members.
+  // Complete when drained().
   void StartDraining(Now now);
 
+  // Nothing is in flight and, after about one lease, all slots are handed over. A member that
+  // leaves earlier loses nothing, but its slots stay unused until its requests would have ended.
+  bool drained() const;
+
   // Effects since the last call, in the order in which they must be executed.
   std::vector<RouterEffect> TakeEffects();
 
--- a/packages/connection/include/cactusshelf/connection/router_effect.h
+++ b/packages/connection/include/cactusshelf/connection/router_effect.h
@@ -7,8 +7,8 @@
 
 #include "cactusshelf/base/strong_id.h"
 #include "cactusshelf/base/time.h"
-#include "cactusshelf/connection/router_message.h"
 #include "cactusshelf/connection/request.h"
+#include "cactusshelf/connection/router_message.h"
 #include "cactusshelf/request/content.h"
 #include "cactusshelf/request/outcome.h"
 
