--- a/packages/version/include/cactusshelf/version/configuration.h
+++ b/packages/version/include/cactusshelf/version/configuration.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_VERSION_CONFIGURATION_H_
 #define CACTUSSHELF_VERSION_CONFIGURATION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -18,6 +19,10 @@
 // ranges that it returns are valid as long as the configuration.
 class Configuration {
  public:
+  // Largest size of all files together. Leaves room for the rest of the state in a snapshot record;
+  // the files of the target size have about 5 MB.
+  static constexpr std::size_t kMaxBytes = std::size_t{16} << 20;
+
   // The empty configuration.
   Configuration() = default;
 
@@ -72,6 +77,7 @@
   void CheckRemoved(const ConfigFile& file,
                     const std::vector<std::shared_ptr<const ConfigFile>>& added,
                     Findings& findings) const;
+  void CheckSize(Findings& findings) const;
   void CountCells(const ConfigFile& file, int sign);
 
   FileSet files_;
--- a/packages/version/include/cactusshelf/version/entries.h
+++ b/packages/version/include/cactusshelf/version/entries.h
@@ -1,10 +1,10 @@
 #ifndef CACTUSSHELF_VERSION_ENTRIES_H_
 #define CACTUSSHELF_VERSION_ENTRIES_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "cactusshelf/base/findings.h"
@@ -127,7 +127,10 @@
   // "<kind> <name>".
   std::string Format() const;
 
-  friend auto operator<=>(const EntryKey&, const EntryKey&) = default;
+  friend bool operator==(const EntryKey&, const EntryKey&) = default;
+  friend bool operator<(const EntryKey& a, const EntryKey& b) {
+    return std::tie(a.kind, a.name) < std::tie(b.kind, b.name);
+  }
 };
 
 }  // namespace cactusshelf
--- a/packages/version/include/cactusshelf/version/log_follower.h
+++ b/packages/version/include/cactusshelf/version/log_follower.h
@@ -1,7 +1,9 @@
 #ifndef CACTUSSHELF_VERSION_LOG_FOLLOWER_H_
 #define CACTUSSHELF_VERSION_LOG_FOLLOWER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -53,10 +55,13 @@
   std::uint64_t rejected_snapshots() const { return rejected_snapshots_; }
 
  private:
+  // Snapshots kept during a search, in case the latest cannot be loaded. Bounds memory.
+  static constexpr std::size_t kCandidates = 3;
+
   // Search for the latest usable snapshot in a trimmed log.
   struct Scan {
     Offset next = 0;
-    std::vector<SnapshotRecord> candidates;
+    std::deque<SnapshotRecord> candidates;
   };
 
   void ScanReply(const ReadReply& reply);
--- a/packages/version/include/cactusshelf/version/log_state.h
+++ b/packages/version/include/cactusshelf/version/log_state.h
@@ -46,7 +46,7 @@
 enum class JobStatus {
   kAssigned,
   // Cancelled by its entry, by the removal of its entry or by the retirement of its customer. Its
-  // cell stops its tasks and reports kFinished.
+  // cell stops its tasks and reports kFinished. The name cannot be used again before that.
   kCancelled,
   kFinished,
   kRejected,
@@ -65,7 +65,7 @@
 
 // Results of Apply().
 
-// Nothing but the offset and the chain changed, for instance a repeated join.
+// Nothing but the offset and the chain changed, for instance after a repeated join.
 struct Unchanged {};
 
 // The record was not applied; reason as counted.
@@ -126,6 +126,8 @@
   std::optional<Remove> remove;
 };
 
+// The updates of a `jobs` record that were applied; each is judged by itself, since a batch holds
+// jobs that have nothing to do with each other.
 struct JobsChanged {
   std::vector<JobUpdate> updates;
 };
@@ -199,8 +201,10 @@
 
   const RetirementLedger& retirements() const { return retirements_; }
 
-  // Offset past the latest snapshot that agreed, or that this state was loaded from.
+  // Offset of the state in the latest snapshot record that agreed, or that this state was loaded
+  // from; 0 if there is none.
   Offset last_snapshot_offset() const { return last_snapshot_offset_; }
+  // Log timestamp of that record; that of the first record applied if there is none.
   std::optional<WallTime> last_snapshot_time() const { return last_snapshot_time_; }
   // Log timestamp of the last record applied.
   std::optional<WallTime> last_time() const { return last_time_; }
@@ -213,15 +217,15 @@
   friend class Snapshot;
 
   struct Publication {
-    std::string id;
+    // SHA-256 of the changes.
     std::string digest;
     Offset revision = 0;
   };
 
-  struct JoinEvidence {
-    Offset offset = 0;
-    WallTime time{};
-    std::string bytes;
+  // A member that was removed and may still act.
+  struct Departed {
+    Evidence join;
+    Evidence remove;
   };
 
   // Position, time and bytes of the record that is being applied.
@@ -244,37 +248,47 @@
 
   CheckedPublish CheckPublish(const Publish& publish) const;
   PublishRejected Conflict(const Publish& publish) const;
-  void CheckRetired(const Configuration& next, const std::set<EntryKey>& changed,
-                    Findings& findings) const;
-  void CheckJobs(const Configuration& next, const std::set<EntryKey>& changed,
-                 Findings& findings) const;
+  Findings CheckRetired(const Configuration& next, const std::set<EntryKey>& changed) const;
+  Findings CheckJobs(const Configuration& next, const std::set<EntryKey>& changed) const;
   void OpenCases(const Context& context, const std::vector<CustomerId>& retired);
-  void UpdateJobs(const std::set<EntryKey>& changed, const std::vector<CustomerId>& retired);
-  std::set<CellId> ChangedCells(const Configuration& before,
-                                const std::set<EntryKey>& changed) const;
-  LogChange ApplyJobUpdate(const JobUpdate& update);
-  void DropMember(const MemberId& member, Offset offset);
-  void RememberPublication(Publication publication);
-  void RememberHost(const std::string& host, std::uint64_t incarnation);
+  RetirementScope ScopeOf(const Context& context, const CustomerId& customer) const;
+  std::vector<Evidence> EarlierEvidence() const;
+  void CancelJobs(const std::set<EntryKey>& changed, const std::vector<CustomerId>& retired);
+  CustomerId OwnerOf(const JobId& job, const JobState& state) const;
+  std::set<CellId> CellsWithNewWorkers(const Configuration& before,
+                                       const std::set<EntryKey>& changed) const;
+  // Empty if the update was applied, otherwise the reason, which is kRepeated for a repetition.
+  std::string ApplyUpdate(const JobUpdate& update);
+  std::string AssignJob(const JobUpdate& update);
+  std::string FinishJob(const JobUpdate& update);
+  std::string RejectJob(const JobUpdate& update);
+  std::string CheckJoin(const Context& context, const Join& join) const;
+  std::string CheckRemove(const Remove& remove) const;
+  std::string CheckAttest(const Context& context, const Attest& attest) const;
+  RegisteredMember DropMember(const MemberId& id, Offset offset);
+  void RememberPublication(const std::string& id, Publication publication);
+  void RememberHost(const MemberId& member, std::uint64_t incarnation);
+  void PruneDeparted(WallTime time);
+  std::string ChainAfter(const Context& context) const;
   void Advance(const Context& context);
-  RecordRefused Refuse(std::string reason, std::string detail);
+  RecordRefused Refuse(std::string reason, std::string detail = {});
 
   Offset offset_ = 0;
   std::string chain_;
   std::shared_ptr<const Configuration> configuration_;
   Revision revision_;
   std::optional<WallTime> revision_time_;
-  std::deque<Publication> publications_;
-  std::map<std::string, Publication> publications_by_id_;
+  // In the order of acceptance.
+  std::deque<std::string> publication_ids_;
+  std::map<std::string, Publication> publications_;
   std::map<MemberId, RegisteredMember> members_;
-  std::map<MemberId, JoinEvidence> joins_;
+  std::map<MemberId, Evidence> joins_;
+  std::vector<Departed> departed_;
   // Highest incarnation seen for each host, and the hosts in the order they were first seen.
   std::map<std::string, std::uint64_t> incarnations_;
   std::deque<std::string> hosts_;
   Offset membership_epoch_ = 0;
   std::map<JobId, JobState> jobs_;
-  // Unfinished jobs of each customer, so that a retirement finds them.
-  std::map<CustomerId, std::set<JobId>> unfinished_;
   RetirementLedger retirements_;
   std::optional<WallTime> last_time_;
 
--- a/packages/version/include/cactusshelf/version/snapshot.h
+++ b/packages/version/include/cactusshelf/version/snapshot.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -33,8 +34,12 @@
   // are not those of the state.
   static LogState Load(const SnapshotRecord& record);
 
-  // Whether a snapshot should be written, judged by what `state` applied since the last one.
-  static bool IsDue(const LogState& state, Duration retention);
+  // Whether a snapshot should be written. `now` matters even if nothing is appended, since the log
+  // trims by age and would lose the last snapshot.
+  static bool IsDue(const LogState& state, Duration retention, WallTime now);
+
+ private:
+  static void DecodeMembers(const nlohmann::json& json, LogState& state);
 };
 
 }  // namespace cactusshelf
--- a/packages/version/src/config_file.cc
+++ b/packages/version/src/config_file.cc
@@ -49,7 +49,7 @@
   }
 
   void ParseRoot(const toml::table& root) {
-    static const std::map<std::string_view, EntryParser> kParsers = {
+    static const std::map<std::string_view, EntryParser> parsers = {
         {"customer", &ConfigFileParser::ParseCustomer},
         {"account", &ConfigFileParser::ParseAccount},
         {"team", &ConfigFileParser::ParseTeam},
@@ -59,8 +59,8 @@
         {"retirement", &ConfigFileParser::ParseRetirement},
     };
     for (const auto& [key, node] : root) {
-      const auto it = kParsers.find(key.str());
-      if (it == kParsers.end()) {
+      const auto it = parsers.find(key.str());
+      if (it == parsers.end()) {
         file_.findings_.Add(PlaceOf(file_.name_, key.source()),
                             fmt::format("unknown key '{}'", key.str()));
         continue;
@@ -160,8 +160,7 @@
     if (const toml::array* endpoints = reader.Array("endpoints")) {
       ParseEndpoints(reader, *endpoints, entry);
     }
-    AddEntry(reader, EntryKind::kService, entry.name.str(), "name", file_.services_,
-             std::move(entry));
+    AddEntry(reader, EntryKind::kService, entry.name.str(), "name", file_.services_, entry);
   }
 
   void ParseEndpoints(EntryReader& service, const toml::array& endpoints, Service& entry) {
--- a/packages/version/src/configuration.cc
+++ b/packages/version/src/configuration.cc
@@ -100,6 +100,7 @@
     found.Append(it->findings());
     parsed = parsed && it->parsed();
   }
+  next->CheckSize(found);
   // With a file that is not TOML, each reference to one of its entries would look dangling.
   if (parsed) {
     for (const FilePointer& it : difference.added) {
@@ -113,6 +114,17 @@
   return found.empty() ? next : nullptr;
 }
 
+void Configuration::CheckSize(Findings& findings) const {
+  std::size_t bytes = 0;
+  for (const auto& [name, file] : files_.files()) {
+    bytes += name.size() + file->text().size();
+  }
+  if (bytes > kMaxBytes) {
+    findings.Add({},
+                 fmt::format("the files have {} bytes together; {} are allowed", bytes, kMaxBytes));
+  }
+}
+
 void Configuration::CountCells(const ConfigFile& file, int sign) {
   for (const Worker& it : file.workers()) {
     const auto cell = cells_.try_emplace(it.cell, 0).first;
--- /dev/null
+++ b/packages/version/src/log_follower.cc
@@ -0,0 +1,94 @@
+#include "cactusshelf/version/log_follower.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "cactusshelf/version/snapshot.h"
+
+namespace cactusshelf {
+namespace {
+
+void CheckReply(const ReadReply& reply, Offset expected) {
+  if (reply.first > reply.next || reply.next < expected) {
+    throw LogGapError(
+        fmt::format("the log ends at {}, but record {} was read before", reply.next, expected));
+  }
+  Offset next = expected;
+  for (const StoredRecord& it : reply.records) {
+    if (it.offset > next || it.offset >= reply.next) {
+      throw LogGapError(fmt::format("the log returned record {} instead of {}", it.offset, next));
+    }
+    next = std::max(next, it.offset + 1);
+  }
+}
+
+}  // namespace
+
+std::vector<LogFollower::Applied> LogFollower::Consume(const ReadReply& reply) {
+  if (!scan_ && reply.first > state_.offset()) {
+    scan_ = Scan{reply.first, {}};
+  } else if (scan_ && reply.first > scan_->next) {
+    // Trimmed past the search; what was found so far may still be usable.
+    scan_->next = reply.first;
+  }
+  CheckReply(reply, next_read());
+  end_ = reply.next;
+  if (scan_) {
+    ScanReply(reply);
+    return {};
+  }
+  std::vector<Applied> applied;
+  for (const StoredRecord& it : reply.records) {
+    if (it.offset >= state_.offset()) {
+      applied.push_back({it.offset, it.time, state_.Apply(it.offset, it.time, it.data)});
+    }
+  }
+  return applied;
+}
+
+void LogFollower::ScanReply(const ReadReply& reply) {
+  for (const StoredRecord& it : reply.records) {
+    if (it.offset != scan_->next) {
+      continue;
+    }
+    ++scan_->next;
+    try {
+      LogRecord record = DecodeRecord(it.data);
+      auto* snapshot = std::get_if<SnapshotRecord>(&record);
+      if (snapshot != nullptr && snapshot->offset <= it.offset) {
+        scan_->candidates.push_back(std::move(*snapshot));
+      }
+      if (scan_->candidates.size() > kCandidates) {
+        scan_->candidates.pop_front();
+      }
+    } catch (const RecordError&) {
+      // LogState counts the record when it is applied.
+    }
+  }
+  if (scan_->next >= reply.next) {
+    FinishScan(reply.first);
+  }
+}
+
+void LogFollower::FinishScan(Offset first) {
+  std::deque<SnapshotRecord> candidates = std::move(scan_->candidates);
+  std::ranges::reverse(candidates);
+  scan_.reset();
+  for (const SnapshotRecord& it : candidates) {
+    // All records after the state must still be in the log.
+    if (it.offset < first) {
+      continue;
+    }
+    try {
+      state_ = Snapshot::Load(it);
+      return;
+    } catch (const DecodeError&) {
+      ++rejected_snapshots_;
+    }
+  }
+  throw NoSnapshotError(
+      fmt::format("the log starts at record {} and holds no snapshot to start from", first));
+}
+
+}  // namespace cactusshelf
