--- a/packages/membership/src/ownership_map.cc
+++ b/packages/membership/src/ownership_map.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
 #include <utility>
 
 #include "cactusshelf/base/errors.h"
@@ -12,9 +13,9 @@
 OwnershipMap OwnershipMap::Make(Epoch epoch, std::vector<Member> members) {
   std::sort(members.begin(), members.end(),
             [](const Member& a, const Member& b) { return a.joined < b.joined; });
-  std::set<MemberId> ids;
+  std::set<std::string> ids;
   for (std::size_t i = 0; i < members.size(); ++i) {
-    if (!ids.insert(members[i].id).second) {
+    if (!ids.insert(members[i].id.str()).second) {
       throw Error("member " + members[i].id.str() + " is listed twice");
     }
     if (i > 0 && members[i].joined == members[i - 1].joined) {
--- a/testing/standins/src/proxy_connection.h
+++ b/testing/standins/src/proxy_connection.h
@@ -44,7 +44,7 @@
   void ConnectTo(GSocketAddress* target);
 
  private:
-  static constexpr std::size_t kChunkSize = 16 * 1024;
+  static constexpr std::size_t kChunkSize = 16384;
 
   // One direction.
   struct Flow {
--- a/testing/standins/src/standin_log.cc
+++ b/testing/standins/src/standin_log.cc
@@ -147,17 +147,15 @@
     });
   }
 
-  // "end" is the end of the log; a reader has read to the end when "next" equals it.
+  // "next" is the end of the log; a reader has read to the end once it has the record before it.
   static nlohmann::json ReadAnswer(const LogStore& store, std::uint64_t from) {
     nlohmann::json records = nlohmann::json::array();
-    std::uint64_t next = std::max(from, store.first());
     for (const LogStore::Record& record : store.Read(from, kMaxRecordsPerRead)) {
       records.push_back({{"offset", record.offset},
                          {"time_ms", record.time.time_since_epoch().count()},
                          {"data", Base64(record.data)}});
-      next = record.offset + 1;
     }
-    return {{"first", store.first()}, {"next", next}, {"end", store.end()}, {"records", records}};
+    return {{"first", store.first()}, {"next", store.end()}, {"records", records}};
   }
 
   void WakeWaiters(const std::string& stream) {
--- a/testing/standins/src/standin_worker.cc
+++ b/testing/standins/src/standin_worker.cc
@@ -2,58 +2,93 @@
 #include <string>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/placement/worker_messages.h"
 #include "control.h"
 #include "standin_server.h"
 #include "timer.h"
-#include "worker_commands.h"
 #include "worker_model.h"
 
 namespace cactusshelf {
 namespace {
 
 constexpr Duration kAdvancePeriod = std::chrono::milliseconds(50);
-constexpr Duration kSamplePeriod = std::chrono::seconds(1);
+constexpr Duration kMeasurePeriod = std::chrono::seconds(1);
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+WorkerTime WorkerNow() {
+  const Duration now = MonotonicNow().time_since_epoch();
+  return {std::chrono::duration_cast<std::chrono::milliseconds>(now).count()};
 }
 
-std::string ToString(TaskEventKind kind) {
+std::string ToString(TaskEvent::Kind kind) {
   switch (kind) {
-    case TaskEventKind::kStarted:
+    case TaskEvent::Kind::kStarted:
       return "started";
-    case TaskEventKind::kStopped:
-      return "stopped";
-    case TaskEventKind::kFinished:
+    case TaskEvent::Kind::kFinished:
       return "finished";
-    case TaskEventKind::kFailed:
+    case TaskEvent::Kind::kFailed:
       return "failed";
-    case TaskEventKind::kLeaseExpired:
+    case TaskEvent::Kind::kStopped:
+      return "stopped";
+    case TaskEvent::Kind::kLeaseExpired:
       return "lease_expired";
   }
   return "";
 }
 
+nlohmann::json Encode(const TaskEvent& event) {
+  return {{"time_ms", event.time.ms},
+          {"event", ToString(event.kind)},
+          {"task", event.task.task.str()},
+          {"attempt_epoch", event.task.attempt.epoch},
+          {"attempt_number", event.task.attempt.number},
+          {"customer", event.customer.str()},
+          {"epoch", event.epoch}};
+}
+
 class WorkerStandin {
  public:
   WorkerStandin(StandinServer& server, const cxxopts::ParseResult& arguments)
       : name_(arguments["name"].as<std::string>()),
         rack_(arguments["rack"].as<std::string>()),
-        model_({arguments["processors-millis"].as<std::int64_t>(),
+        model_({arguments["milliprocessors"].as<std::int64_t>(),
                 arguments["memory-bytes"].as<std::int64_t>(),
-                arguments["accelerators"].as<std::int64_t>()}),
-        usage_lag_(std::chrono::milliseconds(arguments["usage-lag-ms"].as<std::int64_t>())) {
+                arguments["accelerators"].as<std::int64_t>()},
+               static_cast<std::uint64_t>(WallNow().time_since_epoch().count())) {
+    model_.usage_lag = std::chrono::milliseconds(arguments["usage-lag-ms"].as<std::int64_t>());
+    AddControls();
+    server.SetHandler([this](const ExchangePtr& exchange) { Handle(exchange); });
+    RunEvery(kAdvancePeriod, [this] { model_.Advance(WorkerNow()); });
+    RunEvery(kMeasurePeriod, [this] { model_.Measure(WorkerNow()); });
+  }
+
+ private:
+  void AddControls() {
     control_.Add("fail_everything", model_.fail_everything);
     control_.Add("usage_factor", model_.usage_factor);
-    control_.AddMilliseconds("usage_lag_ms", usage_lag_);
+    control_.AddMilliseconds("usage_lag_ms", model_.usage_lag);
     control_.AddMilliseconds("slow_ms", delay_);
     control_.Add("hang", hang_);
-    server.SetHandler([this](const ExchangePtr& exchange) { Handle(exchange); });
-    RunEvery(kAdvancePeriod, [this] { model_.Advance(MonotonicNow()); });
-    RunEvery(kSamplePeriod, [this] { model_.SampleUsage(MonotonicNow()); });
+    control_.Add("drop_answers", drop_answers_);
+    // {"<job class>": <ms>}
+    control_.AddAction("run_times_ms", [this](const nlohmann::json& value) {
+      for (const auto& item : value.items()) {
+        model_.run_times[item.key()] = std::chrono::milliseconds(item.value().get<std::int64_t>());
+      }
+    });
+    // [{"service": <name>, "p99_us": <n>, "requests_per_second": <n>}]
+    control_.AddAction("services", [this](const nlohmann::json& value) { SetServices(value); });
+  }
+
+  void SetServices(const nlohmann::json& value) {
+    std::vector<ServiceMeasurement> services;
+    for (const nlohmann::json& entry : value) {
+      services.push_back({ServiceId(entry.at("service").get<std::string>()),
+                          Duration(entry.at("p99_us").get<std::int64_t>()),
+                          entry.at("requests_per_second").get<std::uint32_t>(), WorkerNow()});
+    }
+    model_.services = std::move(services);
   }
 
- private:
   void Handle(const ExchangePtr& exchange) {
     if (control_.Handle(exchange)) {
       return;
@@ -66,83 +101,57 @@
       hung_.push_back(exchange);
       return;
     }
-    RunAfter(delay_,
-             [exchange, answer = Serve(*exchange)] { exchange->Answer(SOUP_STATUS_OK, answer); });
+    const nlohmann::json answer = Serve(*exchange);
+    if (drop_answers_ > 0) {
+      --drop_answers_;
+      exchange->Close();
+      return;
+    }
+    RunAfter(delay_, [exchange, answer] { exchange->Answer(SOUP_STATUS_OK, answer); });
   }
 
   nlohmann::json Serve(const Exchange& exchange) {
-    if (exchange.Method() == "POST" && exchange.Path() == "/v1/commands") {
-      const WorkerCommand command = DecodeWorkerCommand(exchange.JsonBody());
-      return EncodeResult(model_.Execute(command, MonotonicNow()));
-    }
     if (exchange.Method() == "GET" && exchange.Path() == "/v1/state") {
-      return State();
+      return model_.State(WorkerNow());
     }
-    throw Error("unknown path " + exchange.Path());
-  }
-
-  nlohmann::json State() {
-    const Time now = MonotonicNow();
-    model_.Advance(now);
-    nlohmann::json tasks = nlohmann::json::array();
-    for (const auto& [id, task] : model_.tasks()) {
-      tasks.push_back({{"task", id.str()},
-                       {"attempt", task.attempt.attempt},
-                       {"resources", EncodeResources(task.resources)},
-                       {"share_millis", task.share_millis},
-                       {"lease_remaining_ms", Milliseconds(task.lease_end - now)}});
-    }
-    nlohmann::json usage = nlohmann::json::array();
-    for (const UsageSample& sample : model_.Usage(usage_lag_, now)) {
-      usage.push_back({{"task", sample.attempt.task.str()},
-                       {"attempt", sample.attempt.attempt},
-                       {"age_ms", Milliseconds(now - sample.time)},
-                       {"used", EncodeResources(sample.used)}});
+    if (exchange.Method() != "POST" || exchange.Path() != "/v1/commands") {
+      throw Error("unknown path " + exchange.Path());
     }
-    nlohmann::json ended = nlohmann::json::array();
-    for (const TaskEvent& event : model_.history()) {
-      if (event.kind != TaskEventKind::kStarted) {
-        ended.push_back(EncodeEvent(event));
-      }
+    const auto command = exchange.JsonBody().get<WorkerCommand>();
+    if (std::holds_alternative<ReadState>(command)) {
+      return model_.State(WorkerNow());
     }
-    return {{"worker", name_},
-            {"rack", rack_},
-            {"epoch", model_.epoch()},
-            {"capacity", EncodeResources(model_.capacity())},
-            {"committed", EncodeResources(model_.Committed())},
-            {"tasks", tasks},
-            {"usage", usage},
-            {"ended", ended}};
-  }
-
-  static nlohmann::json EncodeEvent(const TaskEvent& event) {
-    return {{"time_ms", Milliseconds(event.time.time_since_epoch())},
-            {"event", ToString(event.kind)},
-            {"task", event.attempt.task.str()},
-            {"attempt", event.attempt.attempt},
-            {"epoch", event.epoch}};
+    return model_.Execute(command, WorkerNow());
   }
 
   nlohmann::json History() const {
     nlohmann::json events = nlohmann::json::array();
     for (const TaskEvent& event : model_.history()) {
-      events.push_back(EncodeEvent(event));
+      events.push_back(Encode(event));
     }
+    const Resources committed = model_.Committed();
     const WorkerCounts& counts = model_.counts();
-    return {{"events", events},
+    return {{"worker", name_},
+            {"rack", rack_},
+            {"events", events},
+            {"committed",
+             {{"milliprocessors", committed.milliprocessors},
+              {"memory_bytes", committed.memory_bytes},
+              {"accelerators", committed.accelerators}}},
             {"overcommit_attempts", counts.overcommit_attempts},
-            {"stale_epochs", counts.stale_epochs},
+            {"double_starts", counts.double_starts},
+            {"wrong_epochs", counts.wrong_epochs},
             {"repeated_commands", counts.repeated_commands},
-            {"repeated_attempts", counts.repeated_attempts}};
+            {"used_attempts", counts.used_attempts}};
   }
 
   std::string name_;
   std::string rack_;
   Control control_;
   WorkerModel model_;
-  Duration usage_lag_;
   Duration delay_ = Duration::zero();
   bool hang_ = false;
+  std::uint64_t drop_answers_ = 0;
   // Requests that are never answered.
   std::list<ExchangePtr> hung_;
 };
@@ -155,7 +164,7 @@
   options.add_options()("name", "name of the worker",
                         cxxopts::value<std::string>()->default_value("worker"))(
       "rack", "rack of the worker", cxxopts::value<std::string>()->default_value("rack"))(
-      "processors-millis", "processors in thousandths",
+      "milliprocessors", "processors in thousandths",
       cxxopts::value<std::int64_t>()->default_value("16000"))(
       "memory-bytes", "memory", cxxopts::value<std::int64_t>()->default_value("60000000000"))(
       "accelerators", "accelerators", cxxopts::value<std::int64_t>()->default_value("0"))(
--- a/testing/standins/src/worker_model.cc
+++ b/testing/standins/src/worker_model.cc
@@ -1,217 +1,254 @@
 #include "worker_model.h"
 
-#include <string>
+#include <algorithm>
+#include <string_view>
+#include <utility>
 
 #include "cactusshelf/base/errors.h"
 
 namespace cactusshelf {
 namespace {
 
-constexpr std::int64_t kFullShare = 1000;
-// Longest lag with which usage can be reported.
-constexpr Duration kUsageHistory = std::chrono::minutes(2);
-constexpr std::string_view kCheckpointPrefix = "progress_us:";
+constexpr std::int64_t kFullRate = 1000;
+// Measurements kept of each task; bounds the lag with which usage can be reported.
+constexpr std::size_t kMaxMeasurements = 120;
+constexpr std::string_view kCheckpointPrefix = "progress_ms:";
 
-std::string MakeCheckpoint(Duration progress) {
-  return std::string(kCheckpointPrefix) + std::to_string(progress.count());
+std::string MakeCheckpoint(std::int64_t progress_ms) {
+  return std::string(kCheckpointPrefix) + std::to_string(progress_ms);
 }
 
-Duration ParseCheckpoint(const std::string& checkpoint) {
+std::int64_t ParseCheckpoint(const std::string& checkpoint) {
   if (checkpoint.empty()) {
-    return Duration::zero();
+    return 0;
   }
   if (!checkpoint.starts_with(kCheckpointPrefix)) {
     throw DecodeError("not a checkpoint: " + checkpoint);
   }
-  return Duration(std::stoll(checkpoint.substr(kCheckpointPrefix.size())));
+  return std::stoll(checkpoint.substr(kCheckpointPrefix.size()));
 }
 
-void UpdateProgress(RunningTask& task, Time now) {
-  task.progress += (now - task.progress_time) * task.share_millis / kFullShare;
-  task.progress_time = now;
+std::string NameOf(const TaskAttempt& task) {
+  return task.task.str() + "@" + std::to_string(task.attempt.epoch) + "." +
+         std::to_string(task.attempt.number);
+}
+
+bool Same(const TaskAttempt& left, const TaskAttempt& right) {
+  return left.task == right.task && left.attempt == right.attempt;
 }
 
 std::int64_t Share(std::int64_t amount, double factor) {
   return static_cast<std::int64_t>(static_cast<double>(amount) * factor);
 }
 
+TaskEvent::Kind KindOf(TaskEnd end) {
+  switch (end) {
+    case TaskEnd::kFinished:
+      return TaskEvent::Kind::kFinished;
+    case TaskEnd::kFailed:
+      return TaskEvent::Kind::kFailed;
+    case TaskEnd::kStopped:
+      return TaskEvent::Kind::kStopped;
+    case TaskEnd::kLeaseExpired:
+      return TaskEvent::Kind::kLeaseExpired;
+  }
+  return TaskEvent::Kind::kFailed;
+}
+
 }  // namespace
 
-CommandResult WorkerModel::Execute(const WorkerCommand& command, Time now) {
+CommandResult WorkerModel::Execute(const WorkerCommand& command, WorkerTime now) {
   Advance(now);
-  if (const auto it = results_.find(command.id); it != results_.end()) {
+  const std::string& id = HeaderOf(command).id.str();
+  if (const auto it = results_.find(id); it != results_.end()) {
     ++counts_.repeated_commands;
     return it->second;
   }
-  const CommandResult result = ExecuteNew(command, now);
-  results_.emplace(command.id, result);
+  CommandStatus status = CheckHeader(command);
+  if (status == CommandStatus::kDone) {
+    status = std::visit([&](const auto& body) { return Run(body, now); }, command);
+  }
+  CommandResult result{status, epoch_, incarnation_, now};
+  results_.emplace(id, result);
   return result;
 }
 
-CommandResult WorkerModel::ExecuteNew(const WorkerCommand& command, Time now) {
-  CommandResult result;
-  result.id = command.id;
-  if (command.epoch < epoch_) {
-    ++counts_.stale_epochs;
-    result.refusal = RefusalReason::kStaleEpoch;
-  } else if (command.epoch > epoch_ && !std::holds_alternative<InstallEpoch>(command.body)) {
-    result.refusal = RefusalReason::kEpochNotInstalled;
-  } else {
-    result.refusal = std::visit(
-        [&](const auto& body) { return Run(body, command.epoch, now, result); }, command.body);
+CommandStatus WorkerModel::CheckHeader(const WorkerCommand& command) {
+  const CommandHeader& header = HeaderOf(command);
+  const bool installs = std::holds_alternative<InstallEpoch>(command);
+  if (installs ? header.epoch < epoch_ : header.epoch != epoch_) {
+    ++counts_.wrong_epochs;
+    return CommandStatus::kWrongEpoch;
   }
-  result.epoch = epoch_;
-  return result;
+  if (!installs && header.incarnation != incarnation_) {
+    return CommandStatus::kWrongIncarnation;
+  }
+  return CommandStatus::kDone;
 }
 
-RefusalReason WorkerModel::Run(const InstallEpoch& /*install*/, std::uint64_t epoch, Time /*now*/,
-                               CommandResult& /*result*/) {
-  epoch_ = epoch;
-  return RefusalReason::kNone;
+CommandStatus WorkerModel::Run(const InstallEpoch& command, WorkerTime /*now*/) {
+  epoch_ = command.header.epoch;
+  return CommandStatus::kDone;
 }
 
-RefusalReason WorkerModel::Run(const StartTask& start, std::uint64_t epoch, Time now,
-                               CommandResult& /*result*/) {
-  const TaskId& task = start.attempt.task;
-  const auto last = last_attempts_.find(task);
-  if (last != last_attempts_.end() && start.attempt.attempt <= last->second) {
-    ++counts_.repeated_attempts;
-    return RefusalReason::kAttemptNotNew;
+CommandStatus WorkerModel::Run(const StartTask& command, WorkerTime now) {
+  if (used_attempts_.contains(NameOf(command.task))) {
+    ++counts_.used_attempts;
+    return CommandStatus::kAttemptUsed;
+  }
+  if (tasks_.contains(command.task.task.str())) {
+    ++counts_.double_starts;
+    return CommandStatus::kAttemptUsed;
   }
-  if (tasks_.contains(task)) {
-    return RefusalReason::kAttemptNotNew;
+  if (command.lease_until.ms <= now.ms) {
+    return CommandStatus::kExpired;
   }
-  if (!Fits(start.resources)) {
+  if (!Fits(Committed() + command.size, capacity_)) {
     ++counts_.overcommit_attempts;
-    return RefusalReason::kNoCapacity;
-  }
-  RunningTask running;
-  running.attempt = start.attempt;
-  running.resources = start.resources;
-  running.lease_end = now + start.lease;
-  running.progress = ParseCheckpoint(start.checkpoint);
-  running.progress_time = now;
-  running.run_time = start.run_time;
-  last_attempts_[task] = start.attempt.attempt;
-  tasks_.emplace(task, running);
-  history_.push_back({now, TaskEventKind::kStarted, start.attempt, epoch});
+    return CommandStatus::kNoCapacity;
+  }
+  Task task;
+  task.report.task = command.task;
+  task.report.job_class = command.job_class;
+  task.report.customer = command.customer;
+  task.report.size = command.size;
+  task.report.checkpoint = command.checkpoint;
+  task.lease_until = command.lease_until;
+  task.progress_ms = ParseCheckpoint(command.checkpoint);
+  task.progress_time = now;
+  used_attempts_.insert(NameOf(command.task));
+  const std::string& name = command.task.task.str();
+  tasks_.emplace(name, std::move(task));
+  history_.push_back(
+      {now, TaskEvent::Kind::kStarted, command.task, command.customer, command.header.epoch});
   if (fail_everything) {
-    End(task, TaskEventKind::kFailed, now);
+    End(name, TaskEnd::kFailed, now);
   }
-  return RefusalReason::kNone;
+  return CommandStatus::kDone;
 }
 
-RefusalReason WorkerModel::Run(const StopTask& stop, std::uint64_t /*epoch*/, Time now,
-                               CommandResult& /*result*/) {
-  if (Find(stop.attempt) == nullptr) {
-    return RefusalReason::kNoSuchTask;
+CommandStatus WorkerModel::Run(const StopTask& command, WorkerTime now) {
+  used_attempts_.insert(NameOf(command.task));
+  if (Find(command.task) == nullptr) {
+    return CommandStatus::kUnknownTask;
   }
-  End(stop.attempt.task, TaskEventKind::kStopped, now);
-  return RefusalReason::kNone;
+  End(command.task.task.str(), TaskEnd::kStopped, now);
+  return CommandStatus::kDone;
 }
 
-RefusalReason WorkerModel::Run(const CheckpointTask& checkpoint, std::uint64_t /*epoch*/, Time now,
-                               CommandResult& result) {
-  RunningTask* task = Find(checkpoint.attempt);
+CommandStatus WorkerModel::Run(const CheckpointTask& command, WorkerTime /*now*/) {
+  Task* task = Find(command.task);
   if (task == nullptr) {
-    return RefusalReason::kNoSuchTask;
+    return CommandStatus::kUnknownTask;
   }
-  UpdateProgress(*task, now);
-  result.checkpoint = MakeCheckpoint(task->progress);
-  return RefusalReason::kNone;
+  task->report.checkpoint = MakeCheckpoint(task->progress_ms);
+  return CommandStatus::kDone;
 }
 
-RefusalReason WorkerModel::Run(const ThrottleTask& throttle, std::uint64_t /*epoch*/, Time now,
-                               CommandResult& /*result*/) {
-  RunningTask* task = Find(throttle.attempt);
+CommandStatus WorkerModel::Run(const ThrottleTask& command, WorkerTime /*now*/) {
+  Task* task = Find(command.task);
   if (task == nullptr) {
-    return RefusalReason::kNoSuchTask;
+    return CommandStatus::kUnknownTask;
   }
-  UpdateProgress(*task, now);
-  task->share_millis = throttle.share_millis;
-  return RefusalReason::kNone;
+  task->permille = command.permille;
+  task->report.phase = command.permille < kFullRate ? TaskPhase::kThrottled : TaskPhase::kRunning;
+  return CommandStatus::kDone;
 }
 
-RefusalReason WorkerModel::Run(const RenewLeases& renewal, std::uint64_t /*epoch*/, Time now,
-                               CommandResult& /*result*/) {
-  RefusalReason refusal = RefusalReason::kNone;
-  for (const TaskAttempt& attempt : renewal.attempts) {
-    RunningTask* task = Find(attempt);
+CommandStatus WorkerModel::Run(const RenewLeases& command, WorkerTime /*now*/) {
+  CommandStatus status = CommandStatus::kDone;
+  for (const TaskAttempt& attempt : command.tasks) {
+    Task* task = Find(attempt);
     if (task == nullptr) {
-      refusal = RefusalReason::kNoSuchTask;
+      status = CommandStatus::kUnknownTask;
     } else {
-      task->lease_end = now + renewal.lease;
+      task->lease_until.ms = std::max(task->lease_until.ms, command.lease_until.ms);
     }
   }
-  return refusal;
+  for (const TaskAttempt& attempt : command.forget) {
+    std::erase_if(ended_, [&](const EndedTask& ended) { return Same(ended.task, attempt); });
+  }
+  return status;
 }
 
-void WorkerModel::Advance(Time now) {
-  std::vector<std::pair<TaskId, TaskEventKind>> ended;
-  for (auto& [id, task] : tasks_) {
-    UpdateProgress(task, now);
-    if (task.run_time && task.progress >= *task.run_time) {
-      ended.emplace_back(id, TaskEventKind::kFinished);
-    } else if (now >= task.lease_end) {
-      ended.emplace_back(id, TaskEventKind::kLeaseExpired);
+CommandStatus WorkerModel::Run(const ReadState& /*command*/, WorkerTime /*now*/) {
+  return CommandStatus::kDone;
+}
+
+void WorkerModel::Advance(WorkerTime now) {
+  std::vector<std::pair<std::string, TaskEnd>> ends;
+  for (auto& [name, task] : tasks_) {
+    task.progress_ms += (now.ms - task.progress_time.ms) * task.permille / kFullRate;
+    task.progress_time = now;
+    if (now.ms >= task.lease_until.ms) {
+      ends.emplace_back(name, TaskEnd::kLeaseExpired);
+    } else if (IsDone(task)) {
+      ends.emplace_back(name, TaskEnd::kFinished);
     }
   }
-  for (const auto& [id, kind] : ended) {
-    End(id, kind, now);
+  for (const auto& [name, end] : ends) {
+    End(name, end, now);
   }
 }
 
-void WorkerModel::SampleUsage(Time now) {
-  for (const auto& [id, task] : tasks_) {
-    const double share = usage_factor * static_cast<double>(task.share_millis) / kFullShare;
-    const Resources used = {Share(task.resources.processors_millis, share),
-                            Share(task.resources.memory_bytes, usage_factor),
-                            task.resources.accelerators};
-    samples_.push_back({now, task.attempt, used});
-  }
-  while (!samples_.empty() && now - samples_.front().time > kUsageHistory) {
-    samples_.pop_front();
+void WorkerModel::Measure(WorkerTime now) {
+  for (auto& [name, task] : tasks_) {
+    const Resources& size = task.report.size;
+    const double rate = usage_factor * task.permille / kFullRate;
+    const Resources usage = {Share(size.milliprocessors, rate),
+                             Share(size.memory_bytes, usage_factor), size.accelerators};
+    task.measurements.push_back({now, usage});
+    if (task.measurements.size() > kMaxMeasurements) {
+      task.measurements.pop_front();
+    }
   }
 }
 
-std::vector<UsageSample> WorkerModel::Usage(Duration lag, Time now) const {
-  std::map<TaskAttempt, UsageSample> latest;
-  for (const UsageSample& sample : samples_) {
-    if (sample.time <= now - lag) {
-      latest[sample.attempt] = sample;
+WorkerState WorkerModel::State(WorkerTime now) {
+  Advance(now);
+  WorkerState state;
+  state.epoch_held = epoch_;
+  state.incarnation = incarnation_;
+  state.worker_time = now;
+  state.ended = ended_;
+  state.services = services;
+  const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(usage_lag).count();
+  state.running.reserve(tasks_.size());
+  for (const auto& [name, task] : tasks_) {
+    RunningTask report = task.report;
+    for (const Measurement& measurement : task.measurements) {
+      if (measurement.time.ms <= now.ms - lag) {
+        report.usage = measurement.usage;
+        report.measured_at = measurement.time;
+      }
     }
+    state.running.push_back(std::move(report));
   }
-  std::vector<UsageSample> result;
-  for (const auto& [attempt, sample] : latest) {
-    result.push_back(sample);
-  }
-  return result;
+  return state;
 }
 
 Resources WorkerModel::Committed() const {
   Resources sum;
-  for (const auto& [id, task] : tasks_) {
-    sum.processors_millis += task.resources.processors_millis;
-    sum.memory_bytes += task.resources.memory_bytes;
-    sum.accelerators += task.resources.accelerators;
+  for (const auto& [name, task] : tasks_) {
+    sum += task.report.size;
   }
   return sum;
 }
 
-RunningTask* WorkerModel::Find(const TaskAttempt& attempt) {
-  const auto it = tasks_.find(attempt.task);
-  return it != tasks_.end() && it->second.attempt == attempt ? &it->second : nullptr;
+WorkerModel::Task* WorkerModel::Find(const TaskAttempt& task) {
+  const auto it = tasks_.find(task.task.str());
+  return it != tasks_.end() && Same(it->second.report.task, task) ? &it->second : nullptr;
 }
 
-bool WorkerModel::Fits(const Resources& resources) const {
-  const Resources used = Committed();
-  return used.processors_millis + resources.processors_millis <= capacity_.processors_millis &&
-         used.memory_bytes + resources.memory_bytes <= capacity_.memory_bytes &&
-         used.accelerators + resources.accelerators <= capacity_.accelerators;
+bool WorkerModel::IsDone(const Task& task) const {
+  const auto it = run_times.find(task.report.job_class.str());
+  return it != run_times.end() && std::chrono::milliseconds(task.progress_ms) >= it->second;
 }
 
-void WorkerModel::End(const TaskId& task, TaskEventKind kind, Time now) {
-  history_.push_back({now, kind, tasks_.at(task).attempt, epoch_});
+void WorkerModel::End(const std::string& task, TaskEnd end, WorkerTime now) {
+  const RunningTask& report = tasks_.at(task).report;
+  ended_.push_back({report.task, report.job_class, end, report.checkpoint});
+  history_.push_back({now, KindOf(end), report.task, report.customer, epoch_});
   tasks_.erase(task);
 }
 
--- a/testing/standins/src/worker_model.h
+++ b/testing/standins/src/worker_model.h
@@ -4,100 +4,109 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "cactusshelf/base/resources.h"
 #include "cactusshelf/base/time.h"
-#include "worker_commands.h"
+#include "cactusshelf/placement/worker_messages.h"
 
 namespace cactusshelf {
 
-enum class TaskEventKind { kStarted, kStopped, kFinished, kFailed, kLeaseExpired };
-
 struct TaskEvent {
-  Time time;
-  TaskEventKind kind = TaskEventKind::kStarted;
-  TaskAttempt attempt;
-  std::uint64_t epoch = 0;
-};
-
-struct RunningTask {
-  TaskAttempt attempt;
-  Resources resources;
-  Time lease_end;
-  std::int64_t share_millis = 1000;
-  // Work done up to `progress_time`, at full speed.
-  Duration progress = Duration::zero();
-  Time progress_time;
-  std::optional<Duration> run_time;
-};
-
-// Use of one task, sampled at `time`.
-struct UsageSample {
-  Time time;
-  TaskAttempt attempt;
-  Resources used;
+  enum class Kind { kStarted, kFinished, kFailed, kStopped, kLeaseExpired };
+
+  WorkerTime time;
+  Kind kind = Kind::kStarted;
+  TaskAttempt task;
+  CustomerId customer;
+  // Epoch held by the worker.
+  Epoch epoch = 0;
 };
 
 struct WorkerCounts {
   // Starts that would have committed the worker beyond its capacity.
   std::uint64_t overcommit_attempts = 0;
-  std::uint64_t stale_epochs = 0;
+  // Starts of a task of which another attempt was running here.
+  std::uint64_t double_starts = 0;
+  std::uint64_t wrong_epochs = 0;
   std::uint64_t repeated_commands = 0;
-  std::uint64_t repeated_attempts = 0;
+  std::uint64_t used_attempts = 0;
 };
 
-// Tasks, leases, epoch and command results of one worker. Time is passed in.
+// Tasks, leases, epoch and command results of one worker, by the rules in worker_messages.h.
+// Time is passed in.
 class WorkerModel {
  public:
-  explicit WorkerModel(Resources capacity) : capacity_(capacity) {}
+  WorkerModel(Resources capacity, std::uint64_t incarnation)
+      : capacity_(capacity), incarnation_(incarnation) {}
 
   // Carries out the command, or returns the first result if the command id is known.
-  CommandResult Execute(const WorkerCommand& command, Time now);
+  CommandResult Execute(const WorkerCommand& command, WorkerTime now);
 
   // Ends tasks whose lease expired or whose work is done.
-  void Advance(Time now);
+  void Advance(WorkerTime now);
 
-  // Records the use of each running task, as the share `usage_factor` of its declared size.
-  void SampleUsage(Time now);
+  // Measures the usage of all tasks, to be reported `usage_lag` later.
+  void Measure(WorkerTime now);
 
-  // Samples taken up to `now - lag`, the latest of each task.
-  std::vector<UsageSample> Usage(Duration lag, Time now) const;
+  WorkerState State(WorkerTime now);
 
   // Every task fails as soon as it is started.
   bool fail_everything = false;
+  // Usage as a share of the declared size.
   double usage_factor = 0.6;
+  Duration usage_lag = std::chrono::seconds(10);
+  // Run time of tasks at full rate by job class; tasks of other classes run until stopped.
+  std::map<std::string, Duration> run_times;
+  // Reported with the state, measured at the time of the last change.
+  std::vector<ServiceMeasurement> services;
 
-  std::uint64_t epoch() const { return epoch_; }
   const Resources& capacity() const { return capacity_; }
   Resources Committed() const;
-  const std::map<TaskId, RunningTask>& tasks() const { return tasks_; }
   const std::vector<TaskEvent>& history() const { return history_; }
   const WorkerCounts& counts() const { return counts_; }
 
  private:
-  CommandResult ExecuteNew(const WorkerCommand& command, Time now);
-  RefusalReason Run(const InstallEpoch& install, std::uint64_t epoch, Time now, CommandResult&);
-  RefusalReason Run(const StartTask& start, std::uint64_t epoch, Time now, CommandResult&);
-  RefusalReason Run(const StopTask& stop, std::uint64_t epoch, Time now, CommandResult&);
-  RefusalReason Run(const CheckpointTask& checkpoint, std::uint64_t epoch, Time now,
-                    CommandResult& result);
-  RefusalReason Run(const ThrottleTask& throttle, std::uint64_t epoch, Time now, CommandResult&);
-  RefusalReason Run(const RenewLeases& renewal, std::uint64_t epoch, Time now, CommandResult&);
-
-  RunningTask* Find(const TaskAttempt& attempt);
-  bool Fits(const Resources& resources) const;
-  void End(const TaskId& task, TaskEventKind kind, Time now);
+  struct Measurement {
+    WorkerTime time;
+    Resources usage;
+  };
+  struct Task {
+    RunningTask report;
+    WorkerTime lease_until;
+    std::uint32_t permille = 1000;
+    // Work done up to `progress_time`, in milliseconds at full rate.
+    std::int64_t progress_ms = 0;
+    WorkerTime progress_time;
+    std::deque<Measurement> measurements;
+  };
+
+  CommandStatus CheckHeader(const WorkerCommand& command);
+  CommandStatus Run(const InstallEpoch& command, WorkerTime now);
+  CommandStatus Run(const StartTask& command, WorkerTime now);
+  CommandStatus Run(const StopTask& command, WorkerTime now);
+  CommandStatus Run(const CheckpointTask& command, WorkerTime now);
+  CommandStatus Run(const ThrottleTask& command, WorkerTime now);
+  CommandStatus Run(const RenewLeases& command, WorkerTime now);
+  CommandStatus Run(const ReadState& command, WorkerTime now);
+
+  Task* Find(const TaskAttempt& task);
+  bool IsDone(const Task& task) const;
+  void End(const std::string& task, TaskEnd end, WorkerTime now);
 
   Resources capacity_;
-  std::uint64_t epoch_ = 0;
-  std::map<TaskId, RunningTask> tasks_;
-  // Highest attempt of each task that was started here.
-  std::map<TaskId, std::uint64_t> last_attempts_;
-  std::map<CommandId, CommandResult> results_;
+  std::uint64_t incarnation_;
+  Epoch epoch_ = 0;
+  // By task id.
+  std::map<std::string, Task> tasks_;
+  std::vector<EndedTask> ended_;
+  // Attempts that were started or stopped.
+  std::set<std::string> used_attempts_;
+  // By command id.
+  std::map<std::string, CommandResult> results_;
   std::vector<TaskEvent> history_;
-  std::deque<UsageSample> samples_;
   WorkerCounts counts_;
 };
 
--- a/testing/standins/tests/programs_test.sh
+++ b/testing/standins/tests/programs_test.sh
@@ -30,7 +30,7 @@
 
 start log standin_log
 start endpoint standin_endpoint --slots 1 --connections 4
-start worker standin_worker --processors-millis 1000 --memory-bytes 1000
+start worker standin_worker --milliprocessors 1000 --memory-bytes 1000
 start hosts standin_hosts --lag-ms 300
 log=http://127.0.0.1:$(wait_port "$dir/log")
 endpoint=http://127.0.0.1:$(wait_port "$dir/endpoint")
@@ -92,12 +92,18 @@
 took=$(curl -s -o /dev/null -w '%{time_total}' "${request[@]}" "$proxy/x")
 [[ $(jq -n "$took >= 0.6") == true ]] || fail "delay: took $took s"
 
-command() { post "$worker/v1/commands" "$1"; }
+command() { post "$worker/v1/commands" "$1" | jq -r .status; }
 start_task() {
-  command '{"type":"start_task","command_id":"'"$1"'","epoch":3,"task":"'"$2"'","attempt":1,
-    "processors_millis":600,"memory_bytes":10}' | jq -r '.reason // .result'
+  local state incarnation lease
+  state=$(curl -s "$worker/v1/state")
+  incarnation=$(jq .incarnation <<<"$state")
+  lease=$(jq '.worker_time_ms + 15000' <<<"$state")
+  command '{"type":"start","id":"'"$1"'","epoch":3,"incarnation":'"$incarnation"',
+    "task":{"task":"'"$2"'","attempt_epoch":3,"attempt_number":1},"class":"c","customer":"k",
+    "size":{"milliprocessors":600,"memory_bytes":10,"accelerators":0},"checkpoint":"",
+    "lease_until_ms":'"$lease"'}'
 }
-command '{"type":"install_epoch","command_id":"c0","epoch":3}' >/dev/null
+expect "epoch" "$(command '{"type":"install_epoch","id":"c0","epoch":3,"incarnation":0}')" done
 expect "start" "$(start_task c1 j/0)" done
 expect "repeated start" "$(start_task c1 j/0)" done
 expect "overcommit" "$(start_task c2 j/1)" no_capacity
--- a/testing/standins/tests/standin_models_test.cc
+++ b/testing/standins/tests/standin_models_test.cc
@@ -11,61 +11,102 @@
 
 constexpr Time kStart{seconds(100)};
 
-WorkerCommand Start(const std::string& command, std::uint64_t epoch, std::uint64_t attempt) {
+constexpr std::uint64_t kIncarnation = 7;
+constexpr WorkerTime kWorkerStart{100000};
+
+WorkerTime After(seconds time) {
+  return {kWorkerStart.ms + std::chrono::milliseconds(time).count()};
+}
+
+CommandHeader Header(const std::string& command, Epoch epoch) {
+  CommandHeader header;
+  header.id = CommandId(command);
+  header.epoch = epoch;
+  header.incarnation = kIncarnation;
+  return header;
+}
+
+TaskAttempt AttemptOf(std::uint32_t number) { return {TaskId("j/0"), {1, number}}; }
+
+StartTask Start(const std::string& command, Epoch epoch, std::uint32_t number) {
   StartTask start;
-  start.attempt = {TaskId("j/0"), attempt};
-  start.resources = {600, 10, 0};
-  start.run_time = seconds(10);
-  return {CommandId(command), epoch, start};
+  start.header = Header(command, epoch);
+  start.task = AttemptOf(number);
+  start.job_class = JobClass("c");
+  start.size = {600, 10, 0};
+  start.lease_until = After(seconds(15));
+  return start;
 }
 
 WorkerModel MakeWorker() {
-  WorkerModel worker({1000, 100, 0});
-  worker.Execute({CommandId("install"), 1, InstallEpoch{}}, kStart);
+  WorkerModel worker({1000, 100, 0}, kIncarnation);
+  worker.Execute(InstallEpoch{Header("install", 1)}, kWorkerStart);
   return worker;
 }
 
-TEST_CASE("a worker does not accept commands of an earlier owner") {
+TEST_CASE("a worker does not accept commands of an earlier owner or for an earlier incarnation") {
   WorkerModel worker = MakeWorker();
-  worker.Execute({CommandId("next"), 2, InstallEpoch{}}, kStart);
-  CHECK(worker.Execute(Start("c", 1, 1), kStart).refusal == RefusalReason::kStaleEpoch);
-  CHECK(worker.Execute(Start("d", 3, 1), kStart).refusal == RefusalReason::kEpochNotInstalled);
-  CHECK(worker.tasks().empty());
+  worker.Execute(InstallEpoch{Header("next", 2)}, kWorkerStart);
+  CHECK(worker.Execute(Start("c", 1, 1), kWorkerStart).status == CommandStatus::kWrongEpoch);
+  CHECK(worker.Execute(Start("d", 3, 1), kWorkerStart).status == CommandStatus::kWrongEpoch);
+  StartTask other = Start("e", 2, 1);
+  other.header.incarnation = kIncarnation - 1;
+  CHECK(worker.Execute(other, kWorkerStart).status == CommandStatus::kWrongIncarnation);
+  CHECK(worker.history().empty());
 }
 
 TEST_CASE("a repeated command or attempt does not start a task twice") {
   WorkerModel worker = MakeWorker();
-  const CommandResult first = worker.Execute(Start("c", 1, 1), kStart);
-  CHECK(first.refusal == RefusalReason::kNone);
-  CHECK(worker.Execute(Start("c", 1, 1), kStart + seconds(1)) == first);
-  CHECK(worker.Execute(Start("d", 1, 1), kStart).refusal == RefusalReason::kAttemptNotNew);
+  const CommandResult first = worker.Execute(Start("c", 1, 1), kWorkerStart);
+  CHECK(first.status == CommandStatus::kDone);
+  CHECK(worker.Execute(Start("c", 1, 1), After(seconds(1))) == first);
+  CHECK(worker.Execute(Start("d", 1, 1), kWorkerStart).status == CommandStatus::kAttemptUsed);
+  CHECK(worker.Execute(Start("e", 1, 2), kWorkerStart).status == CommandStatus::kAttemptUsed);
   CHECK(worker.history().size() == 1);
 }
 
-TEST_CASE("a task ends when its lease is not renewed") {
+TEST_CASE("a start that arrives after its stop does not run") {
   WorkerModel worker = MakeWorker();
-  worker.Execute(Start("c", 1, 1), kStart);
-  worker.Execute({CommandId("r"), 1, ThrottleTask{{TaskId("j/0"), 1}, 100}}, kStart);
-  worker.Advance(kStart + seconds(14));
-  CHECK(worker.tasks().size() == 1);
-  worker.Advance(kStart + seconds(15));
-  REQUIRE(worker.tasks().empty());
-  CHECK(worker.history().back().kind == TaskEventKind::kLeaseExpired);
+  worker.Execute(StopTask{Header("s", 1), AttemptOf(1)}, kWorkerStart);
+  CHECK(worker.Execute(Start("c", 1, 1), kWorkerStart).status == CommandStatus::kAttemptUsed);
+}
+
+TEST_CASE("a task ends when its lease is not renewed and is reported until forgotten") {
+  WorkerModel worker = MakeWorker();
+  worker.Execute(Start("c", 1, 1), kWorkerStart);
+  CHECK(worker.State(After(seconds(14))).running.size() == 1);
+  const WorkerState state = worker.State(After(seconds(15)));
+  CHECK(state.running.empty());
+  REQUIRE(state.ended.size() == 1);
+  CHECK(state.ended[0].end == TaskEnd::kLeaseExpired);
+  worker.Execute(RenewLeases{Header("r", 1), {}, {}, {AttemptOf(1)}}, After(seconds(15)));
+  CHECK(worker.State(After(seconds(15))).ended.empty());
+}
+
+TEST_CASE("a start whose lease has passed is refused") {
+  WorkerModel worker = MakeWorker();
+  CHECK(worker.Execute(Start("c", 1, 1), After(seconds(15))).status == CommandStatus::kExpired);
 }
 
 TEST_CASE("a task that is started from a checkpoint does not repeat its work") {
   WorkerModel worker = MakeWorker();
-  worker.Execute(Start("c", 1, 1), kStart);
-  const CommandResult checkpoint =
-      worker.Execute({CommandId("k"), 1, CheckpointTask{{TaskId("j/0"), 1}}}, kStart + seconds(8));
-  worker.Execute({CommandId("s"), 1, StopTask{{TaskId("j/0"), 1}}}, kStart + seconds(8));
-  WorkerCommand again = Start("e", 1, 2);
-  std::get<StartTask>(again.body).checkpoint = checkpoint.checkpoint;
-  worker.Execute(again, kStart + seconds(20));
-  worker.Advance(kStart + seconds(21));
-  CHECK(worker.tasks().size() == 1);
-  worker.Advance(kStart + seconds(22));
-  CHECK(worker.history().back().kind == TaskEventKind::kFinished);
+  worker.run_times["c"] = seconds(10);
+  worker.Execute(Start("c", 1, 1), kWorkerStart);
+  worker.Execute(CheckpointTask{Header("k", 1), AttemptOf(1)}, After(seconds(8)));
+  worker.Execute(StopTask{Header("s", 1), AttemptOf(1)}, After(seconds(8)));
+  StartTask again = Start("e", 1, 2);
+  again.checkpoint = worker.State(After(seconds(8))).ended.at(0).checkpoint;
+  worker.Execute(again, After(seconds(10)));
+  CHECK(worker.State(After(seconds(11))).running.size() == 1);
+  CHECK(worker.State(After(seconds(12))).ended.back().end == TaskEnd::kFinished);
+}
+
+TEST_CASE("usage is reported only after its lag") {
+  WorkerModel worker = MakeWorker();
+  worker.Execute(Start("c", 1, 1), kWorkerStart);
+  worker.Measure(After(seconds(1)));
+  CHECK(worker.State(After(seconds(10))).running.at(0).measured_at.ms == 0);
+  CHECK(worker.State(After(seconds(11))).running.at(0).usage.milliprocessors == 360);
 }
 
 TEST_CASE("the log drops records by count and age and keeps offsets") {
