--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cactusshelf/base/cbor.h"
 #include "cactusshelf/base/errors.h"
 
 namespace cactusshelf {
@@ -13,6 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kEnvelopeFields = 4;
+constexpr int kMaxDepth = 8;
 
 enum class MessageType : std::uint8_t {
   kClaim,
@@ -331,7 +333,7 @@
     throw DecodeError("peer message: too large");
   }
   try {
-    const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+    const Json json = DecodeCbor(bytes, kMaxDepth);
     if (!json.is_array() || json.size() != kEnvelopeFields) {
       throw DecodeError("peer message: not an envelope");
     }
--- /dev/null
+++ b/packages/node/tests/entry_node_test.cc
@@ -0,0 +1,294 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cactusshelf/request/request_id.h"
+#include "fake_deployment.h"
+
+namespace cactusshelf {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr char kServices[] = R"(
+[[customer]]
+name = "andina"
+priority = 5
+[[account]]
+name = "crews"
+customer = "andina"
+request_rate = 1000
+[[service]]
+name = "notices"
+customer = "andina"
+slots = 8
+connections = 64
+default_deadline = "5s"
+endpoints = [
+  { address = "10.0.0.1:80", domain = "domain-1", rack = "r1" },
+  { address = "10.0.0.2:80", domain = "domain-2", rack = "r1" },
+]
+)";
+
+constexpr char kRetirement[] = "[[retirement]]\ncustomer = \"andina\"\n";
+
+std::string HostName(int n) { return "entry" + std::to_string(n); }
+
+class Deployment : public FakeDeployment {
+ public:
+  Deployment(std::uint64_t seed, int nodes) : FakeDeployment(seed) {
+    for (int i = 1; i <= nodes; ++i) {
+      StartNode(HostName(i));
+    }
+    REQUIRE(RunUntil([&] { return AllReady(nodes); }, seconds(10)));
+  }
+
+  bool AllReady(int nodes) {
+    for (int i = 1; i <= nodes; ++i) {
+      if (!IsRunning(HostName(i)) || !node(HostName(i)).ready()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  nlohmann::json StatusOf(const std::string& name) { return nlohmann::json::parse(Status(name)); }
+
+  void PublishServices() {
+    Publish("entry1", "first", {{"services.toml", kServices}});
+    REQUIRE(RunUntil([&] { return !StatusOf("entry1").at("revision").is_null(); }, seconds(7)));
+  }
+
+  std::string NewId() { return RequestId::Make(wall(), random()).ToString(); }
+
+  Answer Call(const std::string& host, const std::string& id, bool idempotent) {
+    const auto request = Send(host, "notices", id, idempotent);
+    REQUIRE(RunUntil([&] { return AnswerTo(request).has_value(); }, seconds(40)));
+    return *AnswerTo(request);
+  }
+
+  bool IsComplete(const std::string& host) {
+    const auto retirements = StatusOf(host).at("retirements");
+    return !retirements.empty() && retirements[0].at("complete").get<bool>();
+  }
+};
+
+TEST_CASE("an accepted configuration is in force on all seven members within 7 s") {
+  Deployment deployment(1, 7);
+  deployment.Publish("entry1", "first", {{"services.toml", kServices}});
+  const auto in_force = [&] {
+    for (int i = 1; i <= 7; ++i) {
+      if (deployment.StatusOf(HostName(i)).at("revision").is_null()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(deployment.RunUntil(in_force, seconds(7)));
+}
+
+TEST_CASE("a member cut off from the log gets the configuration from its peers") {
+  Deployment deployment(2, 3);
+  deployment.cut_from_log.insert("entry3");
+  deployment.RunFor(seconds(2));
+  deployment.Publish("entry1", "first", {{"services.toml", kServices}});
+  const auto in_force = [&] { return !deployment.StatusOf("entry3").at("revision").is_null(); };
+  CHECK(deployment.RunUntil(in_force, seconds(7)));
+  CHECK(deployment.StatusOf("entry3").at("chain") == deployment.StatusOf("entry1").at("chain"));
+}
+
+TEST_CASE("a request is answered with the endpoint's complete answer") {
+  Deployment deployment(3, 3);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  const std::string id = deployment.NewId();
+  const auto answer = deployment.Call("entry2", id, true);
+  CHECK(answer.outcome == "answered");
+  CHECK(answer.body == "answer to " + id);
+}
+
+TEST_CASE("a non-idempotent request repeated at each member runs once") {
+  Deployment deployment(4, 7);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  for (int n = 0; n < 20; ++n) {
+    const std::string id = deployment.NewId();
+    for (int i = 1; i <= 7; ++i) {
+      const auto answer = deployment.Call(HostName(i), id, false);
+      CHECK(answer.outcome == "answered");
+      CHECK(answer.body == "answer to " + id);
+    }
+    CHECK(deployment.Executions(id) == 1);
+  }
+}
+
+TEST_CASE("a log outage stops no requests, also non-idempotent ones") {
+  Deployment deployment(5, 3);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.log_out = true;
+  deployment.RunFor(minutes(10));
+  const std::string id = deployment.NewId();
+  CHECK(deployment.Call("entry1", id, false).outcome == "answered");
+  CHECK(deployment.Call("entry2", id, false).outcome == "answered");
+  CHECK(deployment.Executions(id) == 1);
+}
+
+TEST_CASE("a request with a lost answer is reported as unknown and never sent again") {
+  Deployment deployment(6, 3);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.lose_answers = true;
+  const std::string id = deployment.NewId();
+  for (int i = 1; i <= 3; ++i) {
+    CHECK(deployment.Call(HostName(i), id, false).outcome == "unknown");
+  }
+  CHECK(deployment.Executions(id) == 1);
+}
+
+TEST_CASE("a member that dies between a request and its repeat causes no second execution") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Deployment deployment(seed, 5);
+    deployment.PublishServices();
+    deployment.RunFor(seconds(5));
+    std::vector<std::string> ids;
+    for (int n = 0; n < 20; ++n) {
+      ids.push_back(deployment.NewId());
+      deployment.Send("entry1", "notices", ids.back(), false);
+    }
+    deployment.RunFor(Duration(deployment.random().Below(60'000)));
+    deployment.Kill("entry1");
+    for (int second = 0; second < 20; ++second) {
+      for (const std::string& id : ids) {
+        deployment.Send(HostName(2 + second % 4), "notices", id, false);
+      }
+      deployment.RunFor(seconds(1));
+    }
+    for (const std::string& id : ids) {
+      CHECK(deployment.Executions(id) <= 1);
+    }
+  }
+}
+
+TEST_CASE("a paused member is removed, and on waking ends instead of acting") {
+  Deployment deployment(7, 5);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.Pause("entry2");
+  const auto removed = [&] { return deployment.StatusOf("entry1").at("members").size() == 4; };
+  REQUIRE(deployment.RunUntil(removed, seconds(30)));
+  std::vector<std::string> ids;
+  for (int n = 0; n < 20; ++n) {
+    ids.push_back(deployment.NewId());
+  }
+  deployment.RunFor(seconds(5));
+  for (const std::string& id : ids) {
+    deployment.Send("entry1", "notices", id, false);
+  }
+  deployment.RunFor(seconds(1));
+  deployment.Resume("entry2");
+  for (const std::string& id : ids) {
+    deployment.Send("entry2", "notices", id, false);
+  }
+  deployment.RunFor(seconds(40));
+  for (const std::string& id : ids) {
+    CHECK(deployment.Executions(id) <= 1);
+  }
+  CHECK(deployment.ExitCode("entry2") == node_effect::kExitRemoved);
+}
+
+TEST_CASE("a graceful stop finishes requests in flight and leaves") {
+  Deployment deployment(8, 3);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.service_time = seconds(3);
+  const auto request = deployment.Send("entry1", "notices", deployment.NewId(), true);
+  deployment.RunFor(std::chrono::milliseconds(100));
+  deployment.Drain("entry1");
+  CHECK_FALSE(deployment.node("entry1").ready());
+  REQUIRE(
+      deployment.RunUntil([&] { return deployment.ExitCode("entry1").has_value(); }, seconds(10)));
+  CHECK(deployment.AnswerTo(request).value().outcome == "answered");
+  CHECK(deployment.ExitCode("entry1") == 0);
+  const auto left = [&] { return deployment.StatusOf("entry2").at("members").size() == 2; };
+  CHECK(deployment.RunUntil(left, seconds(2)));
+}
+
+TEST_CASE("a retirement is certified once all members attested, and its requests are refused") {
+  Deployment deployment(9, 5);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.Publish("entry1", "retire",
+                     {{"services.toml", std::nullopt}, {"retirement.toml", kRetirement}});
+  CHECK(deployment.RunUntil([&] { return deployment.IsComplete("entry2"); }, seconds(10)));
+  CHECK(deployment.Call("entry3", deployment.NewId(), true).outcome == "not-run");
+}
+
+TEST_CASE("the certificate is withheld while a paused member may still act") {
+  Deployment deployment(10, 5);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.Pause("entry4");
+  deployment.Publish("entry1", "retire",
+                     {{"services.toml", std::nullopt}, {"retirement.toml", kRetirement}});
+  const auto removed = [&] { return deployment.StatusOf("entry1").at("members").size() == 4; };
+  REQUIRE(deployment.RunUntil(removed, seconds(30)));
+  CHECK_FALSE(deployment.IsComplete("entry1"));
+  const auto missing = deployment.StatusOf("entry1").at("retirements")[0].at("missing");
+  REQUIRE(missing.size() == 1);
+  CHECK(missing[0].get<std::string>().find("entry4") != std::string::npos);
+  CHECK(deployment.RunUntil([&] { return deployment.IsComplete("entry1"); }, seconds(50)));
+}
+
+TEST_CASE("all members replaced one by one keep the configuration, also past the trim point") {
+  Deployment deployment(11, 3);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(3));
+  const auto revision = deployment.StatusOf("entry1").at("revision");
+  for (int n = 0; n < 600; ++n) {
+    deployment.log.Append(deployment.wall(), "not a record");
+  }
+  deployment.RunFor(seconds(60));
+  deployment.log.TrimTo(deployment.log.next() - 20);
+  for (int i = 1; i <= 3; ++i) {
+    deployment.Drain(HostName(i));
+    REQUIRE(deployment.RunUntil([&] { return !deployment.IsRunning(HostName(i)); }, seconds(10)));
+    deployment.StartNode(HostName(i));
+    REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(i); }, seconds(10)));
+    CHECK(deployment.StatusOf(HostName(i)).at("revision") == revision);
+  }
+}
+
+TEST_CASE("a restart of the only member takes over from its earlier process") {
+  Deployment deployment(12, 1);
+  deployment.PublishServices();
+  deployment.Kill("entry1");
+  deployment.StartNode("entry1");
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(1); }, seconds(10)));
+  deployment.RunFor(seconds(10));
+  CHECK(deployment.StatusOf("entry1").at("members").size() == 1);
+  CHECK(deployment.Call("entry1", deployment.NewId(), false).outcome == "answered");
+}
+
+TEST_CASE("lost append answers lead to no duplicate members or attestations") {
+  FakeDeployment fakes(13);
+  fakes.lose_append_answers = true;
+  fakes.StartNode("entry1");
+  REQUIRE(fakes.RunUntil([&] { return fakes.node("entry1").ready(); }, seconds(10)));
+  fakes.RunFor(seconds(10));
+  const auto status = nlohmann::json::parse(fakes.Status("entry1"));
+  CHECK(status.at("members").size() == 1);
+}
+
+TEST_CASE("the same seed replays the same run") {
+  const auto run = [] {
+    Deployment deployment(14, 3);
+    deployment.PublishServices();
+    deployment.RunFor(seconds(20));
+    return deployment.Status("entry1");
+  };
+  CHECK(run() == run());
+}
+
+}  // namespace
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/node/tests/fake_deployment.h
@@ -0,0 +1,130 @@
+#ifndef CACTUSSHELF_NODE_TESTS_FAKE_DEPLOYMENT_H_
+#define CACTUSSHELF_NODE_TESTS_FAKE_DEPLOYMENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cactusshelf/base/random.h"
+#include "cactusshelf/node/entry_node.h"
+#include "fake_log.h"
+
+namespace cactusshelf {
+
+// Several EntryNodes under virtual time with a fake log, host list and endpoints. Messages take a
+// random short time. Faults are set through the public members; nothing else is simulated.
+class FakeDeployment {
+ public:
+  struct Answer {
+    int status = 0;
+    std::string outcome;
+    std::string reason;
+    std::string body;
+  };
+
+  explicit FakeDeployment(std::uint64_t seed);
+
+  // Starts a process on host `name`; a second start on the same host is another member.
+  void StartNode(const std::string& name);
+  void Kill(const std::string& name);
+  // A paused process handles nothing; what arrives meanwhile is handled when it resumes.
+  void Pause(const std::string& name) { paused_.insert(name); }
+  void Resume(const std::string& name);
+  void Drain(const std::string& name);
+
+  void RunFor(Duration duration);
+  // True as soon as `condition` holds, false if it does not within `limit`.
+  bool RunUntil(const std::function<bool()>& condition, Duration limit);
+
+  // Publishes files against the revision that is in force at `node`.
+  void Publish(const std::string& node, const std::string& publication,
+               const std::map<std::string, std::optional<std::string>>& files);
+
+  // Sends a request and returns its number.
+  std::uint64_t Send(const std::string& node, const std::string& service,
+                     const std::string& request_id, bool idempotent);
+  std::optional<Answer> AnswerTo(std::uint64_t request) const;
+
+  bool IsRunning(const std::string& name) const { return nodes_.contains(name); }
+  EntryNode& node(const std::string& name) { return *nodes_.at(name).node; }
+  std::string Status(const std::string& name) { return node(name).Status(NowAt()); }
+  std::optional<int> ExitCode(const std::string& name) const;
+  int Executions(const std::string& request_id) const;
+  Time time() const { return now_; }
+  WallTime wall() const { return NowAt().wall; }
+  Random& random() { return random_; }
+
+  // Faults.
+  bool log_out = false;
+  std::set<std::string> cut_from_log;
+  // Hosts that exchange no messages with other hosts.
+  std::set<std::string> isolated;
+  bool lose_append_answers = false;
+  Duration service_time = std::chrono::milliseconds(20);
+  // The endpoint executes but its answer is lost.
+  bool lose_answers = false;
+  // Removes hosts from the host list; by default all hosts with a process are listed.
+  std::set<std::string> unlisted;
+
+  FakeLog log;
+
+ private:
+  struct Process {
+    std::unique_ptr<EntryNode> node;
+    std::uint64_t incarnation = 0;
+    std::string address;
+  };
+  struct Event {
+    Time time;
+    std::uint64_t order = 0;
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::shared_ptr<const NodeEvent> event;
+    friend bool operator>(const Event& a, const Event& b) {
+      return std::pair(a.time, a.order) > std::pair(b.time, b.order);
+    }
+  };
+  struct LongPoll {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    Time started;
+    std::uint64_t from = 0;
+    Time until;
+  };
+
+  Now NowAt() const;
+  void Step(Time until);
+  void Deliver(const std::string& host, const NodeEvent& event);
+  void Schedule(const std::string& host, Duration delay, NodeEvent event);
+  void CarryOut(const std::string& host, Process& process);
+  void Execute(const std::string& host, Process& process, const NodeEffect& effect);
+  void FinishReads();
+  Duration Latency() { return random_.Between(Duration(1000), Duration(5000)); }
+  bool LogReachable(const std::string& host) const {
+    return !log_out && !cut_from_log.contains(host);
+  }
+
+  Random random_;
+  Time now_{std::chrono::seconds(1000)};
+  std::map<std::string, Process> nodes_;
+  std::map<std::string, int> exit_codes_;
+  std::set<std::string> paused_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::map<std::string, std::vector<NodeEvent>> held_;
+  std::vector<LongPoll> polls_;
+  std::map<std::uint64_t, Answer> answers_;
+  std::map<std::string, int> executions_;
+  std::uint64_t last_order_ = 0;
+  std::uint64_t last_incarnation_ = 0;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_NODE_TESTS_FAKE_DEPLOYMENT_H_
--- a/packages/version/src/codec.h
+++ b/packages/version/src/codec.h
@@ -22,7 +22,7 @@
 std::string EncodeCbor(const Json& value);
 
 // Throws RecordError for bytes that are not one CBOR value or nest deeper than `max_depth`.
-Json DecodeCbor(std::string_view bytes, int max_depth);
+Json DecodeRecordCbor(std::string_view bytes, int max_depth);
 
 Json Binary(std::string_view bytes);
 
--- a/packages/version/src/evidence_codec.cc
+++ b/packages/version/src/evidence_codec.cc
@@ -73,7 +73,7 @@
 }
 
 RetirementScope DecodeScope(std::string_view bytes) {
-  const Json json = DecodeCbor(bytes, kMaxRecordDepth);
+  const Json json = DecodeRecordCbor(bytes, kMaxRecordDepth);
   RetirementScope scope;
   scope.customer = IdField<CustomerId>(json, "customer");
   scope.retirement = UnsignedField(json, "retirement");
@@ -89,7 +89,7 @@
 }
 
 std::set<CellId> DecodeScopeChange(std::string_view bytes) {
-  return IdsField<CellId>(DecodeCbor(bytes, kMaxRecordDepth), "cells");
+  return IdsField<CellId>(DecodeRecordCbor(bytes, kMaxRecordDepth), "cells");
 }
 
 std::string EvidenceChain(std::string_view previous, const Evidence& evidence) {
--- a/packages/version/src/log_record.cc
+++ b/packages/version/src/log_record.cc
@@ -243,7 +243,7 @@
     throw RecordError(RecordFault::kTooLarge, fmt::format("record of {} bytes is larger than {}",
                                                           bytes.size(), kMaxRecordBytes));
   }
-  const Json envelope = DecodeCbor(bytes, kMaxRecordDepth);
+  const Json envelope = DecodeRecordCbor(bytes, kMaxRecordDepth);
   if (UnsignedField(envelope, "format") != kLogRecordFormat) {
     throw RecordError(RecordFault::kUnknownFormat, "unknown record format");
   }
@@ -251,7 +251,7 @@
   if (Sha256Hex(payload) != TextField(envelope, "sha256")) {
     throw RecordError(RecordFault::kDigest, "the payload does not match its SHA-256 digest");
   }
-  return DecodePayload(TextField(envelope, "type"), DecodeCbor(payload, kMaxRecordDepth));
+  return DecodePayload(TextField(envelope, "type"), DecodeRecordCbor(payload, kMaxRecordDepth));
 }
 
 }  // namespace cactusshelf
--- a/packages/version/src/snapshot.cc
+++ b/packages/version/src/snapshot.cc
@@ -198,7 +198,7 @@
 }
 
 LogState Snapshot::Decode(std::string_view bytes) {
-  const Json json = DecodeCbor(bytes, kMaxRecordDepth);
+  const Json json = DecodeRecordCbor(bytes, kMaxRecordDepth);
   if (UnsignedField(json, "format") != kSnapshotFormat) {
     throw RecordError(RecordFault::kUnknownFormat, "unknown snapshot format");
   }
