--- a/packages/membership/include/cactusshelf/membership/failure_detector.h
+++ b/packages/membership/include/cactusshelf/membership/failure_detector.h
@@ -81,6 +81,10 @@
   // Members that did not refute a suspicion in time although at least two members, which may
   // include this one, accuse them independently. Ordered by id. Candidates for a `remove` record.
   std::vector<MemberId> DeadMembers() const;
+
+  // The members that accuse `member`, at least two, if it is one of DeadMembers; otherwise empty.
+  std::vector<MemberId> AccusersOfDead(const MemberId& member) const;
+
   std::vector<MemberId> SuspectedMembers() const { return {suspected_.begin(), suspected_.end()}; }
 
  private:
--- a/packages/membership/src/failure_detector.cc
+++ b/packages/membership/src/failure_detector.cc
@@ -141,16 +141,25 @@
 }
 
 std::vector<MemberId> FailureDetector::DeadMembers() const {
-  constexpr std::size_t kNeeded = 2;
   std::vector<MemberId> dead;
   for (const auto& [id, peer] : peers_) {
-    if (peer.state == MemberState::kDead && peer.accusers.size() >= kNeeded) {
+    if (!AccusersOfDead(id).empty()) {
       dead.push_back(id);
     }
   }
   return dead;
 }
 
+std::vector<MemberId> FailureDetector::AccusersOfDead(const MemberId& member) const {
+  constexpr std::size_t kNeeded = 2;
+  const auto it = peers_.find(member);
+  if (it == peers_.end() || it->second.state != MemberState::kDead ||
+      it->second.accusers.size() < kNeeded) {
+    return {};
+  }
+  return {it->second.accusers.begin(), it->second.accusers.end()};
+}
+
 void FailureDetector::ObserveTime(Time now) {
   if (now > expected_wakeup_ + settings_.pause_slack) {
     ShiftDeadlines(now - expected_wakeup_);
--- a/packages/node/src/membership_view.cc
+++ b/packages/node/src/membership_view.cc
@@ -159,8 +159,7 @@
   if (superseded || IsGoneFromHostList(member.id)) {
     return Remove{member.id, self_, RemoveReason::kNotListed, MemberId()};
   }
-  const std::set<MemberId> accusers = detector_.AccusersOfDead(member.id);
-  for (const MemberId& it : accusers) {
+  for (const MemberId& it : detector_.AccusersOfDead(member.id)) {
     if (it != self_ && map().Find(it) != nullptr) {
       return Remove{member.id, self_, RemoveReason::kFailed, it};
     }
