Add the scheduler of a cell

Implements placement, recovery of a new owner, quotas, ageing, relief of interference, quarantine and preemption for urgent work, with tests for each promise.

--- a/packages/placement/include/cactusshelf/placement/cell_scheduler.h
+++ b/packages/placement/include/cactusshelf/placement/cell_scheduler.h
@@ -64,7 +64,8 @@
 
   // Begins to own the cell with `epoch`, which must exceed every earlier one. The authority of all
   // earlier owners ended by `old_authority_end`. Nothing is placed until every worker answered or
-  // its leases expired. Does not grant authority; call SetAuthority.
+  // its leases expired. Does not grant authority; call SetAuthority. The jobs of the cell should be
+  // admitted before: work of jobs that are unknown when recovery ends is stopped.
   void TakeOwnership(Time now, Epoch epoch, Time old_authority_end);
 
   // Drops what is known of running tasks. Learned usage and interference are kept.
@@ -77,7 +78,7 @@
   void ApplyWorkers(Time now, std::vector<WorkerSpec> workers);
 
   // Replaces the teams. A smaller quota stops no running task.
-  void ApplyTeams(Time now, std::vector<TeamSpec> teams);
+  void ApplyTeams(Time now, const std::vector<TeamSpec>& teams);
 
   // Admits a job, or returns why it is refused. Admitting a known job again has no effect.
   std::optional<JobRefusal> AdmitJob(Time now, const JobSpec& job);
--- a/packages/placement/include/cactusshelf/placement/worker_messages.h
+++ b/packages/placement/include/cactusshelf/placement/worker_messages.h
@@ -24,7 +24,9 @@
 //   past the time its sender counted on. A start whose lease already passed is refused with
 //   kExpired. A task whose lease passes is ended with kLeaseExpired.
 // - A start of an attempt that was started or stopped before is refused with kAttemptUsed. A stop
-//   of an attempt that was never started marks the attempt as used.
+//   of an attempt that was never started marks the attempt as used and is answered with kDone; a
+//   stop of an attempt that already ended is answered with kUnknownTask.
+// - The checkpoint that a start names is the latest of the attempt until there is a newer one.
 // - An ended task stays in the state report, with its checkpoint, until a RenewLeases forgets it.
 namespace cactusshelf {
 
@@ -50,7 +52,11 @@
   TaskId task;
   Attempt attempt;
 
-  friend auto operator<=>(const TaskAttempt&, const TaskAttempt&) = default;
+  friend bool operator==(const TaskAttempt&, const TaskAttempt&) = default;
+  friend bool operator<(const TaskAttempt& left, const TaskAttempt& right) {
+    const int order = left.task.str().compare(right.task.str());
+    return order < 0 || (order == 0 && left.attempt < right.attempt);
+  }
 };
 
 // Part of every command. `worker` and `valid_until` are for the sender and are not encoded: the
--- /dev/null
+++ b/packages/placement/src/command_table.h
@@ -0,0 +1,42 @@
+#ifndef CACTUSSHELF_PLACEMENT_SRC_COMMAND_TABLE_H_
+#define CACTUSSHELF_PLACEMENT_SRC_COMMAND_TABLE_H_
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "cactusshelf/placement/worker_messages.h"
+#include "worker_index.h"
+
+namespace cactusshelf {
+
+// A command whose result is not known.
+struct PendingCommand {
+  WorkerCommand command;
+  WorkerSlot slot = 0;
+  std::uint32_t sends = 0;
+};
+
+// The commands of one ownership that wait for a result, by id. Not thread-safe.
+class CommandTable {
+ public:
+  // Drops all commands. Ids contain the epoch, so that they differ from those of other owners.
+  void Reset(Epoch epoch);
+
+  CommandId NextId();
+
+  PendingCommand& Add(PendingCommand command);
+  PendingCommand* Find(const CommandId& id);
+  std::optional<PendingCommand> Take(const CommandId& id);
+
+  std::size_t size() const { return pending_.size(); }
+
+ private:
+  Epoch epoch_ = 0;
+  std::uint64_t next_ = 0;
+  std::unordered_map<CommandId, PendingCommand> pending_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_PLACEMENT_SRC_COMMAND_TABLE_H_
--- /dev/null
+++ b/packages/placement/src/eviction_budget.cc
@@ -0,0 +1,38 @@
+#include "eviction_budget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cactusshelf {
+namespace {
+
+constexpr double kInitialShare = 0.1;
+
+}  // namespace
+
+void EvictionBudget::SetRate(Time now, double per_hour) {
+  if (!is_set_) {
+    left_ = std::max(1.0, per_hour * kInitialShare);
+    at_ = now;
+    is_set_ = true;
+  }
+  Refill(now);
+  per_hour_ = per_hour;
+}
+
+bool EvictionBudget::TryTake(Time now) {
+  Refill(now);
+  if (left_ < 1) {
+    return false;
+  }
+  left_ -= 1;
+  return true;
+}
+
+void EvictionBudget::Refill(Time now) {
+  using Hours = std::chrono::duration<double, std::ratio<3600>>;
+  left_ = std::min(left_ + per_hour_ * Hours(now - at_).count(), std::max(1.0, per_hour_));
+  at_ = now;
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/placement/src/eviction_budget.h
@@ -0,0 +1,29 @@
+#ifndef CACTUSSHELF_PLACEMENT_SRC_EVICTION_BUDGET_H_
+#define CACTUSSHELF_PLACEMENT_SRC_EVICTION_BUDGET_H_
+
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf {
+
+// Limits how often work is evicted for relief. Not thread-safe.
+class EvictionBudget {
+ public:
+  // The budget grows evenly by `per_hour` up to that much, and begins with a tenth of it.
+  // Precondition: per_hour >= 0.
+  void SetRate(Time now, double per_hour);
+
+  // Takes one eviction. False if the budget is spent.
+  bool TryTake(Time now);
+
+ private:
+  void Refill(Time now);
+
+  double per_hour_ = 0;
+  double left_ = 0;
+  Time at_;
+  bool is_set_ = false;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_PLACEMENT_SRC_EVICTION_BUDGET_H_
--- /dev/null
+++ b/packages/placement/src/interference_model.cc
@@ -0,0 +1,141 @@
+#include "interference_model.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace cactusshelf {
+namespace {
+
+// Variances are of logarithms of latency. A 99% quantile over a few seconds of requests scatters
+// by some 15%.
+constexpr double kMeasurementVariance = 0.02;
+// Each task that changed during a measurement adds as much doubt again.
+constexpr double kChangeVariance = 0.05;
+// Before any sample a task is expected to slow a service by 5%, give or take 20%.
+constexpr double kPriorPairMean = 0.05;
+constexpr double kPriorPairVariance = 0.04;
+constexpr double kPriorBaseVariance = 4;
+constexpr double kPriorLoadVariance = 0.25;
+// Growth of the variances, so that estimates follow a shift within some minutes.
+constexpr double kPairDriftPerSecond = 1e-5;
+constexpr double kBaseDriftPerSecond = 1e-6;
+// Bounds for a relative load, since a service at rest gives no useful ratio.
+constexpr double kLeastLoad = 0.25;
+constexpr double kMostLoad = 4;
+constexpr double kUsualLoadGain = 0.002;
+constexpr double kMostPairEffect = 3;
+
+std::uint64_t PairKey(ServiceIndex service, ClassIndex job_class) {
+  return (static_cast<std::uint64_t>(service) << 32) | job_class;
+}
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+void InterferenceModel::Learn(Time now, ServiceIndex service_index, double load, Duration latency,
+                              const std::vector<ClassShare>& shares, std::size_t changes) {
+  if (latency <= Duration::zero()) {
+    return;
+  }
+  if (service_index >= services_.size()) {
+    services_.resize(service_index + 1);
+  }
+  Service& service = services_[service_index];
+  const double observed = std::log(Seconds(latency));
+  if (service.samples == 0) {
+    service.base = {observed, kPriorBaseVariance, now};
+    service.load_effect = {0, kPriorLoadVariance, now};
+    service.usual_load = load;
+  }
+  ++service.samples;
+  service.usual_load += kUsualLoadGain * (load - service.usual_load);
+
+  struct Input {
+    Term* term;
+    double factor;
+  };
+  const double relative = RelativeLoad(service, load);
+  std::vector<Input> inputs{{&service.base, 1}, {&service.load_effect, relative - 1}};
+  service.base.variance += kBaseDriftPerSecond * Seconds(now - service.base.at);
+  service.base.at = now;
+  for (const ClassShare& share : shares) {
+    inputs.push_back({&Get(now, service_index, share.job_class), share.share * relative});
+  }
+  double predicted = 0;
+  double variance = kMeasurementVariance + kChangeVariance * static_cast<double>(changes);
+  for (const Input& input : inputs) {
+    predicted += input.term->mean * input.factor;
+    variance += input.term->variance * input.factor * input.factor;
+  }
+  const double error = observed - predicted;
+  for (const Input& input : inputs) {
+    const double gain = input.term->variance * input.factor / variance;
+    input.term->mean += gain * error;
+    input.term->variance *= 1 - gain * input.factor;
+  }
+  // Batch work never makes a service faster. Without this bound a base that is estimated too high
+  // would be balanced by negative effects.
+  for (std::size_t i = 2; i < inputs.size(); ++i) {
+    inputs[i].term->mean = std::clamp(inputs[i].term->mean, 0.0, kMostPairEffect);
+  }
+}
+
+PairEffect InterferenceModel::Effect(ServiceIndex service, ClassIndex job_class,
+                                     double load) const {
+  const Term* term = Find(service, job_class);
+  const double relative = service < services_.size() ? RelativeLoad(services_[service], load) : 1.0;
+  if (term == nullptr) {
+    return {kPriorPairMean * relative, std::sqrt(kPriorPairVariance) * relative};
+  }
+  return {term->mean * relative, std::sqrt(term->variance) * relative};
+}
+
+double InterferenceModel::Predict(ServiceIndex service, const std::vector<ClassShare>& shares,
+                                  double load) const {
+  double sum = 0;
+  for (const ClassShare& share : shares) {
+    sum += share.share * Effect(service, share.job_class, load).mean;
+  }
+  return sum;
+}
+
+double InterferenceModel::Slowdown(ServiceIndex service_index, double load,
+                                   Duration latency) const {
+  if (service_index >= services_.size() || latency <= Duration::zero()) {
+    return 1;
+  }
+  const Service& service = services_[service_index];
+  const double alone =
+      service.base.mean + service.load_effect.mean * (RelativeLoad(service, load) - 1);
+  return std::exp(std::log(Seconds(latency)) - alone);
+}
+
+const InterferenceModel::Term* InterferenceModel::Find(ServiceIndex service,
+                                                       ClassIndex job_class) const {
+  const auto it = pairs_.find(PairKey(service, job_class));
+  return it == pairs_.end() ? nullptr : &it->second;
+}
+
+InterferenceModel::Term& InterferenceModel::Get(Time now, ServiceIndex service,
+                                                ClassIndex job_class) {
+  const auto [it, is_new] = pairs_.try_emplace(PairKey(service, job_class));
+  Term& term = it->second;
+  if (is_new) {
+    term = {kPriorPairMean, kPriorPairVariance, now};
+  }
+  term.variance =
+      std::min(term.variance + kPairDriftPerSecond * Seconds(now - term.at), kPriorPairVariance);
+  term.at = now;
+  return term;
+}
+
+double InterferenceModel::RelativeLoad(const Service& service, double load) const {
+  if (service.usual_load <= 0 || load <= 0) {
+    return 1;
+  }
+  return std::clamp(load / service.usual_load, kLeastLoad, kMostLoad);
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/placement/src/interference_model.h
@@ -0,0 +1,68 @@
+#ifndef CACTUSSHELF_PLACEMENT_SRC_INTERFERENCE_MODEL_H_
+#define CACTUSSHELF_PLACEMENT_SRC_INTERFERENCE_MODEL_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "cactusshelf/base/time.h"
+#include "composition_history.h"
+#include "interner.h"
+
+namespace cactusshelf {
+
+// Estimated effect of one task of a class on a service, as the logarithm of the slowdown.
+struct PairEffect {
+  double mean = 0;
+  double deviation = 0;
+};
+
+// Learns how much each job class slows each service on the same worker.
+//
+// The logarithm of a latency is explained as a part of the service that depends on its load, plus
+// one term for each task on the worker. Each term is an estimate with a variance. A measurement
+// corrects all terms it involves in proportion to their variance, so that when several tasks
+// changed at once the least known ones take most of the correction, and measurements on other
+// workers tell them apart. Variances grow with time, since interference changes with load.
+// Not thread-safe.
+class InterferenceModel {
+ public:
+  // A measurement of the service at `load` requests per second of one endpoint, when `shares` ran
+  // beside it. `changes` is how many tasks changed during the measurement; they blur it.
+  void Learn(Time now, ServiceIndex service, double load, Duration latency,
+             const std::vector<ClassShare>& shares, std::size_t changes);
+
+  // Effect of one unthrottled task at the given load; a load of 0 means the usual one. Unknown
+  // pairs have the prior.
+  PairEffect Effect(ServiceIndex service, ClassIndex job_class, double load) const;
+
+  // Sum of the mean effects of `shares`.
+  double Predict(ServiceIndex service, const std::vector<ClassShare>& shares, double load) const;
+
+  // Latency divided by what the service alone would show at this load. 1 without samples.
+  double Slowdown(ServiceIndex service, double load, Duration latency) const;
+
+ private:
+  struct Term {
+    double mean = 0;
+    double variance = 0;
+    Time at;
+  };
+  struct Service {
+    Term base;         // Logarithm of the latency at the usual load.
+    Term load_effect;  // By relative load above the usual.
+    double usual_load = 0;
+    std::uint64_t samples = 0;
+  };
+
+  const Term* Find(ServiceIndex service, ClassIndex job_class) const;
+  Term& Get(Time now, ServiceIndex service, ClassIndex job_class);
+  double RelativeLoad(const Service& service, double load) const;
+
+  std::vector<Service> services_;
+  std::unordered_map<std::uint64_t, Term> pairs_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_PLACEMENT_SRC_INTERFERENCE_MODEL_H_
--- /dev/null
+++ b/packages/placement/src/interner.h
@@ -0,0 +1,27 @@
+#ifndef CACTUSSHELF_PLACEMENT_SRC_INTERNER_H_
+#define CACTUSSHELF_PLACEMENT_SRC_INTERNER_H_
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace cactusshelf {
+
+// Numbers ids from 0 in the order in which they are first seen, for use as array positions.
+// Not thread-safe.
+template <typename Id>
+class Interner {
+ public:
+  std::uint32_t Get(const Id& id) {
+    return numbers_.try_emplace(id, static_cast<std::uint32_t>(numbers_.size())).first->second;
+  }
+
+ private:
+  std::unordered_map<Id, std::uint32_t> numbers_;
+};
+
+using ClassIndex = std::uint32_t;
+using ServiceIndex = std::uint32_t;
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_PLACEMENT_SRC_INTERNER_H_
--- /dev/null
+++ b/packages/placement/src/placement_ranker.h
@@ -0,0 +1,48 @@
+#ifndef CACTUSSHELF_PLACEMENT_SRC_PLACEMENT_RANKER_H_
+#define CACTUSSHELF_PLACEMENT_SRC_PLACEMENT_RANKER_H_
+
+#include "cactusshelf/placement/cell_options.h"
+#include "interference_model.h"
+#include "job.h"
+#include "usage_model.h"
+#include "worker_record.h"
+
+namespace cactusshelf {
+
+// Ranks workers for the start of one task by learned need. Commitments are not its concern: every
+// worker it is given has room by declared size. Not thread-safe.
+class PlacementRanker {
+ public:
+  // The models must outlive the ranker. Weights are scaled to a sum of 1.
+  PlacementRanker(const CellOptions& options, const UsageModel& usage,
+                  const InterferenceModel& interference);
+
+  // Cost of starting a task of `job` on `worker`; lower is better. Costs of different jobs are not
+  // comparable.
+  double Cost(Time now, const Job& job, const WorkerRecord& worker, const Resources& available,
+              const Resources& committed) const;
+
+  // Weight of a metric relative to the mean weight.
+  double tail_weight() const { return tail_; }
+  double eviction_weight() const { return evictions_; }
+  double throughput_weight() const { return throughput_; }
+
+ private:
+  struct ServiceCost {
+    double tail = 0;   // Rise in slowdown, summed over endpoints.
+    double worst = 0;  // Greatest predicted slowdown of a service.
+  };
+
+  ServiceCost CostToServices(const Job& job, const WorkerRecord& worker) const;
+
+  double relief_begin_;
+  double tail_;
+  double evictions_;
+  double throughput_;
+  const UsageModel& usage_;
+  const InterferenceModel& interference_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_PLACEMENT_SRC_PLACEMENT_RANKER_H_
--- /dev/null
+++ b/packages/placement/src/starts.cc
@@ -0,0 +1,188 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "cell_scheduler_impl.h"
+
+namespace cactusshelf {
+namespace {
+
+// Bound the work of one input; the rest follows at once from a timer, between other inputs.
+constexpr std::size_t kMostJobsPerRound = 256;
+constexpr std::size_t kMostStartsPerJob = 256;
+constexpr Duration kNextRound = std::chrono::milliseconds(1);
+// Waiting work is looked at again after this time even if no room grew, for changes in what is
+// learned and for ageing.
+constexpr Duration kRetryPlacement = std::chrono::seconds(1);
+
+}  // namespace
+
+void CellScheduler::Impl::Schedule(Time now) {
+  if (!CanPlace(now)) {
+    return;
+  }
+  const bool is_complete = ScheduleSet(now, queue_.urgent()) && ScheduleSet(now, queue_.normal());
+  if (!is_complete) {
+    ArmPlacement(now + kNextRound);
+  } else if (queue_.size() > 0) {
+    ArmPlacement(now + kRetryPlacement);
+  }
+}
+
+// Returns false if jobs remain that were not tried.
+bool CellScheduler::Impl::ScheduleSet(Time now, const JobSet& jobs) {
+  std::size_t tried = 0;
+  auto it = jobs.begin();
+  while (it != jobs.end()) {
+    if (++tried > kMostJobsPerRound) {
+      return false;
+    }
+    Job& job = **it;
+    ++it;
+    if (!TryJob(now, job)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Starts tasks of the job until none waits or it must wait. Returns false if it was cut short.
+bool CellScheduler::Impl::TryJob(Time now, Job& job) {
+  std::size_t starts = 0;
+  while (!job.waiting.empty()) {
+    const bool is_probe = failures_.IsClassQuarantined(job.job_class);
+    if (is_probe && now < failures_.ClassProbeAt(job.job_class)) {
+      queue_.BlockByClass(job);
+      return true;
+    }
+    if (!queue_.HasQuota(job)) {
+      queue_.BlockByQuota(job);
+      return true;
+    }
+    if (starts == kMostStartsPerJob) {
+      return false;
+    }
+    const std::optional<WorkerSlot> slot = ChooseWorker(now, job);
+    if (!slot.has_value()) {
+      if (job.spec.urgent) {
+        MakeRoom(now, job);
+      } else {
+        queue_.BlockBySize(job);
+      }
+      return true;
+    }
+    StartOn(now, job, *slot);
+    ++starts;
+    if (is_probe) {
+      failures_.BeginClassProbe(now, job.job_class);
+      timers_.Add(failures_.ClassProbeAt(job.job_class), ClassProbeDue{job.job_class});
+    }
+  }
+  queue_.Remove(job);
+  ReleaseReservations(now, job.spec.id);
+  queue_.ReleaseNextOfSize(job);
+  queue_.ReleaseNextOfTeam(job.spec.team);
+  return true;
+}
+
+std::optional<WorkerSlot> CellScheduler::Impl::ChooseWorker(Time now, const Job& job) {
+  if (const auto it = reservations_.find(job.spec.id); it != reservations_.end()) {
+    for (const WorkerSlot slot : it->second) {
+      if (CanUse(now, slot) && Fits(job.spec.size, ledger_.Free(slot)) &&
+          IsSuitable(now, job, slot)) {
+        ReleaseReservation(now, slot);
+        return slot;
+      }
+    }
+  }
+  if (ledger_.size() == 0) {
+    return std::nullopt;
+  }
+  const auto start = static_cast<WorkerSlot>(random_.Below(ledger_.size()));
+  std::optional<WorkerSlot> best;
+  double best_cost = 0;
+  for (const WorkerSlot slot : ledger_.FindRoom(job.spec.size, start, options_.candidates)) {
+    if (!IsSuitable(now, job, slot)) {
+      continue;
+    }
+    const double cost =
+        ranker_.Cost(now, job, *workers_[slot], ledger_.available(slot), ledger_.committed(slot));
+    if (!best.has_value() || cost < best_cost) {
+      best = slot;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+bool CellScheduler::Impl::IsSuitable(Time now, const Job& job, WorkerSlot slot) const {
+  // A start is granted a lease from the latest reading of the worker's clock. With an old reading
+  // little of it would be left.
+  const bool is_fresh = now < workers_[slot]->base_received + options_.task_lease / 2;
+  return is_fresh && !failures_.IsPairFailing(now, job.job_class, slot);
+}
+
+// Precondition: the job has a waiting task, and the worker has room.
+void CellScheduler::Impl::StartOn(Time now, Job& job, WorkerSlot slot) {
+  const WorkerRecord& worker = *workers_[slot];
+  const std::uint32_t index = job.waiting.back();
+  job.waiting.pop_back();
+  Task& task = job.tasks[index];
+  task.last_attempt = {*epoch_,
+                       task.last_attempt.epoch == *epoch_ ? task.last_attempt.number + 1 : 1};
+
+  Placement placement;
+  placement.id = {TaskId(job.spec.id.str() + "/" + std::to_string(index)), task.last_attempt};
+  placement.job = &job;
+  placement.task_index = index;
+  placement.slot = slot;
+  placement.rack = worker.rack;
+  placement.domain = worker.domain;
+  placement.job_class = job.job_class;
+  placement.customer = job.spec.customer;
+  placement.team = job.spec.team;
+  placement.size = job.spec.size;
+  placement.incarnation = worker.incarnation;
+  placement.lease_bound = worker.base_received + LeaseWithMargin();
+  placement.lease_until = {
+      worker.base_worker_time.ms +
+      std::chrono::duration_cast<std::chrono::milliseconds>(options_.task_lease).count()};
+  placement.started_at = now;
+  placement.checkpoint = task.checkpoint;
+
+  StartTask command;
+  command.task = placement.id;
+  command.job_class = job.spec.job_class;
+  command.customer = job.spec.customer;
+  command.size = job.spec.size;
+  command.checkpoint = task.checkpoint;
+  command.lease_until = placement.lease_until;
+
+  queue_.Charge(job.spec.team, job.spec.size);
+  ++job.tasks_by_rack[worker.rack];
+  ++job.tasks_by_domain[worker.domain];
+  task.placement = &AddPlacement(std::move(placement));
+  counters_.Add("cactusshelf_placement_starts_total", "sent");
+  Send(now, slot, std::move(command));
+  if (failures_.IsWorkerQuarantined(slot)) {
+    failures_.BeginWorkerProbe(now, slot);
+    timers_.Add(failures_.WorkerProbeAt(slot), WorkerProbeDue{slot});
+    UpdateOpen(now, slot);
+  }
+}
+
+// Has waiting work looked at again by `at`, or earlier if that was asked for before.
+void CellScheduler::Impl::ArmPlacement(Time at) {
+  if (!placement_due_.has_value() || at < *placement_due_) {
+    placement_due_ = at;
+    timers_.Add(at, PlacementDue{});
+  }
+}
+
+void CellScheduler::Impl::RoomGrew(Time, WorkerSlot slot) {
+  if (ledger_.is_open(slot)) {
+    queue_.ReleaseFitting(ledger_.Free(slot));
+  }
+}
+
+}  // namespace cactusshelf
