--- a/packages/node/src/cell_manager.cc
+++ b/packages/node/src/cell_manager.cc
@@ -112,7 +112,7 @@
 
 void CellManager::Take(Now now, const CellId& cell, const LogState& state, Epoch epoch) {
   CellScheduler scheduler(options_, Random(random_.Next()));
-  OwnedCell& owned = cells_.emplace(cell, OwnedCell{std::move(scheduler), epoch}).first->second;
+  OwnedCell& owned = cells_.emplace(cell, OwnedCell{std::move(scheduler), epoch, {}}).first->second;
   LoadConfiguration(now, cell, owned, state);
   for (const auto& [job, job_state] : state.jobs()) {
     if (job_state.cell == cell) {
@@ -199,6 +199,23 @@
     return;
   }
   owned.scheduler.CancelJob(now.monotonic, job);
+  if (it != state.jobs().end() && it->second.status == JobStatus::kCancelled) {
+    owned.closing.insert(job);
+  }
+}
+
+// A cancelled job has ended once none of its tasks can run any more.
+void CellManager::RecordClosedJobs(const CellId& cell, OwnedCell& owned) {
+  if (owned.scheduler.is_recovering()) {
+    return;
+  }
+  std::erase_if(owned.closing, [&](const JobId& job) {
+    if (owned.scheduler.has_leftover_tasks(job)) {
+      return false;
+    }
+    updates_.push_back({job, JobEvent::kFinished, cell, ""});
+    return true;
+  });
 }
 
 void CellManager::Admit(Now now, OwnedCell& owned, const Job& job, const LogState& state) {
@@ -287,6 +304,7 @@
 }
 
 void CellManager::CollectEffects(Now now, const CellId& cell, OwnedCell& owned) {
+  RecordClosedJobs(cell, owned);
   for (CellEffect& effect : owned.scheduler.TakeEffects()) {
     const auto handle = [&](auto& it) {
       using Effect = std::decay_t<decltype(it)>;
--- a/packages/node/src/cell_manager.h
+++ b/packages/node/src/cell_manager.h
@@ -71,6 +71,8 @@
   struct OwnedCell {
     CellScheduler scheduler;
     Epoch epoch = 0;
+    // Cancelled jobs whose end is not recorded yet.
+    std::set<JobId> closing;
   };
 
   struct Call {
@@ -85,6 +87,7 @@
   void AssignNewJobs(const LogState& state);
   void Admit(Now now, OwnedCell& owned, const Job& job, const LogState& state);
   void ApplyJobState(Now now, OwnedCell& owned, const JobId& job, const LogState& state);
+  void RecordClosedJobs(const CellId& cell, OwnedCell& owned);
   void CollectEffects(Now now, const CellId& cell, OwnedCell& owned);
   void AddCall(Now now, const CellId& cell, const WorkerCommand& command);
   OwnedCell* FindCell(const CellId& cell);
--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -76,6 +76,7 @@
 
 void EntryNode::Impl::Handle(const Now& now, const NodeEvent& event) {
   now_ = now;
+  membership_.SetStatus(now.monotonic, state());
   AdvanceAuthority(now);
   std::visit([&](const auto& it) { On(now, it); }, event);
   Advance(now);
@@ -127,7 +128,7 @@
   const bool reached_end = result.reached_end;
   ApplyResult(now, std::move(result));
   if (reached_end) {
-    membership_.OnLogRead(event.started, state());
+    membership_.OnLogRead(event.started);
   }
 }
 
--- a/packages/node/src/membership_view.cc
+++ b/packages/node/src/membership_view.cc
@@ -63,9 +63,10 @@
                 [this](const auto& it) { return tenure_.map().Find(it.first) == nullptr; });
 }
 
-void MembershipView::OnLogRead(Time started, const LogState& state) {
-  authority_.OnLogRead(started);
-  detector_.SetStatus({state.offset(), map().epoch(), {}});
+void MembershipView::OnLogRead(Time started) { authority_.OnLogRead(started); }
+
+void MembershipView::SetStatus(Time now, const LogState& state) {
+  detector_.SetStatus({state.offset(), tenure_.SettledEpoch(now), {}});
 }
 
 void MembershipView::OnHostList(Time now, std::set<std::string> hosts) {
@@ -88,7 +89,7 @@
       tenure_.OnPeerEpoch(it.from, it.gossip.status.epoch, now);
       Merge(detector_.OnAck(it, now), effects);
     } else if constexpr (std::is_same_v<Message, Confirm>) {
-      effects.messages.push_back({it.from, authority_.Answer(it)});
+      effects.messages.push_back({it.from, authority_.Answer(it, tenure_.SettledEpoch(now))});
     } else {
       tenure_.OnPeerEpoch(it.from, it.epoch, now);
       authority_.OnConfirmReply(it);
--- a/packages/node/src/membership_view.h
+++ b/packages/node/src/membership_view.h
@@ -44,7 +44,10 @@
                         bool complete);
 
   // All records up to the end of the log were applied by a read that began at `started`.
-  void OnLogRead(Time started, const LogState& state);
+  void OnLogRead(Time started);
+
+  // What this member reports of itself to the others.
+  void SetStatus(Time now, const LogState& state);
   void OnHostList(Time now, std::set<std::string> hosts);
   Effects OnMessage(Time now, const MembershipMessage& message);
   Effects OnTimer(Time now);
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -222,8 +222,12 @@
 Time ToTime(const Json& json) { return Time(Duration(json.get<Duration::rep>())); }
 
 Answer ToAnswer(const Json& fields) {
-  Answer answer{ToRequestId(At(fields, 0)), At(fields, 1).get<FetchNumber>(), false,
-                Outcome::kUnknown, Reason::kNone, Response{}};
+  Answer answer{ToRequestId(At(fields, 0)),
+                At(fields, 1).get<FetchNumber>(),
+                false,
+                Outcome::kUnknown,
+                Reason::kNone,
+                Response{}};
   answer.found = At(fields, 2).get<bool>();
   answer.outcome = ToEnum(At(fields, 3), Outcome::kUnknown);
   answer.reason = ToEnum(At(fields, 4), Reason::kCallerGone);
--- a/packages/placement/include/cactusshelf/placement/cell_scheduler.h
+++ b/packages/placement/include/cactusshelf/placement/cell_scheduler.h
@@ -114,6 +114,10 @@
   // this is a lower bound.
   std::uint64_t tasks_of(const CustomerId& customer) const;
 
+  // Whether tasks of a job that is cancelled or not admitted run or may run on workers of the cell.
+  // While workers are unvisited the answer may be too low.
+  bool has_leftover_tasks(const JobId& job) const;
+
   // True from TakeOwnership until every worker answered or its leases expired.
   bool is_recovering() const;
 
--- a/packages/placement/src/cell_scheduler.cc
+++ b/packages/placement/src/cell_scheduler.cc
@@ -62,6 +62,10 @@
   return impl_->TasksOf(customer);
 }
 
+bool CellScheduler::has_leftover_tasks(const JobId& job) const {
+  return impl_->HasLeftoverTasks(job);
+}
+
 bool CellScheduler::is_recovering() const { return impl_->is_recovering(); }
 
 std::vector<WorkerId> CellScheduler::unvisited_workers() const { return impl_->UnvisitedWorkers(); }
--- a/packages/placement/src/cell_scheduler_impl.h
+++ b/packages/placement/src/cell_scheduler_impl.h
@@ -55,6 +55,7 @@
   std::optional<Time> NextWakeup() const { return timers_.Next(); }
   const Counters& counters() const { return counters_; }
   std::uint64_t TasksOf(const CustomerId& customer) const;
+  bool HasLeftoverTasks(const JobId& job) const { return foreign_.contains(job); }
   bool is_recovering() const { return is_recovering_; }
   std::vector<WorkerId> UnvisitedWorkers() const;
   std::uint64_t WaitingJobs() const { return queue_.size(); }
