--- a/packages/version/include/cactusshelf/version/log_protocol.h
+++ b/packages/version/include/cactusshelf/version/log_protocol.h
@@ -38,17 +38,14 @@
 // throw DecodeError.
 class LogProtocol {
  public:
-  static constexpr std::string_view kContentType = "application/json";
+  // The body of an append is the record itself; everything else is JSON.
+  static constexpr std::string_view kAppendContentType = "application/octet-stream";
   static constexpr std::string_view kDefaultStream = "cactusshelf";
 
   // Path for POST, and path and query for GET. `stream` consists of letters, digits, '-' and '_'.
   static std::string AppendPath(std::string_view stream);
   static std::string ReadPath(std::string_view stream, Offset from, std::chrono::milliseconds wait);
 
-  // {"data": base64}
-  static std::string EncodeAppendRequest(std::string_view record);
-  static std::string DecodeAppendRequest(std::string_view body);
-
   // {"offset": n}
   static std::string EncodeAppendReply(Offset offset);
   static Offset DecodeAppendReply(std::string_view body);
--- a/packages/version/src/log_protocol.cc
+++ b/packages/version/src/log_protocol.cc
@@ -37,19 +37,6 @@
   return fmt::format("{}?from={}&wait_ms={}", AppendPath(stream), from, wait.count());
 }
 
-std::string LogProtocol::EncodeAppendRequest(std::string_view record) {
-  return Json{{"data", EncodeBase64(record)}}.dump();
-}
-
-std::string LogProtocol::DecodeAppendRequest(std::string_view body) {
-  const Json json = Parse(body);
-  const Json& data = Field(json, "data");
-  if (!data.is_string()) {
-    ThrowInvalidField("data");
-  }
-  return DecodeBase64(data.get<std::string>());
-}
-
 std::string LogProtocol::EncodeAppendReply(Offset offset) {
   return Json{{"offset", offset}}.dump();
 }
