--- a/packages/membership/include/cactusshelf/membership/failure_detector.h
+++ b/packages/membership/include/cactusshelf/membership/failure_detector.h
@@ -89,6 +89,8 @@
     MemberState state = MemberState::kAlive;
     Time suspicion_end;
     MemberSet accusers;
+    // When a probe on behalf of another member last failed, if the member was not heard since.
+    std::optional<Time> helper_probe_failed;
   };
   // A probe of this member, or one on behalf of another member.
   struct Probe {
@@ -117,10 +119,12 @@
   void AskHelpers(std::uint64_t sequence, Probe& probe, FailureDetectorEffects& effects);
   void EndSuspicions(Time now, FailureDetectorEffects& effects);
 
+  void EndHelperProbe(const MemberId& target, Time now, FailureDetectorEffects& effects);
   void ApplyGossip(const Gossip& gossip, Time now, FailureDetectorEffects& effects);
   void ApplyRumor(const Rumor& rumor, Time now, FailureDetectorEffects& effects);
   void Accuse(const MemberId& member, Time now, FailureDetectorEffects& effects);
   void Suspect(const Rumor& rumor, Peer& peer, Time now, FailureDetectorEffects& effects);
+  void AddAccuser(const Rumor& rumor, Peer& peer);
 
   void SetState(const MemberId& member, Peer& peer, MemberState state,
                 FailureDetectorEffects& effects);
--- a/packages/membership/src/failure_detector.cc
+++ b/packages/membership/src/failure_detector.cc
@@ -89,6 +89,9 @@
   FailureDetectorEffects effects;
   ObserveTime(now);
   ApplyGossip(ping.gossip, now, effects);
+  if (const auto peer = peers_.find(ping.from); peer != peers_.end()) {
+    peer->second.helper_probe_failed.reset();
+  }
   effects.messages.push_back({ping.from, Ack{self_, ping.sequence, self_, MakeGossip(ping.from)}});
   expected_wakeup_ = next_wakeup();
   return effects;
@@ -117,6 +120,9 @@
   FailureDetectorEffects effects;
   ObserveTime(now);
   ApplyGossip(ack.gossip, now, effects);
+  if (const auto peer = peers_.find(ack.target); peer != peers_.end()) {
+    peer->second.helper_probe_failed.reset();
+  }
   const auto it = probes_.find(ack.sequence);
   if (it != probes_.end() && it->second.target == ack.target) {
     if (const auto& request = it->second.request) {
@@ -196,8 +202,13 @@
       continue;
     }
     const MemberId target = probe.target;
+    const bool helps = probe.request.has_value();
     it = probes_.erase(it);
-    Accuse(target, now, effects);
+    if (helps) {
+      EndHelperProbe(target, now, effects);
+    } else {
+      Accuse(target, now, effects);
+    }
   }
 }
 
@@ -244,6 +255,20 @@
   }
 }
 
+// One lost message fails a probe on behalf of another member, so such a probe alone is no reason to
+// suspect the target. It counts once another member suspects the target.
+void FailureDetector::EndHelperProbe(const MemberId& target, Time now,
+                                     FailureDetectorEffects& effects) {
+  const auto it = peers_.find(target);
+  if (it == peers_.end()) {
+    return;
+  }
+  it->second.helper_probe_failed = now;
+  if (it->second.state != MemberState::kAlive) {
+    Accuse(target, now, effects);
+  }
+}
+
 void FailureDetector::ApplyGossip(const Gossip& gossip, Time now, FailureDetectorEffects& effects) {
   for (const Rumor& rumor : gossip.rumors) {
     ApplyRumor(rumor, now, effects);
@@ -303,6 +328,14 @@
     SetState(rumor.member, peer, MemberState::kSuspected, effects);
     peer.suspicion_end = now + SuspicionTime();
   }
+  AddAccuser(rumor, peer);
+  const std::optional<Time> failed = peer.helper_probe_failed;
+  if (failed && now - *failed < SuspicionTime()) {
+    AddAccuser({rumor.member, peer.number, Liveness::kSuspect, self_}, peer);
+  }
+}
+
+void FailureDetector::AddAccuser(const Rumor& rumor, Peer& peer) {
   if (peer.accusers.size() < kMaxAccusers && peer.accusers.insert(rumor.accuser).second) {
     Spread(rumor);
   }
--- a/packages/membership/tests/cluster_simulation.cc
+++ b/packages/membership/tests/cluster_simulation.cc
@@ -269,10 +269,9 @@
     }
   }
   for (const std::string& key : keys_) {
-    const auto n = static_cast<std::size_t>(
-        std::count_if(authorized.begin(), authorized.end(), [&](std::size_t i) {
-          return nodes_[i].tenure->MayAct(key, LocalTime(nodes_[i]));
-        }));
+    const auto n = static_cast<std::size_t>(std::count_if(
+        authorized.begin(), authorized.end(),
+        [&](std::size_t i) { return nodes_[i].tenure->MayAct(key, LocalTime(nodes_[i])); }));
     max_holders_ = std::max(max_holders_, n);
     ++checks_;
     owned_ += n > 0 ? 1 : 0;
--- a/packages/membership/tests/ownership_test.cc
+++ b/packages/membership/tests/ownership_test.cc
@@ -29,7 +29,7 @@
 // A key that `member` holds.
 std::string KeyOf(const ClusterSimulation& cluster, std::size_t member) {
   for (int i = 0;; ++i) {
-    const std::string key = std::to_string(i);
+    std::string key = std::to_string(i);
     if (cluster.Holder(key) == member) {
       return key;
     }
