--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -487,7 +487,7 @@
     for (Attest& it : attester_.Poll(now, state())) {
       appender_.Add(std::move(it));
     }
-    if (snapshots_.Poll(now.monotonic, state())) {
+    if (snapshots_.Poll(now, state())) {
       appender_.Add(Snapshot::Record(state(), self_));
     }
     auto updates = cells_.TakeUpdates();
--- a/packages/node/src/snapshot_writer.cc
+++ b/packages/node/src/snapshot_writer.cc
@@ -4,19 +4,19 @@
 
 namespace cactusshelf {
 
-bool SnapshotWriter::Poll(Time now, const LogState& state) {
-  if (!Snapshot::IsDue(state, log_retention_)) {
+bool SnapshotWriter::Poll(const Now& now, const LogState& state) {
+  if (!Snapshot::IsDue(state, log_retention_, now.wall)) {
     write_at_.reset();
     return false;
   }
   if (!write_at_) {
-    write_at_ = now + random_.Between(Duration::zero(), kMaxDelay);
+    write_at_ = now.monotonic + random_.Between(Duration::zero(), kMaxDelay);
   }
-  if (now < *write_at_) {
+  if (now.monotonic < *write_at_) {
     return false;
   }
   // Written again after another delay if this record does not reach the log.
-  write_at_ = now + kMaxDelay + random_.Between(Duration::zero(), kMaxDelay);
+  write_at_ = now.monotonic + kMaxDelay + random_.Between(Duration::zero(), kMaxDelay);
   return true;
 }
 
--- a/packages/node/src/snapshot_writer.h
+++ b/packages/node/src/snapshot_writer.h
@@ -19,7 +19,7 @@
       : log_retention_(log_retention), random_(random) {}
 
   // Whether to write a snapshot now. To be called after each read of the log.
-  bool Poll(Time now, const LogState& state);
+  bool Poll(const Now& now, const LogState& state);
 
  private:
   Duration log_retention_;
