--- /dev/null
+++ b/packages/placement/bench/sim/baseline_scheduler.cc
@@ -0,0 +1,214 @@
+#include "sim/baseline_scheduler.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cactusshelf::sim {
+namespace {
+
+constexpr Epoch kEpoch = 1;
+constexpr WorkerTime kForever{std::int64_t{1} << 50};
+// Tasks looked at behind the first one that has no room.
+constexpr std::size_t kBackfill = 200;
+
+}  // namespace
+
+BaselineScheduler::BaselineScheduler(BaselineKind kind, CellModel& model, std::uint64_t seed)
+    : kind_(kind), model_(model), random_(seed), incarnations_(model.size(), 0) {}
+
+void BaselineScheduler::Admit(const JobSpec& job) {
+  for (std::uint32_t i = 0; i < job.tasks; ++i) {
+    (job.urgent ? urgent_ : normal_).push_back({job, i, 0, {}});
+  }
+}
+
+void BaselineScheduler::Cancel(Time now, const JobId& job) {
+  cancelled_.insert(job);
+  const auto is_of_job = [&](const Waiting& task) { return task.job.id == job; };
+  std::erase_if(urgent_, is_of_job);
+  std::erase_if(normal_, is_of_job);
+  for (const auto& [id, placed] : placed_) {
+    if (placed.task.job.id == job) {
+      model_.Execute(now, placed.worker, StopTask{NextHeader(placed.worker), id});
+    }
+  }
+}
+
+void BaselineScheduler::Step(Time now) {
+  CollectEnds(now);
+  Place(now, urgent_);
+  Place(now, normal_);
+}
+
+void BaselineScheduler::CollectEnds(Time now) {
+  for (std::size_t i = 0; i < model_.size(); ++i) {
+    const WorkerState state = model_.worker(i).State(now);
+    if (state.incarnation != incarnations_[i]) {
+      // The worker restarted: everything there is lost.
+      incarnations_[i] = state.incarnation;
+      InstallEpoch install{NextHeader(i)};
+      model_.Execute(now, i, install);
+      std::vector<Waiting> lost;
+      std::erase_if(placed_, [&](const auto& item) {
+        if (item.second.worker == i) {
+          lost.push_back(item.second.task);
+        }
+        return item.second.worker == i;
+      });
+      for (Waiting& task : lost) {
+        Requeue(std::move(task));
+      }
+    }
+    RenewLeases renew{NextHeader(i), {}, {}, {}};
+    for (const EndedTask& ended : state.ended) {
+      const auto it = placed_.find(ended.task);
+      renew.forget.push_back(ended.task);
+      if (it == placed_.end()) {
+        continue;
+      }
+      Waiting task = std::move(it->second.task);
+      placed_.erase(it);
+      if (ended.end != TaskEnd::kFinished) {
+        task.checkpoint = ended.checkpoint;
+        Requeue(std::move(task));
+      }
+    }
+    if (!renew.forget.empty()) {
+      model_.Execute(now, i, renew);
+    }
+  }
+}
+
+void BaselineScheduler::Requeue(Waiting task) {
+  if (!cancelled_.contains(task.job.id)) {
+    (task.job.urgent ? urgent_ : normal_).push_front(std::move(task));
+  }
+}
+
+void BaselineScheduler::Place(Time now, std::deque<Waiting>& queue) {
+  std::size_t passed = 0;
+  for (std::size_t i = 0; i < queue.size() && passed < kBackfill;) {
+    std::optional<std::size_t> worker = Choose(queue[i].job.size);
+    if (!worker.has_value() && queue[i].job.urgent && MakeRoom(now, queue[i].job.size)) {
+      worker = Choose(queue[i].job.size);
+    }
+    if (!worker.has_value()) {
+      ++passed;
+      ++i;
+      continue;
+    }
+    Waiting task = std::move(queue[i]);
+    queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+    Start(now, *worker, std::move(task));
+  }
+}
+
+std::optional<std::size_t> BaselineScheduler::Choose(const Resources& size) {
+  std::vector<std::size_t> fitting;
+  for (std::size_t i = 0; i < model_.size(); ++i) {
+    if (!model_.IsDown(i) && Fits(size, Free(i))) {
+      fitting.push_back(i);
+    }
+  }
+  if (fitting.empty()) {
+    return std::nullopt;
+  }
+  switch (kind_) {
+    case BaselineKind::kFirstFit:
+      return fitting.front();
+    case BaselineKind::kBestFit:
+      return *std::min_element(fitting.begin(), fitting.end(),
+                               [&](std::size_t left, std::size_t right) {
+                                 return Free(left).milliprocessors < Free(right).milliprocessors;
+                               });
+    case BaselineKind::kRandom:
+      return fitting[random_.Below(fitting.size())];
+  }
+  return std::nullopt;
+}
+
+bool BaselineScheduler::MakeRoom(Time now, const Resources& size) {
+  std::vector<std::pair<std::size_t, std::vector<TaskAttempt>>> plans;
+  for (std::size_t i = 0; i < model_.size(); ++i) {
+    if (std::vector<TaskAttempt> plan = Plan(i, size); !plan.empty() && !model_.IsDown(i)) {
+      plans.emplace_back(i, std::move(plan));
+    }
+  }
+  if (plans.empty()) {
+    return false;
+  }
+  std::size_t chosen = 0;
+  if (kind_ == BaselineKind::kRandom) {
+    chosen = random_.Below(plans.size());
+  } else if (kind_ == BaselineKind::kBestFit) {
+    const auto it =
+        std::min_element(plans.begin(), plans.end(), [](const auto& left, const auto& right) {
+          return left.second.size() < right.second.size();
+        });
+    chosen = static_cast<std::size_t>(it - plans.begin());
+  }
+  const auto& [worker, plan] = plans[chosen];
+  for (const TaskAttempt& id : plan) {
+    model_.Execute(now, worker, CheckpointTask{NextHeader(worker), id});
+    Waiting task = placed_.at(id).task;
+    task.checkpoint = model_.worker(worker).running().at(id).checkpoint;
+    model_.Execute(now, worker, StopTask{NextHeader(worker), id});
+    placed_.erase(id);
+    Requeue(std::move(task));
+  }
+  return true;
+}
+
+std::vector<TaskAttempt> BaselineScheduler::Plan(std::size_t worker, const Resources& size) const {
+  std::vector<const std::pair<const TaskAttempt, Placed>*> movable;
+  for (const auto& item : placed_) {
+    if (item.second.worker == worker && !item.second.task.job.urgent &&
+        model_.worker(worker).running().contains(item.first)) {
+      movable.push_back(&item);
+    }
+  }
+  std::stable_sort(movable.begin(), movable.end(), [](const auto* left, const auto* right) {
+    return left->second.started > right->second.started;
+  });
+  Resources free = Free(worker);
+  std::vector<TaskAttempt> plan;
+  for (const auto* item : movable) {
+    if (Fits(size, free)) {
+      break;
+    }
+    free += item->second.task.job.size;
+    plan.push_back(item->first);
+  }
+  return Fits(size, free) ? plan : std::vector<TaskAttempt>{};
+}
+
+void BaselineScheduler::Start(Time now, std::size_t worker, Waiting task) {
+  StartTask start;
+  start.header = NextHeader(worker);
+  start.task = {TaskId(task.job.id.str() + "/" + std::to_string(task.index)),
+                {kEpoch, ++task.attempt}};
+  start.job_class = task.job.job_class;
+  start.customer = task.job.customer;
+  start.size = task.job.size;
+  start.checkpoint = task.checkpoint;
+  start.lease_until = kForever;
+  model_.Execute(now, worker, start);
+  placed_[start.task] = {std::move(task), worker, now};
+}
+
+Resources BaselineScheduler::Free(std::size_t i) const {
+  const WorkerSpec& spec = model_.worker(i).spec();
+  Resources free = spec.capacity - model_.worker(i).Committed();
+  for (const ServiceOnWorker& service : spec.services) {
+    free -= service.endpoint_size * service.endpoints;
+  }
+  return free;
+}
+
+CommandHeader BaselineScheduler::NextHeader(std::size_t worker) {
+  return {CommandId(std::to_string(next_command_++)), kEpoch, incarnations_[worker],
+          model_.worker(worker).spec().id, Time::max()};
+}
+
+}  // namespace cactusshelf::sim
--- /dev/null
+++ b/packages/placement/bench/sim/baseline_scheduler.h
@@ -0,0 +1,66 @@
+#ifndef CACTUSSHELF_PLACEMENT_BENCH_SIM_BASELINE_SCHEDULER_H_
+#define CACTUSSHELF_PLACEMENT_BENCH_SIM_BASELINE_SCHEDULER_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "cactusshelf/base/random.h"
+#include "sim/cell_model.h"
+
+namespace cactusshelf::sim {
+
+enum class BaselineKind { kFirstFit, kBestFit, kRandom };
+
+// A scheduler that commits by declared size and learns nothing: first fit, best fit by declared
+// size, or a random worker with room. Its commands take effect at once and it knows at once what
+// ended, which is an advantage over a scheduler that exchanges messages. For urgent work it evicts
+// the latest started batch tasks of the worker that its rule names, after a checkpoint.
+class BaselineScheduler {
+ public:
+  BaselineScheduler(BaselineKind kind, CellModel& model, std::uint64_t seed);
+
+  void Admit(const JobSpec& job);
+  void Cancel(Time now, const JobId& job);
+  void Step(Time now);
+
+ private:
+  struct Waiting {
+    JobSpec job;
+    std::uint32_t index = 0;
+    std::uint32_t attempt = 0;
+    std::string checkpoint;
+  };
+  struct Placed {
+    Waiting task;
+    std::size_t worker = 0;
+    Time started;
+  };
+
+  void CollectEnds(Time now);
+  void Place(Time now, std::deque<Waiting>& queue);
+  std::optional<std::size_t> Choose(const Resources& size);
+  bool MakeRoom(Time now, const Resources& size);
+  std::vector<TaskAttempt> Plan(std::size_t worker, const Resources& size) const;
+  void Start(Time now, std::size_t worker, Waiting task);
+  void Requeue(Waiting task);
+  Resources Free(std::size_t worker) const;
+  CommandHeader NextHeader(std::size_t worker);
+
+  BaselineKind kind_;
+  CellModel& model_;
+  Random random_;
+  std::deque<Waiting> urgent_;
+  std::deque<Waiting> normal_;
+  std::unordered_set<JobId> cancelled_;
+  std::map<TaskAttempt, Placed> placed_;
+  std::vector<std::uint64_t> incarnations_;
+  std::uint64_t next_command_ = 0;
+};
+
+}  // namespace cactusshelf::sim
+
+#endif  // CACTUSSHELF_PLACEMENT_BENCH_SIM_BASELINE_SCHEDULER_H_
--- /dev/null
+++ b/packages/placement/bench/sim/cell_model.cc
@@ -0,0 +1,243 @@
+#include "sim/cell_model.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace cactusshelf::sim {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double kBaseP99Ms = 40;
+// Ratio of the 99% quantile to the median of a log-normal distribution with this deviation.
+constexpr double kLatencyDeviation = 0.5;
+constexpr double kP99Deviations = 2.326;
+constexpr int kRequestsPerSample = 8;
+constexpr double kMeasurementNoise = 0.12;
+constexpr Duration kMeasurementLag = seconds(4);
+constexpr double kEndpointUse = 2.5;  // Processors at the usual load.
+constexpr double kEndpointMemoryGib = 6;
+constexpr double kUsualRequests = 100;
+constexpr double kPairExtra = 0.2;
+constexpr Duration kRackDown = seconds(500);
+constexpr Duration kRackUp = seconds(800);
+
+JobId JobOf(const TaskId& task) { return JobId(task.str().substr(0, task.str().rfind('/'))); }
+
+double Quantile(std::vector<float> values, double quantile) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto at = static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at), values.end());
+  return values[at];
+}
+
+}  // namespace
+
+CellModel::CellModel(const Scenario& scenario, std::uint64_t seed)
+    : scenario_(scenario), random_(seed) {
+  for (const WorkerSpec& spec : scenario.workers) {
+    workers_.push_back(std::make_unique<ModelWorker>());
+    ModelWorker& worker = *workers_.back();
+    worker.fake = std::make_unique<FakeWorker>(
+        spec, [this](const TaskId& task) { return TruthOf(task).work_seconds; });
+    worker.fake->Advance(kSimStart - seconds(60));
+    worker.fake->set_rate([&worker](const FakeTask&) { return worker.speed; });
+    worker.fake->measure = [this, &worker](WorkerState& state) { FillReport(worker, state); };
+    worker.fake->fails = [this](const StartTask& start) {
+      const TaskTruth& truth = TruthOf(start.task.task);
+      finished_work_ += truth.work_seconds * truth.processors;
+      return false;
+    };
+  }
+}
+
+void CellModel::Step(Time now) {
+  now_ = now;
+  const bool is_lost = scenario_.kind == ScenarioKind::kRackLost && now >= kSimStart + kRackDown &&
+                       now < kSimStart + kRackUp;
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    ModelWorker& worker = *workers_[i];
+    const bool is_down = is_lost && i < kPerRack;
+    if (is_down && !worker.is_down) {
+      for (const auto& [id, task] : worker.fake->running()) {
+        wasted_ += (task.progress - ProgressOf(task.checkpoint)) * TruthOf(id.task).processors;
+      }
+      worker.fake->Restart(now);
+    }
+    worker.is_down = is_down;
+    if (!is_down) {
+      StepWorker(now, worker);
+    }
+  }
+  CheckPlaces();
+}
+
+void CellModel::StepWorker(Time now, ModelWorker& worker) {
+  worker.fake->Advance(now);
+  KillForMemory(worker);
+  double used = kEndpointUse * LoadAt(scenario_.kind, now);
+  for (const auto& [id, task] : worker.fake->running()) {
+    used += TruthOf(id.task).processors * task.permille / 1000;
+  }
+  const double pressure =
+      used * 1000 / static_cast<double>(worker.fake->spec().capacity.milliprocessors);
+  worker.speed = 1 / std::max(1.0, pressure);
+  const double p99 = Latency(now, worker, pressure);
+  const double median = p99 / std::exp(kLatencyDeviation * kP99Deviations);
+  for (int i = 0; i < kRequestsPerSample; ++i) {
+    // Sum of uniform numbers as an approximation of the normal distribution.
+    double normal = -6;
+    for (int j = 0; j < 12; ++j) {
+      normal += random_.Real();
+    }
+    latencies_.push_back(static_cast<float>(median * std::exp(kLatencyDeviation * normal)));
+  }
+  Measure(now, worker, p99);
+  if (!Fits(worker.fake->Committed(), worker.fake->spec().capacity)) {
+    ++breaches_;
+  }
+}
+
+void CellModel::KillForMemory(ModelWorker& worker) {
+  while (true) {
+    double used = kEndpointMemoryGib;
+    const TaskAttempt* largest = nullptr;
+    double largest_use = 0;
+    for (const auto& [id, task] : worker.fake->running()) {
+      const double use = TruthOf(id.task).memory_gib;
+      used += use;
+      if (use > largest_use) {
+        largest = &id;
+        largest_use = use;
+      }
+    }
+    const double capacity =
+        static_cast<double>(worker.fake->spec().capacity.memory_bytes) / (1 << 30);
+    if (largest == nullptr || used <= capacity) {
+      return;
+    }
+    const TaskAttempt killed = *largest;
+    const FakeTask& task = worker.fake->running().at(killed);
+    wasted_ += (task.progress - ProgressOf(task.checkpoint)) * TruthOf(killed.task).processors;
+    ++evictions_;
+    worker.fake->Kill(killed);
+  }
+}
+
+double CellModel::Latency(Time now, const ModelWorker& worker, double pressure) const {
+  double effect = 0;
+  bool has_third = false;
+  bool has_fifth = false;
+  for (const auto& [id, task] : worker.fake->running()) {
+    const int job_class = TruthOf(id.task).job_class;
+    effect += TrueEffect(scenario_.kind, job_class, now) * task.permille / 1000;
+    has_third = has_third || job_class == 3;
+    has_fifth = has_fifth || job_class == 5;
+  }
+  effect += has_third && has_fifth ? kPairExtra : 0;
+  const double load = LoadAt(scenario_.kind, now);
+  const double contention =
+      1 + 0.5 * std::max(0.0, pressure - 0.8) + 3 * std::max(0.0, pressure - 1);
+  return kBaseP99Ms * std::sqrt(load) * contention * std::exp(effect);
+}
+
+void CellModel::Measure(Time now, ModelWorker& worker, double p99_ms) {
+  Measurement measurement;
+  measurement.at = now;
+  measurement.p99_ms = p99_ms * std::exp(kMeasurementNoise * (2 * random_.Real() - 1));
+  measurement.load = LoadAt(scenario_.kind, now);
+  for (const auto& [id, task] : worker.fake->running()) {
+    measurement.processors[id.task] =
+        TruthOf(id.task).processors * task.permille / 1000 * worker.speed;
+  }
+  worker.measured.push_back(std::move(measurement));
+  while (worker.measured.size() > 1 && worker.measured[1].at + kMeasurementLag <= now) {
+    worker.measured.pop_front();
+  }
+}
+
+// Reports what was measured some seconds ago.
+void CellModel::FillReport(const ModelWorker& worker, WorkerState& state) const {
+  if (worker.measured.empty() || worker.measured.front().at + kMeasurementLag > now_) {
+    return;
+  }
+  const Measurement& measured = worker.measured.front();
+  const std::int64_t age_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now_ - measured.at).count();
+  const WorkerTime at{state.worker_time.ms - age_ms};
+  state.services.push_back({ServiceId("service"),
+                            Duration(static_cast<std::int64_t>(measured.p99_ms * 1000)),
+                            static_cast<std::uint32_t>(kUsualRequests * measured.load), at});
+  for (RunningTask& task : state.running) {
+    if (const auto it = measured.processors.find(task.task.task); it != measured.processors.end()) {
+      task.usage.milliprocessors = static_cast<std::int64_t>(it->second * 1000);
+      task.usage.memory_bytes =
+          static_cast<std::int64_t>(TruthOf(task.task.task).memory_gib * (1 << 30));
+      task.measured_at = at;
+    }
+  }
+}
+
+CommandResult CellModel::Execute(Time now, std::size_t i, const WorkerCommand& command) {
+  FakeWorker& worker = *workers_[i]->fake;
+  if (const auto* stop = std::get_if<StopTask>(&command)) {
+    worker.Advance(now);
+    const auto it = worker.running().find(stop->task);
+    if (it != worker.running().end() && !cancelled_.contains(JobOf(stop->task.task))) {
+      ++evictions_;
+      wasted_ += (it->second.progress - ProgressOf(it->second.checkpoint)) *
+                 TruthOf(stop->task.task).processors;
+    }
+  }
+  const CommandResult result = worker.Execute(now, command);
+  if (const auto* start = std::get_if<StartTask>(&command);
+      start != nullptr && result.status == CommandStatus::kDone) {
+    first_start_.try_emplace(start->task.task, now);
+  }
+  return result;
+}
+
+void CellModel::CheckPlaces() {
+  std::unordered_set<TaskId> seen;
+  for (const auto& worker : workers_) {
+    for (const auto& [id, task] : worker->fake->running()) {
+      doubles_ += seen.insert(id.task).second ? 0 : 1;
+    }
+  }
+}
+
+Metrics CellModel::Finish(Time now) {
+  std::vector<float> all;
+  std::vector<float> urgent;
+  for (const Arrival& arrival : scenario_.arrivals) {
+    for (std::uint32_t i = 0; i < arrival.job.tasks; ++i) {
+      const auto it = first_start_.find(TaskId(arrival.job.id.str() + "/" + std::to_string(i)));
+      if (it == first_start_.end() && arrival.cancel_at != Time::max()) {
+        continue;
+      }
+      // A task that did not start yet has waited at least until now.
+      const Time started = it == first_start_.end() ? now : it->second;
+      const auto waited =
+          static_cast<float>(std::chrono::duration<double>(started - arrival.at).count());
+      all.push_back(waited);
+      if (arrival.job.urgent) {
+        urgent.push_back(waited);
+      }
+    }
+  }
+  Metrics metrics;
+  metrics.p99_ms = Quantile(latencies_, 0.99);
+  metrics.throughput = finished_work_ / std::chrono::duration<double>(now - kSimStart).count();
+  metrics.evictions = evictions_;
+  metrics.wasted = wasted_;
+  metrics.start_p99 = Quantile(all, 0.99);
+  metrics.urgent_p99 = Quantile(urgent, 0.99);
+  metrics.breaches = breaches_;
+  metrics.doubles = doubles_;
+  return metrics;
+}
+
+}  // namespace cactusshelf::sim
--- /dev/null
+++ b/packages/placement/bench/sim/cell_model.h
@@ -0,0 +1,88 @@
+#ifndef CACTUSSHELF_PLACEMENT_BENCH_SIM_CELL_MODEL_H_
+#define CACTUSSHELF_PLACEMENT_BENCH_SIM_CELL_MODEL_H_
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "cactusshelf/base/random.h"
+#include "fake_worker.h"
+#include "sim/scenario.h"
+
+namespace cactusshelf::sim {
+
+inline constexpr Time kSimStart{std::chrono::hours(1)};
+
+// Results of one run.
+struct Metrics {
+  double p99_ms = 0;            // Of requests to the service.
+  double throughput = 0;        // Processor seconds of finished tasks, per second.
+  std::uint64_t evictions = 0;  // Tasks stopped by the scheduler or killed for lack of memory.
+  double wasted = 0;            // Processor seconds of work that was done and not kept.
+  double start_p99 = 0;         // Seconds from arrival to the first start of a task.
+  double urgent_p99 = 0;
+  std::uint64_t breaches = 0;  // Steps at which a worker was committed beyond its capacity.
+  std::uint64_t doubles = 0;   // Steps at which a task ran in two places.
+};
+
+// The truth beneath the schedulers: workers whose tasks disturb the service beside them depending
+// on the pair and the load, slow each other when processors run out, and are killed when memory
+// does. Measurements are noisy and late.
+class CellModel {
+ public:
+  CellModel(const Scenario& scenario, std::uint64_t seed);
+
+  // Advances all workers to `now`.
+  void Step(Time now);
+
+  // All commands go through here, so that starts and evictions are counted alike for everyone.
+  CommandResult Execute(Time now, std::size_t worker, const WorkerCommand& command);
+
+  FakeWorker& worker(std::size_t i) { return *workers_[i]->fake; }
+  std::size_t size() const { return workers_.size(); }
+  bool IsDown(std::size_t i) const { return workers_[i]->is_down; }
+  void Cancel(const JobId& job) { cancelled_.insert(job); }
+
+  Metrics Finish(Time now);
+
+ private:
+  struct Measurement {
+    Time at;
+    double p99_ms = 0;
+    double load = 0;
+    std::unordered_map<TaskId, double> processors;
+  };
+  struct ModelWorker {
+    std::unique_ptr<FakeWorker> fake;
+    double speed = 1;  // Of its batch tasks.
+    bool is_down = false;
+    std::deque<Measurement> measured;
+  };
+
+  void StepWorker(Time now, ModelWorker& worker);
+  void KillForMemory(ModelWorker& worker);
+  double Latency(Time now, const ModelWorker& worker, double pressure) const;
+  void Measure(Time now, ModelWorker& worker, double p99_ms);
+  void FillReport(const ModelWorker& worker, WorkerState& state) const;
+  void CheckPlaces();
+  const TaskTruth& TruthOf(const TaskId& task) const { return scenario_.truth.at(task); }
+
+  const Scenario& scenario_;
+  Random random_;
+  Time now_ = kSimStart;
+  std::vector<std::unique_ptr<ModelWorker>> workers_;
+  std::unordered_set<JobId> cancelled_;
+  std::unordered_map<TaskId, Time> first_start_;
+  std::vector<float> latencies_;
+  double finished_work_ = 0;
+  double wasted_ = 0;
+  std::uint64_t evictions_ = 0;
+  std::uint64_t breaches_ = 0;
+  std::uint64_t doubles_ = 0;
+};
+
+}  // namespace cactusshelf::sim
+
+#endif  // CACTUSSHELF_PLACEMENT_BENCH_SIM_CELL_MODEL_H_
