--- a/packages/node/tests/entry_node_test.cc
+++ b/packages/node/tests/entry_node_test.cc
@@ -17,7 +17,7 @@
 [[account]]
 name = "crews"
 customer = "andina"
-request_rate = 1000
+request_rate = "1000/s"
 [[service]]
 name = "notices"
 customer = "andina"
@@ -64,6 +64,7 @@
   Answer Call(const std::string& host, const std::string& id, bool idempotent) {
     const auto request = Send(host, "notices", id, idempotent);
     REQUIRE(RunUntil([&] { return AnswerTo(request).has_value(); }, seconds(40)));
+    UNSCOPED_INFO("reason: " << AnswerTo(request)->reason);
     return *AnswerTo(request);
   }
 
--- a/testing/integration/cluster.sh
+++ b/testing/integration/cluster.sh
@@ -145,7 +145,7 @@
 [[account]]
 name = "field-crews"
 customer = "andina"
-request_rate = 10000
+request_rate = "10000/s"
 
 [[team]]
 name = "rendering"
