--- a/packages/cli/tests/command_line_test.cc
+++ b/packages/cli/tests/command_line_test.cc
@@ -26,7 +26,11 @@
     address_ = "127.0.0.1:" + std::to_string(g_uri_get_port(static_cast<GUri*>(uris->data)));
     g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
     g_main_context_pop_thread_default(context_);
-    thread_ = std::thread([this] { g_main_loop_run(loop_); });
+    thread_ = std::thread([this] {
+      g_main_context_push_thread_default(context_);
+      g_main_loop_run(loop_);
+      g_main_context_pop_thread_default(context_);
+    });
   }
 
   ~FakeServer() {
@@ -86,6 +90,7 @@
   std::ostringstream out;
   std::ostringstream err;
   const ExitCode code = RunCommandLine(static_cast<int>(argv.size()), argv.data(), out, err);
+  UNSCOPED_INFO(err.str());
   return {code, out.str(), err.str()};
 }
 
