--- a/packages/cli/tests/command_line_test.cc
+++ b/packages/cli/tests/command_line_test.cc
@@ -82,7 +82,7 @@
   std::string err;
 };
 
-Result Run(std::vector<std::string> arguments) {
+Result Run(const std::vector<std::string>& arguments) {
   std::vector<const char*> argv{"cactusshelf"};
   for (const std::string& it : arguments) {
     argv.push_back(it.c_str());
--- a/packages/version/include/cactusshelf/version/log_follower.h
+++ b/packages/version/include/cactusshelf/version/log_follower.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -61,7 +61,8 @@
   // Search for the latest usable snapshot in a trimmed log.
   struct Scan {
     Offset next = 0;
-    std::deque<SnapshotRecord> candidates;
+    // By the offset of their state. A slow node may append an older state after a newer one.
+    std::map<Offset, SnapshotRecord> candidates;
   };
 
   void ScanReply(const ReadReply& reply);
--- a/packages/version/src/log_follower.cc
+++ b/packages/version/src/log_follower.cc
@@ -57,10 +57,11 @@
       LogRecord record = DecodeRecord(it.data);
       auto* snapshot = std::get_if<SnapshotRecord>(&record);
       if (snapshot != nullptr && snapshot->offset <= it.offset) {
-        scan_->candidates.push_back(std::move(*snapshot));
+        const Offset offset = snapshot->offset;
+        scan_->candidates.insert_or_assign(offset, std::move(*snapshot));
       }
       if (scan_->candidates.size() > kCandidates) {
-        scan_->candidates.pop_front();
+        scan_->candidates.erase(scan_->candidates.begin());
       }
     } catch (const RecordError&) {
       // LogState counts the record when it is applied.
@@ -72,16 +73,15 @@
 }
 
 void LogFollower::FinishScan(Offset first) {
-  std::deque<SnapshotRecord> candidates = std::move(scan_->candidates);
-  std::ranges::reverse(candidates);
+  const auto candidates = std::move(scan_->candidates);
   scan_.reset();
-  for (const SnapshotRecord& it : candidates) {
+  for (auto it = candidates.rbegin(); it != candidates.rend(); ++it) {
     // All records after the state must still be in the log.
-    if (it.offset < first) {
+    if (it->first < first) {
       continue;
     }
     try {
-      state_ = Snapshot::Load(it);
+      state_ = Snapshot::Load(it->second);
       return;
     } catch (const DecodeError&) {
       ++rejected_snapshots_;
