Add the router: claims, slots, queues, hedges and ejection

Slots move between entry hosts in three ways: a home lends them under a lease, a borrower gives idle ones back when its load falls, and a former home passes them on after a change of members. A member that knows nothing of a slot's former home uses it only after every request that could still hold it has ended.

The outcome of a non-idempotent request is 'not run' only with the word of the owner of its id, because an earlier call with the same id may have run. So the claim comes before every other check, and refusals for overload, drain or rate are made after it.

--- a/packages/connection/include/cactusshelf/connection/endpoint_picker.h
+++ b/packages/connection/include/cactusshelf/connection/endpoint_picker.h
@@ -52,6 +52,13 @@
  private:
   static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
 
+  struct Position {
+    std::size_t domain = 0;
+    std::size_t index = kNone;
+  };
+
+  void Remove(std::uint32_t n);
+
   template <typename Cost>
   void PickIn(std::size_t domain, Duration base, Random& random, Cost& cost,
               std::optional<Choice>& best, Duration& best_cost) const {
@@ -73,7 +80,7 @@
   }
 
   std::vector<std::vector<std::uint32_t>> domains_;
-  std::vector<std::size_t> positions_;
+  std::vector<Position> positions_;
 };
 
 }  // namespace cactusshelf
--- a/packages/connection/include/cactusshelf/connection/router.h
+++ b/packages/connection/include/cactusshelf/connection/router.h
@@ -28,7 +28,8 @@
 // Not thread-safe.
 class Router {
  public:
-  Router(RouterOptions options, MemberId self, DomainId domain, OwnerOf owner_of, Random random);
+  Router(RouterOptions options, MemberId self, const DomainId& domain, OwnerOf owner_of,
+         Random random);
   ~Router();
   Router(Router&&) noexcept;
   Router& operator=(Router&&) noexcept;
--- a/packages/connection/include/cactusshelf/connection/slot_allocation.h
+++ b/packages/connection/include/cactusshelf/connection/slot_allocation.h
@@ -16,6 +16,9 @@
   struct Member {
     std::size_t domain = 0;
     double quota = 0;  // Slots that it can use of this home.
+    // In [0, 1). Added before the quota is rounded down; spread over the homes, so that parts of
+    // a slot at each home add up to whole slots for each member.
+    double rounding = 0;
   };
 
   struct Slot {
--- a/packages/connection/include/cactusshelf/connection/slot_shares.h
+++ b/packages/connection/include/cactusshelf/connection/slot_shares.h
@@ -73,6 +73,8 @@
   std::vector<SlotSet> LendTo(Time now, const MemberId& member, LeaseNumber number);
   void OnLend(Time now, const MemberId& lender, LeaseNumber number, Time until,
               const SlotSet& slots);
+  // Gives idle lent slots back early, as far as more are lent than this member now needs.
+  void ReturnSurplus(Time now);
   void OnReturn(Time now, const MemberId& from, LeaseNumber number, const SlotSet& slots);
 
   // Extends no lease any more, so that the slots of this home come back to it.
@@ -102,6 +104,7 @@
     Time borrowed_until = Time::min();
     MemberNumber lender = kNobody;
     LeaseNumber borrowed_lease = 0;
+    bool give_back = false;
     Time keep_until = Time::min();  // Not to be passed on before.
   };
 
@@ -118,6 +121,7 @@
     std::size_t domain = 0;
     bool member = false;
     bool draining = false;
+    std::size_t rank = 0;  // Position among the members by id.
     double demand = 0;
     Time demand_at = Time::min();
   };
@@ -132,6 +136,7 @@
   void UpdateFree(Time now, std::uint32_t n);
   void CountUsable(Time now);
   void Allocate(Time now);
+  void RankMembers();
   double QuotaOf(Time now, MemberNumber member) const;
   std::uint32_t* IndexOf(const EndpointId& id);
 
--- /dev/null
+++ b/packages/connection/src/call.h
@@ -0,0 +1,55 @@
+#ifndef CACTUSSHELF_CONNECTION_SRC_CALL_H_
+#define CACTUSSHELF_CONNECTION_SRC_CALL_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "cactusshelf/connection/request.h"
+#include "cactusshelf/request/claim_messages.h"
+#include "endpoint_pool.h"
+#include "service_state.h"
+
+namespace cactusshelf {
+
+// One request at this entry host, from its arrival to its end.
+struct Call {
+  enum class Phase : std::uint8_t { kClaiming, kQueued, kRunning };
+
+  RequestToken token{};
+  Request request;
+  Phase phase = Phase::kClaiming;
+  Time arrived{};
+  Time deadline{};
+  bool caller_gone = false;
+  ClaimNumber claim = 0;  // 0 unless granted.
+  MemberId claim_owner;
+  ServiceState* service = nullptr;  // Set once admitted.
+  ServiceState::Lane lane = ServiceState::Lane::kLendable;
+  int priority = 0;
+  Time queued{};
+  bool maybe_run = false;    // An attempt ended that may have run the request.
+  bool handed_over = false;  // Bytes of an attempt may have been handed to a connection.
+  int resends = 0;
+  bool hedged = false;
+  std::vector<AttemptId> attempts;   // In flight.
+  std::vector<std::uint32_t> tried;  // Endpoints of all attempts.
+};
+
+// One attempt, from SendAttempt to its final event.
+struct Attempt {
+  RequestToken call{};
+  ServiceState* service = nullptr;
+  CustomerId customer;
+  EndpointPool::Picked picked;
+  Time sent{};
+  Time deadline{};
+  bool handed_over = false;
+  bool late = false;
+  bool overdue = false;
+  bool abandoned = false;  // Cancelled; only its end is awaited.
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SRC_CALL_H_
--- /dev/null
+++ b/packages/connection/src/claim_client.h
@@ -0,0 +1,85 @@
+#ifndef CACTUSSHELF_CONNECTION_SRC_CLAIM_CLIENT_H_
+#define CACTUSSHELF_CONNECTION_SRC_CLAIM_CLIENT_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "cactusshelf/connection/request.h"
+#include "cactusshelf/connection/routing_table.h"
+#include "cactusshelf/request/claim_messages.h"
+#include "router_env.h"
+
+namespace cactusshelf {
+
+// How a request ended without a run of its own.
+struct ClaimEnd {
+  Outcome outcome = Outcome::kUnknown;
+  Reason reason = Reason::kNone;
+  Response response;
+};
+
+// The part of a router that obtains claims from the owners of ids, and answers of other members'
+// runs. Not thread-safe.
+class ClaimClient {
+ public:
+  struct Listener {
+    std::function<void(Now, RequestToken, ClaimNumber)> granted;
+    std::function<void(Now, RequestToken, ClaimEnd)> ended;
+  };
+
+  ClaimClient(RouterEnv& env, Listener listener);
+
+  void SetMembers(Now now, const std::vector<RouterMember>& members);
+
+  void Start(Now now, RequestToken token, const RequestId& id);
+  void OnReply(Now now, const MemberId& from, const ClaimReply& reply);
+  void OnAnswer(Now now, const MemberId& from, const Answer& answer);
+  void OnResendTimer(Now now, RequestToken token);
+
+  // The request ended while its claim was pending; a grant that still arrives is released.
+  // Returns true if another member runs or ran the request.
+  bool Abandon(RequestToken token);
+
+  // The granted request ended.
+  void Done(const RequestId& id, ClaimNumber number, const MemberId& owner, Outcome outcome);
+
+  // Member that granted claim `number`; empty if unknown. Forgotten by Done.
+  MemberId GranterOf(ClaimNumber number) const;
+
+ private:
+  struct Pending {
+    RequestId id;
+    ClaimNumber number = 0;
+    FetchNumber fetch = 0;  // 0 while claiming.
+    MemberId runner;
+    bool runner_done = false;
+    int rounds = 0;
+  };
+
+  void SendClaim(Now now, RequestToken token, const Pending& pending);
+  void SendFetch(Now now, RequestToken token, const Pending& pending);
+  void BeginFetch(Now now, RequestToken token, Pending& pending, const ClaimReply& reply);
+  void ClaimAgain(Now now, RequestToken token);
+  void End(Now now, RequestToken token, ClaimEnd end);
+  void Forget(RequestToken token);
+  void RememberAbandoned(ClaimNumber number);
+
+  RouterEnv* env_;
+  Listener listener_;
+  std::unordered_set<MemberId> members_;
+  std::unordered_map<RequestToken, Pending> pending_;
+  std::unordered_map<ClaimNumber, RequestToken> claims_;
+  std::unordered_map<FetchNumber, RequestToken> fetches_;
+  std::unordered_map<ClaimNumber, MemberId> granters_;
+  std::unordered_set<ClaimNumber> abandoned_;
+  std::deque<ClaimNumber> abandoned_order_;
+  std::uint64_t next_number_ = 1;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SRC_CLAIM_CLIENT_H_
--- /dev/null
+++ b/packages/connection/src/claim_desk.h
@@ -0,0 +1,33 @@
+#ifndef CACTUSSHELF_CONNECTION_SRC_CLAIM_DESK_H_
+#define CACTUSSHELF_CONNECTION_SRC_CLAIM_DESK_H_
+
+#include <vector>
+
+#include "cactusshelf/connection/routing_table.h"
+#include "cactusshelf/request/intent_table.h"
+#include "router_env.h"
+
+namespace cactusshelf {
+
+// The part of a router that answers claims on the ids that this member owns. Not thread-safe.
+class ClaimDesk {
+ public:
+  explicit ClaimDesk(RouterEnv& env);
+
+  void SetMembers(const std::vector<RouterMember>& members);
+  void SetAuthority(Time valid_until) { authority_until_ = valid_until; }
+
+  void OnClaim(Now now, const MemberId& from, const Claim& claim);
+  void OnDone(const MemberId& from, const ClaimDone& done) { table_.Done(from, done); }
+
+ private:
+  std::optional<WallTime> AuthorityEnd(Now now) const;
+
+  RouterEnv* env_;
+  IntentTable table_;
+  Time authority_until_ = Time::min();
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SRC_CLAIM_DESK_H_
--- /dev/null
+++ b/packages/connection/src/router_env.h
@@ -0,0 +1,45 @@
+#ifndef CACTUSSHELF_CONNECTION_SRC_ROUTER_ENV_H_
+#define CACTUSSHELF_CONNECTION_SRC_ROUTER_ENV_H_
+
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cactusshelf/base/counters.h"
+#include "cactusshelf/base/random.h"
+#include "cactusshelf/base/strong_id.h"
+#include "cactusshelf/connection/domain_costs.h"
+#include "cactusshelf/connection/router_effect.h"
+#include "cactusshelf/connection/router_message.h"
+#include "cactusshelf/connection/router_options.h"
+#include "cactusshelf/request/ownership.h"
+#include "timer_set.h"
+
+namespace cactusshelf {
+
+// What the parts of one router share.
+struct RouterEnv {
+  RouterOptions options;
+  MemberId self;
+  std::size_t domain = 0;
+  OwnerOf owner_of;
+  Random random;
+  DomainCosts costs;
+  Counters counters;
+  TimerSet timers;
+  std::vector<RouterEffect> effects;
+  std::deque<RouterMessage> to_self;  // Handled before the current input returns.
+
+  void Send(const MemberId& to, RouterMessage message, std::optional<Time> valid_until = {}) {
+    if (to == self) {
+      to_self.push_back(std::move(message));
+      return;
+    }
+    effects.emplace_back(SendToPeer{to, std::move(message), valid_until});
+  }
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SRC_ROUTER_ENV_H_
--- /dev/null
+++ b/packages/connection/src/run_desk.h
@@ -0,0 +1,49 @@
+#ifndef CACTUSSHELF_CONNECTION_SRC_RUN_DESK_H_
+#define CACTUSSHELF_CONNECTION_SRC_RUN_DESK_H_
+
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cactusshelf/request/answer_store.h"
+#include "cactusshelf/request/claim_messages.h"
+#include "router_env.h"
+
+namespace cactusshelf {
+
+// The part of a router that gives the answers of this member's non-idempotent runs to those who
+// repeat an id. Not thread-safe.
+class RunDesk {
+ public:
+  explicit RunDesk(RouterEnv& env);
+
+  void Begin(const RequestId& id, ClaimNumber number);
+  // Stores the answer and sends it to those who wait for it.
+  void End(Now now, const RequestId& id, StoredAnswer answer);
+  bool HasWaiters(const RequestId& id) const;
+
+  void OnFetch(const MemberId& from, const FetchAnswer& fetch);
+
+ private:
+  struct Waiter {
+    MemberId member;
+    FetchNumber number = 0;
+
+    friend bool operator==(const Waiter&, const Waiter&) = default;
+  };
+
+  struct Run {
+    ClaimNumber number = 0;
+    std::vector<Waiter> waiters;
+  };
+
+  void Reply(const Waiter& to, const RequestId& id, const StoredAnswer& answer);
+
+  RouterEnv* env_;
+  AnswerStore store_;
+  std::unordered_map<RequestId, Run> runs_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SRC_RUN_DESK_H_
--- /dev/null
+++ b/packages/connection/src/slot_exchange.cc
@@ -0,0 +1,107 @@
+#include "slot_exchange.h"
+
+#include <cmath>
+#include <utility>
+
+namespace cactusshelf {
+
+namespace {
+
+constexpr Duration kUrgentPeriod = std::chrono::milliseconds(25);
+
+}  // namespace
+
+SlotExchange::SlotExchange(RouterEnv& env, Services& services,
+                           std::function<ServiceState*(const EndpointId&)> service_of)
+    : env_(&env), services_(&services), service_of_(std::move(service_of)) {}
+
+void SlotExchange::SetMembers(const std::vector<RouterMember>& members) {
+  others_.clear();
+  for (const RouterMember& member : members) {
+    if (member.id != env_->self) {
+      others_.push_back(member.id);
+    }
+  }
+}
+
+void SlotExchange::SendDemand(Now now) {
+  if (others_.empty()) {
+    return;
+  }
+  last_demand_ = now.monotonic;
+  Demand demand{now.monotonic, {}, {}};
+  for (const auto& [id, service] : *services_) {
+    const double slots = service->Demand(ServiceState::Lane::kLendable);
+    demand.services.push_back(SlotDemand{id, static_cast<std::uint32_t>(std::ceil(slots))});
+    for (EndpointId& endpoint : service->pool().Leaving()) {
+      demand.leaving.push_back(std::move(endpoint));
+    }
+  }
+  for (const MemberId& other : others_) {
+    env_->Send(other, demand);
+  }
+}
+
+void SlotExchange::SendUrgentDemand(Now now) {
+  const bool recent = last_demand_ != Time::min() && now.monotonic - last_demand_ < kUrgentPeriod;
+  if (!recent) {
+    SendDemand(now);
+  }
+}
+
+void SlotExchange::SendTransfers(Now now) {
+  std::unordered_map<MemberId, std::unordered_map<LeaseNumber, Return>> returns;
+  std::vector<std::pair<MemberId, LeaseNumber>> order;
+  for (const auto& [id, service] : *services_) {
+    for (SlotShares::Transfer& transfer : service->pool().shares().TakeTransfers(now.monotonic)) {
+      Return& message = returns[transfer.to][transfer.number];
+      if (message.slots.empty()) {
+        order.emplace_back(transfer.to, transfer.number);
+      }
+      message.number = transfer.number;
+      message.slots.push_back(std::move(transfer.slots));
+    }
+  }
+  for (const auto& [to, number] : order) {
+    env_->Send(to, std::move(returns[to][number]));
+  }
+}
+
+void SlotExchange::OnDemand(Now now, const MemberId& from, const Demand& demand) {
+  Lend lend{demand.asked_at, env_->options.token_lease, ++last_lease_, {}};
+  for (const SlotDemand& wanted : demand.services) {
+    const auto it = services_->find(wanted.service);
+    if (it == services_->end()) {
+      continue;
+    }
+    SlotShares& shares = it->second->pool().shares();
+    shares.SetDemand(now.monotonic, from, wanted.slots);
+    for (SlotSet& slots : shares.LendTo(now.monotonic, from, lend.number)) {
+      lend.slots.push_back(std::move(slots));
+    }
+  }
+  if (!lend.slots.empty()) {
+    env_->Send(from, std::move(lend));
+  }
+}
+
+void SlotExchange::OnLend(Now now, const MemberId& from, const Lend& lend) {
+  const Time until = lend.asked_at + lend.lease;
+  for (const SlotSet& slots : lend.slots) {
+    ServiceState* service = service_of_(slots.endpoint);
+    if (service != nullptr) {
+      service->pool().shares().OnLend(now.monotonic, from, lend.number, until, slots);
+    }
+  }
+}
+
+void SlotExchange::OnReturn(Now now, const MemberId& from, const Return& returned) {
+  for (const SlotSet& slots : returned.slots) {
+    ServiceState* service = service_of_(slots.endpoint);
+    if (service != nullptr) {
+      service->pool().shares().OnReturn(now.monotonic, from, returned.number, slots);
+    }
+  }
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/connection/src/slot_exchange.h
@@ -0,0 +1,50 @@
+#ifndef CACTUSSHELF_CONNECTION_SRC_SLOT_EXCHANGE_H_
+#define CACTUSSHELF_CONNECTION_SRC_SLOT_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "cactusshelf/connection/routing_table.h"
+#include "cactusshelf/connection/slot_messages.h"
+#include "router_env.h"
+#include "service_state.h"
+
+namespace cactusshelf {
+
+using Services = std::unordered_map<ServiceId, std::unique_ptr<ServiceState>>;
+
+// The part of a router that exchanges slots of endpoints with the other members.
+// Not thread-safe.
+class SlotExchange {
+ public:
+  // `service_of` gives the service of an endpoint, or null.
+  SlotExchange(RouterEnv& env, Services& services,
+               std::function<ServiceState*(const EndpointId&)> service_of);
+
+  void SetMembers(const std::vector<RouterMember>& members);
+
+  // Tells the other members what this one needs.
+  void SendDemand(Now now);
+  // The same, at once but at most every 25 ms: requests wait and there is no slot.
+  void SendUrgentDemand(Now now);
+  // Sends slots whose home moved.
+  void SendTransfers(Now now);
+
+  void OnDemand(Now now, const MemberId& from, const Demand& demand);
+  void OnLend(Now now, const MemberId& from, const Lend& lend);
+  void OnReturn(Now now, const MemberId& from, const Return& returned);
+
+ private:
+  RouterEnv* env_;
+  Services* services_;
+  std::function<ServiceState*(const EndpointId&)> service_of_;
+  std::vector<MemberId> others_;
+  LeaseNumber last_lease_ = 0;
+  Time last_demand_ = Time::min();
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_CONNECTION_SRC_SLOT_EXCHANGE_H_
--- /dev/null
+++ b/packages/connection/tests/at_most_once_test.cc
@@ -0,0 +1,228 @@
+#include <catch2/catch.hpp>
+
+#include "fake_cluster.h"
+
+namespace cactusshelf {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void CheckClean(FakeCluster& cluster) {
+  cluster.CheckAllAnswered();
+  for (const std::string& violation : cluster.violations) {
+    FAIL_CHECK(violation);
+  }
+}
+
+Outcome OutcomeOf(const FakeCluster& cluster, RequestToken token) {
+  const CallerAnswer* answer = cluster.AnswerTo(token);
+  REQUIRE(answer != nullptr);
+  return answer->answer.outcome;
+}
+
+Reason ReasonOf(const FakeCluster& cluster, RequestToken token) {
+  return cluster.AnswerTo(token)->answer.reason;
+}
+
+TEST_CASE("a repeat at another entry host gets the answer of the first run") {
+  FakeCluster cluster(ClusterOptions{});
+  for (int i = 0; i < 50; ++i) {
+    const RequestId id = cluster.NewId();
+    const RequestToken first = cluster.Ask(0, false, id);
+    const RequestToken during = cluster.Ask(1, false, id);
+    const RequestToken same_host = cluster.Ask(0, false, id);
+    cluster.Run(milliseconds(200));
+    const RequestToken after = cluster.Ask(2, false, id);
+    cluster.Run(milliseconds(200));
+    for (const RequestToken token : {first, during, same_host, after}) {
+      CHECK(OutcomeOf(cluster, token) == Outcome::kAnswered);
+    }
+    CHECK(cluster.Runs(id) == 1);
+  }
+  CheckClean(cluster);
+}
+
+TEST_CASE("a repeat runs nothing when the first answer was lost on the way to the caller") {
+  FakeCluster cluster(ClusterOptions{});
+  const RequestId id = cluster.NewId();
+  cluster.LoseAnswers(0, true);
+  cluster.Ask(0, false, id);
+  cluster.Run(milliseconds(200));
+  const RequestToken repeat = cluster.Ask(1, false, id);
+  cluster.Run(milliseconds(200));
+  CHECK(OutcomeOf(cluster, repeat) == Outcome::kAnswered);
+  CHECK(cluster.Runs(id) == 1);
+  CheckClean(cluster);
+}
+
+TEST_CASE("a repeat is unknown, never a second run, when the entry host died in between") {
+  ClusterOptions options;
+  options.deadline = seconds(5);
+  options.service_time = milliseconds(100);
+  FakeCluster cluster(options);
+  for (const Duration wait : {milliseconds(3), milliseconds(20), milliseconds(400)}) {
+    FakeCluster one(options);
+    const RequestId id = one.NewId();
+    one.Ask(0, false, id);
+    one.Run(wait);
+    one.Kill(0);
+    const RequestToken soon = one.Ask(1, false, id);
+    one.Run(seconds(6));
+    const RequestToken late = one.Ask(2, false, id);
+    one.Run(seconds(6));
+    CHECK(one.Runs(id) <= 1);
+    CHECK(OutcomeOf(one, soon) == Outcome::kUnknown);
+    CHECK(OutcomeOf(one, late) == Outcome::kUnknown);
+    CheckClean(one);
+  }
+}
+
+TEST_CASE("ids issued before a takeover are unknown and later ones run") {
+  FakeCluster cluster(ClusterOptions{});
+  std::vector<RequestId> before;
+  for (int i = 0; i < 60; ++i) {
+    before.push_back(cluster.NewId());
+    cluster.Ask(0, false, before.back());
+  }
+  cluster.Run(milliseconds(500));
+  cluster.Kill(1);
+  cluster.Run(seconds(5));
+  int unknown = 0;
+  for (const RequestId& id : before) {
+    const RequestToken token = cluster.Ask(2, false, id);
+    cluster.Run(milliseconds(50));
+    unknown += ReasonOf(cluster, token) == Reason::kBeforeTenure ? 1 : 0;
+    CHECK(cluster.Runs(id) <= 1);
+  }
+  CHECK(unknown > 0);
+  for (int i = 0; i < 30; ++i) {
+    const RequestToken token = cluster.Ask(2, false);
+    cluster.Run(milliseconds(50));
+    CHECK(OutcomeOf(cluster, token) == Outcome::kAnswered);
+  }
+  CheckClean(cluster);
+}
+
+TEST_CASE("a request is not sent again when the endpoint reads it and closes") {
+  FakeCluster cluster(ClusterOptions{});
+  for (int i = 0; i < 6; ++i) {
+    cluster.SetMode(i, EndpointMode::kClose);
+  }
+  const RequestId id = cluster.NewId();
+  const RequestToken first = cluster.Ask(0, false, id);
+  cluster.Run(milliseconds(300));
+  const RequestToken repeat = cluster.Ask(1, false, id);
+  cluster.Run(milliseconds(300));
+  CHECK(OutcomeOf(cluster, first) == Outcome::kUnknown);
+  CHECK(OutcomeOf(cluster, repeat) == Outcome::kUnknown);
+  CHECK(cluster.Runs(id) == 1);
+  CheckClean(cluster);
+}
+
+TEST_CASE("a refusal by the endpoint is not run, and the same id runs on the next try") {
+  FakeCluster cluster(ClusterOptions{});
+  for (int i = 0; i < 6; ++i) {
+    cluster.SetMode(i, EndpointMode::kRefuse);
+  }
+  const RequestId id = cluster.NewId();
+  const RequestToken refused = cluster.Ask(0, false, id);
+  cluster.Run(milliseconds(200));
+  CHECK(OutcomeOf(cluster, refused) == Outcome::kNotRun);
+  CHECK(ReasonOf(cluster, refused) == Reason::kRefusedByEndpoint);
+  CHECK(cluster.AnswerTo(refused)->answer.retry_after);
+  for (int i = 0; i < 6; ++i) {
+    cluster.SetMode(i, EndpointMode::kNormal);
+  }
+  const RequestToken repeat = cluster.Ask(1, false, id);
+  cluster.Run(milliseconds(500));
+  CHECK(OutcomeOf(cluster, repeat) == Outcome::kAnswered);
+  CHECK(cluster.Runs(id) == 1);
+  CheckClean(cluster);
+}
+
+TEST_CASE("a timeout after bytes left is unknown, not 'not run'") {
+  FakeCluster cluster(ClusterOptions{});
+  for (int i = 0; i < 6; ++i) {
+    cluster.SetMode(i, EndpointMode::kHang);
+  }
+  const RequestToken once = cluster.Ask(0, false);
+  const RequestToken repeatable = cluster.Ask(0, true);
+  cluster.Run(seconds(1));
+  CHECK(OutcomeOf(cluster, once) == Outcome::kUnknown);
+  CHECK(OutcomeOf(cluster, repeatable) == Outcome::kUnknown);
+  CHECK(cluster.AnswerTo(once)->answer.status == 504);
+  CheckClean(cluster);
+}
+
+TEST_CASE("without a reply of the owner nothing runs and the outcome is unknown") {
+  ClusterOptions options;
+  FakeCluster cluster(options);
+  cluster.SetMessageLoss(1);
+  int unknown = 0;
+  for (int i = 0; i < 30; ++i) {
+    const RequestId id = cluster.NewId();
+    const RequestToken token = cluster.Ask(0, false, id);
+    cluster.Run(seconds(1));
+    const Outcome outcome = OutcomeOf(cluster, token);
+    unknown += outcome == Outcome::kUnknown ? 1 : 0;
+    CHECK((outcome == Outcome::kAnswered || cluster.Runs(id) == 0));
+  }
+  CHECK(unknown > 0);
+  CheckClean(cluster);
+}
+
+TEST_CASE("a lost, repeated or overtaken claim message neither blocks nor repeats a request") {
+  ClusterOptions options;
+  options.hosts = 5;
+  options.message_loss = 0.2;
+  options.message_repeat = 0.3;
+  options.message_jitter = milliseconds(30);
+  FakeCluster cluster(options);
+  int answered = 0;
+  for (int i = 0; i < 300; ++i) {
+    const RequestId id = cluster.NewId();
+    const RequestToken first = cluster.Ask(i % 5, false, id);
+    cluster.Ask((i + 1) % 5, false, id);
+    cluster.Run(milliseconds(20));
+    cluster.Ask((i + 2) % 5, false, id);
+    cluster.Run(milliseconds(1000));
+    const CallerAnswer* answer = cluster.AnswerTo(first);
+    answered += answer->answer.outcome == Outcome::kAnswered ? 1 : 0;
+  }
+  CHECK(answered > 280);
+  CheckClean(cluster);
+}
+
+TEST_CASE("a non-idempotent request without an id is a bad request") {
+  FakeCluster cluster(ClusterOptions{});
+  Request request;
+  request.service = ServiceId("notices");
+  cluster.router(0).OnRequest(cluster.NowAt(0), RequestToken{1'000'000}, request);
+  const auto effects = cluster.router(0).TakeEffects();
+  REQUIRE(effects.size() == 1);
+  const auto& answer = std::get<AnswerCaller>(effects[0]);
+  CHECK(answer.reason == Reason::kBadRequest);
+  CHECK(answer.status == 400);
+}
+
+TEST_CASE("a grant that arrives after the request ended is given back") {
+  ClusterOptions options;
+  options.message_jitter = milliseconds(100);
+  FakeCluster cluster(options);
+  for (int i = 0; i < 50; ++i) {
+    const RequestId id = cluster.NewId();
+    cluster.Ask(0, false, id, milliseconds(20));
+    cluster.Run(milliseconds(700));
+    const int before = cluster.Runs(id);
+    const RequestToken repeat = cluster.Ask(1, false, id);
+    cluster.Run(seconds(1));
+    const bool ran = OutcomeOf(cluster, repeat) == Outcome::kAnswered;
+    CHECK((ran || before > 0));
+    CHECK(cluster.Runs(id) == 1);
+  }
+  CheckClean(cluster);
+}
+
+}  // namespace
+}  // namespace cactusshelf
