Forget failures and old latencies of endpoints with time

An endpoint that failed once got a cost so high that it was never chosen again, so it was neither ejected nor probed. Penalties now halve every 500 ms, and old samples lose half of their weight every 5 s.

--- a/packages/connection/include/cactusshelf/connection/endpoint_tracker.h
+++ b/packages/connection/include/cactusshelf/connection/endpoint_tracker.h
@@ -20,8 +20,8 @@
   // An attempt ended; `late` if OnLate was called for it.
   void OnEnded(bool late);
 
-  void OnLatency(Duration latency);
-  void OnFailure() { ++failures_; }
+  void OnLatency(Time now, Duration latency);
+  void OnFailure(Time now);
   // Drops the latencies and failures seen so far; attempts in flight still count.
   void ForgetLatency();
 
@@ -33,19 +33,24 @@
   double samples() const { return latency_.weight(); }
   Duration Median() const { return median_; }
 
-  // Latency to expect from one more attempt, given the same quantile of the whole service. Few
-  // samples count less; attempts that are late and recent failures raise it.
-  Duration Expected(Duration service_quantile) const;
+  // Latency to expect from one more attempt, given the same quantile of the whole service.
+  // Few or old samples count less, so that an endpoint that was slow is tried again. Attempts
+  // that are late and recent failures raise it.
+  Duration Expected(Time now, Duration service_quantile) const;
 
   static constexpr double kQuantile = 0.9;
 
  private:
+  std::uint32_t PenaltyDoublings(Time now) const;
+
   LatencyHistogram latency_;
   Duration median_{};
   Duration quantile_{};
   std::uint32_t in_flight_ = 0;
   std::uint32_t late_ = 0;
   std::uint32_t failures_ = 0;
+  Time sampled_{};
+  Time failed_{};
 };
 
 }  // namespace cactusshelf
--- a/packages/connection/src/endpoint_pool.cc
+++ b/packages/connection/src/endpoint_pool.cc
@@ -111,7 +111,7 @@
         if (!Usable(now, n, request)) {
           return std::nullopt;
         }
-        return CostOf(n, quantile_);
+        return CostOf(now, n);
       });
   if (!choice) {
     return std::nullopt;
@@ -154,7 +154,7 @@
     return;
   }
   if (result == AttemptResult::kFailure) {
-    tracker.OnFailure();
+    tracker.OnFailure(now.monotonic);
     if (ejector_.OnFailure(now.monotonic, n)) {
       OnEjected(now, n, "failures");
     }
@@ -162,7 +162,7 @@
   }
   const Duration latency = std::max(elapsed - RoundTrip(n), Duration(1));
   const Duration usual = all_latencies_.Quantile(0.5);
-  tracker.OnLatency(latency);
+  tracker.OnLatency(now.monotonic, latency);
   latency_.OnLatency(latency);
   all_latencies_.Add(latency);
   if (picked.probe && FarSlower(latency, usual)) {
@@ -343,9 +343,9 @@
   return request.waited < link && wait < static_cast<double>(link.count());
 }
 
-Duration EndpointPool::CostOf(std::uint32_t n, Duration service_quantile) const {
+Duration EndpointPool::CostOf(Now now, std::uint32_t n) const {
   const EndpointTracker& tracker = endpoints_[n].tracker;
-  return tracker.Expected(service_quantile) * (tracker.in_flight() + 1) / slots_;
+  return tracker.Expected(now.monotonic, quantile_) * (tracker.in_flight() + 1) / slots_;
 }
 
 Duration EndpointPool::RoundTrip(std::uint32_t n) const {
--- a/packages/connection/src/endpoint_pool.h
+++ b/packages/connection/src/endpoint_pool.h
@@ -106,7 +106,7 @@
   bool Usable(Now now, std::uint32_t n, const PickRequest& request) const;
   std::optional<Picked> PickProbe(Now now, const PickRequest& request);
   bool ShouldWait(const EndpointPicker::Choice& choice, const PickRequest& request) const;
-  Duration CostOf(std::uint32_t n, Duration service_quantile) const;
+  Duration CostOf(Now now, std::uint32_t n) const;
   Duration RoundTrip(std::uint32_t n) const;
 
   RouterEnv* env_;
--- a/packages/connection/src/endpoint_tracker.cc
+++ b/packages/connection/src/endpoint_tracker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace cactusshelf {
 
@@ -10,7 +11,10 @@
 constexpr std::size_t kWindow = 32;
 // Samples of the endpoint that weigh as much as what is known of the service as a whole.
 constexpr double kPriorSamples = 8;
-constexpr std::uint32_t kMaxPenaltyDoublings = 6;
+constexpr std::uint64_t kMaxPenaltyDoublings = 6;
+constexpr Duration kSampleHalfLife = std::chrono::seconds(5);
+// Without it an endpoint that failed once and is then never chosen would never be tried again.
+constexpr Duration kForgiveAfter = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -25,13 +29,19 @@
   }
 }
 
-void EndpointTracker::OnLatency(Duration latency) {
+void EndpointTracker::OnLatency(Time now, Duration latency) {
   failures_ = 0;
+  sampled_ = now;
   latency_.Add(latency);
   median_ = latency_.Quantile(0.5);
   quantile_ = latency_.Quantile(kQuantile);
 }
 
+void EndpointTracker::OnFailure(Time now) {
+  ++failures_;
+  failed_ = now;
+}
+
 void EndpointTracker::ForgetLatency() {
   latency_ = LatencyHistogram(kWindow);
   median_ = Duration::zero();
@@ -39,13 +49,20 @@
   failures_ = 0;
 }
 
-Duration EndpointTracker::Expected(Duration service_quantile) const {
-  const double weight = samples() / (samples() + kPriorSamples);
+Duration EndpointTracker::Expected(Time now, Duration service_quantile) const {
+  const double retained = std::exp2(-static_cast<double>((now - sampled_) / kSampleHalfLife));
+  const double weight = samples() * retained / (samples() * retained + kPriorSamples);
   const double known = weight * static_cast<double>(quantile_.count());
   const double prior = (1 - weight) * static_cast<double>(service_quantile.count());
-  const std::uint32_t doublings = std::min(late_ + 2 * failures_, kMaxPenaltyDoublings);
-  const double penalty = static_cast<double>(std::uint64_t{1} << doublings);
+  const double penalty = static_cast<double>(std::uint64_t{1} << PenaltyDoublings(now));
   return Duration(static_cast<Duration::rep>((known + prior) * penalty));
 }
 
+std::uint32_t EndpointTracker::PenaltyDoublings(Time now) const {
+  const auto forgiven = static_cast<std::uint64_t>((now - failed_) / kForgiveAfter);
+  const std::uint64_t failed = 2 * std::uint64_t{failures_};
+  const std::uint64_t doublings = late_ + (failed > forgiven ? failed - forgiven : 0);
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(doublings, kMaxPenaltyDoublings));
+}
+
 }  // namespace cactusshelf
--- /dev/null
+++ b/packages/connection/tests/endpoints_test.cc
@@ -0,0 +1,220 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "cactusshelf/connection/endpoint_ejector.h"
+#include "cactusshelf/connection/request_queue.h"
+#include "fake_cluster.h"
+
+namespace cactusshelf {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kEndpoints = 10;
+
+ClusterOptions ManyEndpoints(const RouterProtections& protections = {}) {
+  ClusterOptions options;
+  options.endpoints = kEndpoints;
+  options.slots = 6;
+  options.router.protections = protections;
+  return options;
+}
+
+void Load(FakeCluster& cluster, int requests, Duration gap, bool idempotent = true) {
+  for (int i = 0; i < requests; ++i) {
+    cluster.Ask(i % 3, idempotent);
+    cluster.Run(gap);
+  }
+}
+
+TEST_CASE("a leaving endpoint gets nothing new from any host soon after one host learned it") {
+  FakeCluster cluster(ManyEndpoints());
+  Load(cluster, 300, milliseconds(3));
+  cluster.SetLeaving(0, 4);
+  Load(cluster, 300, milliseconds(3));
+  const std::uint64_t sent = cluster.Sent(4);
+  Load(cluster, 600, milliseconds(3));
+  CHECK(cluster.Sent(4) == sent);
+  CHECK(cluster.violations.empty());
+}
+
+double RetryShare(const RouterProtections& protections) {
+  FakeCluster cluster(ManyEndpoints(protections));
+  Load(cluster, 500, milliseconds(3));
+  for (int i = 0; i < kEndpoints; ++i) {
+    cluster.SetMode(i, EndpointMode::kClose);
+  }
+  Load(cluster, 1000, milliseconds(3));
+  const Counters counters = cluster.TotalCounters();
+  return static_cast<double>(counters.Total("cactusshelf_retries_total")) /
+         static_cast<double>(counters.Total("cactusshelf_requests_total"));
+}
+
+TEST_CASE("retries do not multiply the load when all endpoints fail") {
+  CHECK(RetryShare({}) <= 0.1);
+  RouterProtections protections;
+  protections.retry_budget = false;
+  CHECK(RetryShare(protections) > 0.1);
+}
+
+std::uint64_t TotalSent(const FakeCluster& cluster) {
+  std::uint64_t sent = 0;
+  for (int i = 0; i < kEndpoints; ++i) {
+    sent += cluster.Sent(i);
+  }
+  return sent;
+}
+
+// Requests of 100 that are sent to any endpoint after all of them failed for a while.
+std::uint64_t SentWhileAllFail(const RouterProtections& protections) {
+  FakeCluster cluster(ManyEndpoints(protections));
+  for (int i = 0; i < kEndpoints; ++i) {
+    cluster.SetMode(i, EndpointMode::kClose);
+  }
+  Load(cluster, 300, milliseconds(3));
+  const std::uint64_t before = TotalSent(cluster);
+  Load(cluster, 100, milliseconds(3));
+  return TotalSent(cluster) - before;
+}
+
+TEST_CASE("a fault of all endpoints does not eject them all") {
+  CHECK(SentWhileAllFail({}) >= 90);
+  RouterProtections protections;
+  protections.ejection_floor = false;
+  CHECK(SentWhileAllFail(protections) < 90);
+}
+
+TEST_CASE("a failed endpoint is left alone and readmitted after it recovered") {
+  FakeCluster cluster(ManyEndpoints());
+  Load(cluster, 300, milliseconds(3));
+  cluster.SetMode(2, EndpointMode::kDead);
+  Load(cluster, 300, milliseconds(3));
+  const std::uint64_t sent = cluster.Sent(2);
+  Load(cluster, 600, milliseconds(3));
+  CHECK(cluster.Sent(2) - sent <= 12);  // A few tries of each host, then probes only.
+  cluster.SetMode(2, EndpointMode::kNormal);
+  Load(cluster, 2000, milliseconds(3));
+  const std::uint64_t recovered = cluster.Sent(2);
+  Load(cluster, 1000, milliseconds(3));
+  CHECK(cluster.Sent(2) - recovered > 30);
+  CHECK(cluster.violations.empty());
+}
+
+TEST_CASE("an endpoint ten times slower than its peers gets a small share of the requests") {
+  FakeCluster cluster(ManyEndpoints());
+  cluster.SetServiceTime(3, milliseconds(200));
+  Load(cluster, 1000, milliseconds(3));
+  const std::uint64_t sent = cluster.Sent(3);
+  Load(cluster, 2000, milliseconds(3));
+  CHECK(cluster.Sent(3) - sent < 2000 / kEndpoints / 4);
+}
+
+struct Served {
+  int in_time = 0;
+  int refused = 0;
+  int expired = 0;
+};
+
+// Twice the capacity of the endpoints for three seconds.
+Served Overload(const RouterProtections& protections) {
+  ClusterOptions options;
+  options.slots = 2;
+  options.service_time = milliseconds(40);
+  options.deadline = milliseconds(400);
+  options.router.protections = protections;
+  FakeCluster cluster(options);
+  std::vector<RequestToken> tokens;
+  for (int i = 0; i < 1500; ++i) {
+    tokens.push_back(cluster.Ask(i % 3, true));
+    cluster.Run(milliseconds(2));
+  }
+  cluster.Run(seconds(1));
+  cluster.CheckAllAnswered();
+  CHECK(cluster.violations.empty());
+  Served served;
+  for (const RequestToken token : tokens) {
+    const CallerAnswer& answer = *cluster.AnswerTo(token);
+    const bool soon = answer.at - answer.asked <= milliseconds(300);
+    served.in_time += answer.answer.outcome == Outcome::kAnswered ? 1 : 0;
+    served.refused += answer.answer.outcome == Outcome::kNotRun && soon ? 1 : 0;
+    served.expired += answer.answer.outcome != Outcome::kAnswered && !soon ? 1 : 0;
+  }
+  return served;
+}
+
+TEST_CASE("under overload requests are refused early and the rest is served in time") {
+  const Served served = Overload({});
+  // 12 slots of 50 ms each serve 240 a second.
+  CHECK(served.in_time > 500);
+  CHECK(served.refused > 500);
+  CHECK(served.expired < 150);
+  RouterProtections protections;
+  protections.admission = false;
+  CHECK(Overload(protections).expired > 150);
+}
+
+TEST_CASE("under overload a customer of higher priority is served first") {
+  ClusterOptions options;
+  options.service_time = milliseconds(40);
+  options.deadline = milliseconds(400);
+  FakeCluster cluster(options);
+  int high = 0;
+  std::vector<RequestToken> tokens;
+  for (int i = 0; i < 1500; ++i) {
+    const bool important = i % 4 == 0;
+    const RequestToken token = cluster.Ask(i % 3, true, {}, {}, important ? "c2" : "c0");
+    if (important) {
+      tokens.push_back(token);
+    }
+    cluster.Run(milliseconds(2));
+  }
+  cluster.Run(seconds(1));
+  for (const RequestToken token : tokens) {
+    high += cluster.AnswerTo(token)->answer.outcome == Outcome::kAnswered ? 1 : 0;
+  }
+  CHECK(high > static_cast<int>(tokens.size()) * 9 / 10);
+}
+
+TEST_CASE("the queue is bounded and drops what would be served last") {
+  RequestQueue queue(2);
+  const Time now{seconds(1)};
+  CHECK_FALSE(queue.Push({RequestToken{1}, 0, now, now + milliseconds(300)}));
+  CHECK_FALSE(queue.Push({RequestToken{2}, 1, now, now + milliseconds(900)}));
+  CHECK(queue.Push({RequestToken{3}, 0, now, now + milliseconds(200)})->token == RequestToken{1});
+  CHECK(queue.Push({RequestToken{4}, 0, now, now + milliseconds(999)})->token == RequestToken{4});
+  CHECK(queue.Front(now)->token == RequestToken{2});
+}
+
+TEST_CASE("a queue that stays full serves the newest first") {
+  RequestQueue queue(10);
+  const Time start{seconds(1)};
+  queue.Push({RequestToken{1}, 0, start, start + seconds(9)});
+  const Time later = start + milliseconds(600);
+  queue.Push({RequestToken{2}, 0, later, later + seconds(9)});
+  CHECK(queue.Front(start)->token == RequestToken{1});
+  CHECK(queue.Front(later)->token == RequestToken{2});
+}
+
+TEST_CASE("each ejection in a row lasts longer, and one probe at a time is sent") {
+  EndpointEjector ejector(0.5);
+  ejector.Add(0);
+  ejector.Add(1);
+  Time now{seconds(100)};
+  for (int i = 0; i < 3; ++i) {
+    ejector.OnFailure(now, 0);
+  }
+  CHECK(ejector.AccessTo(now, 0) == EndpointAccess::kClosed);
+  now += seconds(1);
+  ejector.OnProbeSent(now, 0);
+  CHECK(ejector.AccessTo(now, 0) == EndpointAccess::kClosed);
+  ejector.OnFailure(now, 0);
+  CHECK(ejector.AccessTo(now + seconds(1), 0) == EndpointAccess::kClosed);
+  CHECK(ejector.AccessTo(now + seconds(2), 0) == EndpointAccess::kProbe);
+  ejector.OnProbeSent(now + seconds(2), 0);
+  ejector.OnSuccess(now + seconds(2), 0);
+  CHECK(ejector.AccessTo(now + seconds(2), 0) == EndpointAccess::kOpen);
+}
+
+}  // namespace
+}  // namespace cactusshelf
