--- /dev/null
+++ b/packages/daemon/src/caller_server.cc
@@ -0,0 +1,296 @@
+#include "caller_server.h"
+
+#include <memory>
+#include <utility>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/daemon/clock.h"
+#include "http_headers.h"
+#include "socket_address.h"
+
+namespace cactusshelf {
+namespace {
+
+// Characters that stand for themselves in a path, besides letters, digits and "-._~" (RFC 3986).
+constexpr char kPathCharacters[] = "/:@!$&'()*+,;=";
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+// A body over the limit is read up to this multiple of the limit, so that the caller can read the
+// response; then the connection is closed.
+constexpr std::size_t kMaxDrainFactor = 16;
+
+void SetResponse(SoupServerMessage* message, int status, const char* type, std::string_view body) {
+  soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
+  soup_server_message_set_response(message, type, SOUP_MEMORY_COPY, body.data(), body.size());
+}
+
+void CloseSocket(SoupServerMessage* message) {
+  g_socket_shutdown(soup_server_message_get_socket(message), TRUE, TRUE, nullptr);
+}
+
+// libsoup has removed dot segments and decoded the path, so it is encoded again.
+std::string PathAndQuery(GUri* uri) {
+  gchar* path = g_uri_escape_string(g_uri_get_path(uri), kPathCharacters, FALSE);
+  std::string text = path;
+  g_free(path);
+  const char* query = g_uri_get_query(uri);
+  if (query != nullptr) text.append("?").append(query);
+  return text;
+}
+
+Body CopyBody(SoupMessageBody* body) {
+  const GBytesPtr bytes(soup_message_body_flatten(body));
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes.get(), &size));
+  return std::make_shared<const std::string>(data == nullptr ? "" : data, size);
+}
+
+}  // namespace
+
+struct CallerServer::Caller {
+  CallerServer* server = nullptr;
+  CallerToken token{};
+  GObjectPtr<SoupServerMessage> message;
+  GSource* watch = nullptr;
+  Time started;
+
+  Caller() = default;
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+  ~Caller() { StopWatch(); }
+
+  void StopWatch() {
+    if (watch == nullptr) return;
+    g_source_destroy(watch);
+    g_source_unref(watch);
+    watch = nullptr;
+  }
+};
+
+CallerServer::CallerServer(const Options& options, Pages pages, ShellMetrics& metrics,
+                           EventSink sink)
+    : max_body_bytes_(options.max_body_bytes),
+      pages_(std::move(pages)),
+      metrics_(metrics),
+      sink_(std::move(sink)),
+      listener_(Listen(options.address)),
+      address_(LocalAddress(listener_.get())),
+      server_(soup_server_new(nullptr, nullptr)) {
+  const auto on_headers = [](SoupServer* /*server*/, SoupServerMessage* message,
+                             const char* /*path*/, GHashTable* /*query*/, gpointer data) {
+    static_cast<CallerServer*>(data)->OnHeaders(message);
+  };
+  soup_server_add_early_handler(server_.get(), nullptr, on_headers, this, nullptr);
+  const auto on_request = [](SoupServer* /*server*/, SoupServerMessage* message, const char* path,
+                             GHashTable* /*query*/, gpointer data) {
+    static_cast<CallerServer*>(data)->OnRequest(message, path);
+  };
+  soup_server_add_handler(server_.get(), nullptr, on_request, this, nullptr);
+  GError* error = nullptr;
+  soup_server_listen_socket(server_.get(), listener_.get(), SoupServerListenOptions{}, &error);
+  const GErrorPtr owned_error(error);
+  if (owned_error) throw Error("cannot listen at " + address_ + ": " + owned_error->message);
+}
+
+CallerServer::~CallerServer() {
+  const auto disconnect = [this](SoupServerMessage* message) {
+    g_signal_handlers_disconnect_by_data(message, this);
+  };
+  for (const auto& [token, caller] : callers_) disconnect(caller->message.get());
+  for (SoupServerMessage* message : unwritten_) disconnect(message);
+  for (const auto& [message, bytes] : counted_) disconnect(message);
+  soup_server_disconnect(server_.get());
+}
+
+void CallerServer::OnHeaders(SoupServerMessage* message) {
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+  const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+  const bool has_length = encoding == SOUP_ENCODING_CONTENT_LENGTH;
+  const auto length = static_cast<std::size_t>(soup_message_headers_get_content_length(headers));
+  if (encoding == SOUP_ENCODING_NONE || (has_length && length <= max_body_bytes_)) return;
+
+  counted_.emplace(message, 0);
+  const auto on_chunk = [](SoupServerMessage* chunked, GBytes* chunk, gpointer data) {
+    static_cast<CallerServer*>(data)->OnChunk(chunked, g_bytes_get_size(chunk));
+  };
+  g_signal_connect(message, "got-chunk", G_CALLBACK(+on_chunk), this);
+  const auto on_finished = [](SoupServerMessage* finished, gpointer data) {
+    static_cast<CallerServer*>(data)->OnFinished(finished);
+  };
+  g_signal_connect(message, "finished", G_CALLBACK(+on_finished), this);
+  if (has_length) {
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    Refuse(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+  }
+}
+
+void CallerServer::OnChunk(SoupServerMessage* message, gsize bytes) {
+  const auto it = counted_.find(message);
+  if (it == counted_.end()) return;
+  it->second += bytes;
+  if (it->second <= max_body_bytes_) return;
+  SoupMessageBody* body = soup_server_message_get_request_body(message);
+  soup_message_body_set_accumulate(body, FALSE);
+  soup_message_body_truncate(body);
+  if (it->second > max_body_bytes_ * kMaxDrainFactor) CloseSocket(message);
+}
+
+void CallerServer::OnRequest(SoupServerMessage* message, const char* path) {
+  const auto counted = counted_.find(message);
+  if (counted != counted_.end()) {
+    const bool too_large = counted->second > max_body_bytes_;
+    counted_.erase(counted);
+    if (too_large) {
+      Refuse(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "body_too_large");
+      return;
+    }
+    // libsoup 3.2.3 takes a chunked body as complete when the connection is closed between chunks.
+    if (IsAtEnd(soup_server_message_get_socket(message))) {
+      Refuse(message, SOUP_STATUS_BAD_REQUEST, "body_truncated");
+      return;
+    }
+  }
+  if (std::string_view(path).starts_with(kServicesPrefix)) {
+    AcceptCall(message);
+  } else {
+    Serve(message, path);
+  }
+}
+
+void CallerServer::Serve(SoupServerMessage* message, std::string_view path) {
+  const std::string_view method = soup_server_message_get_method(message);
+  const bool reads = method == "GET" || method == "HEAD";
+  if (reads && path == "/healthz") {
+    SetResponse(message, SOUP_STATUS_OK, "text/plain", "ok\n");
+  } else if (reads && path == "/readyz") {
+    const bool ready = pages_.ready();
+    SetResponse(message, ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, "text/plain",
+                ready ? "ready\n" : "not ready\n");
+  } else if (reads && path == "/v1/status") {
+    SetResponse(message, SOUP_STATUS_OK, "application/json", pages_.status());
+  } else if (reads && path == "/metrics") {
+    SetResponse(message, SOUP_STATUS_OK, "text/plain; version=0.0.4", pages_.metrics());
+  } else {
+    Refuse(message, SOUP_STATUS_NOT_FOUND, "not_found");
+  }
+}
+
+void CallerServer::Refuse(SoupServerMessage* message, int status, std::string_view reason) {
+  metrics_.counters.Add("cactusshelf_shell_refusals_total", reason);
+  SetResponse(message, status, nullptr, "");
+  SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+  soup_message_headers_replace(headers, "Cactusshelf-Outcome", "not-run");
+  soup_message_headers_replace(headers, "Cactusshelf-Reason", std::string(reason).c_str());
+  soup_message_headers_replace(headers, "Connection", "close");
+}
+
+void CallerServer::AcceptCall(SoupServerMessage* message) {
+  auto caller = std::make_unique<Caller>();
+  caller->server = this;
+  caller->token = CallerToken{next_token_++};
+  caller->message = ShareGObject(message);
+  caller->started = SystemClock().Read().monotonic;
+  const auto on_finished = [](SoupServerMessage* finished, gpointer data) {
+    static_cast<CallerServer*>(data)->OnFinished(finished);
+  };
+  g_signal_connect(message, "finished", G_CALLBACK(+on_finished), this);
+  soup_server_message_pause(message);
+  WatchForClose(*caller, G_IO_IN);
+  tokens_.emplace(message, caller->token);
+
+  node_event::CallerRequest request;
+  request.token = caller->token;
+  request.method = soup_server_message_get_method(message);
+  request.path = PathAndQuery(soup_server_message_get_uri(message));
+  request.headers = CopyEndToEndHeaders(soup_server_message_get_request_headers(message));
+  request.body = CopyBody(soup_server_message_get_request_body(message));
+  callers_.emplace(caller->token, std::move(caller));
+  sink_(std::move(request));
+}
+
+// libsoup does not look at the socket while a message is paused.
+void CallerServer::WatchForClose(Caller& caller, GIOCondition condition) {
+  GSocket* socket = soup_server_message_get_socket(caller.message.get());
+  caller.StopWatch();
+  caller.watch = g_socket_create_source(socket, condition, nullptr);
+  const auto on_ready = [](GSocket* /*socket*/, GIOCondition /*condition*/, gpointer data) {
+    auto* watched = static_cast<Caller*>(data);
+    watched->server->OnReadable(watched->token);
+    return G_SOURCE_CONTINUE;
+  };
+  g_source_set_callback(caller.watch, G_SOURCE_FUNC(+on_ready), &caller, nullptr);
+  g_source_attach(caller.watch, nullptr);
+}
+
+void CallerServer::OnReadable(CallerToken token) {
+  Caller& caller = *callers_.at(token);
+  if (IsAtEnd(soup_server_message_get_socket(caller.message.get()))) {
+    OnGone(token);
+    return;
+  }
+  // The caller pipelined its next request, which stays unread until this one is answered.
+  WatchForClose(caller, static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR));
+}
+
+void CallerServer::OnGone(CallerToken token) {
+  const auto it = callers_.find(token);
+  const std::unique_ptr<Caller> caller = std::move(it->second);
+  callers_.erase(it);
+  SoupServerMessage* message = caller->message.get();
+  tokens_.erase(message);
+  g_signal_handlers_disconnect_by_data(message, this);
+  // Lets libsoup find the closed connection and free the message.
+  CloseSocket(message);
+  soup_server_message_set_status(message, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+  soup_server_message_unpause(message);
+  metrics_.counters.Add("cactusshelf_shell_callers_gone_total", "closed");
+  sink_(node_event::CallerGone{token});
+  CloseIfIdle();
+}
+
+void CallerServer::Respond(const node_effect::RespondToCaller& response) {
+  const auto it = callers_.find(response.token);
+  if (it == callers_.end()) {
+    metrics_.counters.Add("cactusshelf_shell_dropped_responses_total", "caller_gone");
+    return;
+  }
+  const std::unique_ptr<Caller> caller = std::move(it->second);
+  callers_.erase(it);
+  caller->StopWatch();
+  SoupServerMessage* message = caller->message.get();
+  tokens_.erase(message);
+  unwritten_.insert(message);
+  metrics_.request_time.Add(SystemClock().Read().monotonic - caller->started);
+
+  soup_server_message_set_status(message, static_cast<guint>(response.status), nullptr);
+  SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+  AppendEndToEndHeaders(response.headers, headers);
+  if (draining_) soup_message_headers_replace(headers, "Connection", "close");
+  soup_message_body_append_bytes(soup_server_message_get_response_body(message),
+                                 ShareBody(response.body).get());
+  soup_server_message_unpause(message);
+}
+
+void CallerServer::OnFinished(SoupServerMessage* message) {
+  counted_.erase(message);
+  unwritten_.erase(message);
+  const auto token = tokens_.find(message);
+  if (token != tokens_.end()) {
+    OnGone(token->second);
+  } else {
+    CloseIfIdle();
+  }
+}
+
+void CallerServer::Close(std::function<void()> on_closed) {
+  on_closed_ = std::move(on_closed);
+  // soup_server_disconnect would also break off the requests in flight.
+  g_socket_close(listener_.get(), nullptr);
+  CloseIfIdle();
+}
+
+void CallerServer::CloseIfIdle() {
+  if (!on_closed_ || !callers_.empty() || !unwritten_.empty()) return;
+  std::exchange(on_closed_, nullptr)();
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/daemon/src/endpoint_client.h
@@ -0,0 +1,34 @@
+#ifndef CACTUSSHELF_DAEMON_ENDPOINT_CLIENT_H_
+#define CACTUSSHELF_DAEMON_ENDPOINT_CLIENT_H_
+
+#include <unordered_map>
+
+#include "cactusshelf/daemon/interfaces.h"
+#include "cactusshelf/daemon/shell_metrics.h"
+#include "http_client.h"
+
+namespace cactusshelf {
+
+// Sends attempts to endpoints over reused HTTP connections and reports how they end.
+// Not thread-safe.
+class EndpointClient {
+ public:
+  // Answers with a body over `max_answer_bytes` fail with kTooLarge. `metrics` outlives the client.
+  EndpointClient(std::size_t max_answer_bytes, ShellMetrics& metrics, EventSink sink);
+
+  void Send(const node_effect::SendAttempt& attempt);
+  void Cancel(const node_effect::CancelAttempt& cancel);
+
+ private:
+  void OnDone(AttemptToken token, Time started, HttpResult result);
+
+  std::size_t max_answer_bytes_;
+  ShellMetrics& metrics_;
+  EventSink sink_;
+  std::unordered_map<AttemptToken, HttpClient::CallId> calls_;
+  HttpClient http_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_DAEMON_ENDPOINT_CLIENT_H_
--- /dev/null
+++ b/packages/daemon/src/log_client.h
@@ -0,0 +1,38 @@
+#ifndef CACTUSSHELF_DAEMON_LOG_CLIENT_H_
+#define CACTUSSHELF_DAEMON_LOG_CLIENT_H_
+
+#include <string>
+
+#include "cactusshelf/daemon/interfaces.h"
+#include "http_client.h"
+
+namespace cactusshelf {
+
+// Appends to and reads one stream of the log service. Not thread-safe.
+class LogClient {
+ public:
+  struct Options {
+    std::string address;  // "IP:port".
+    std::string stream;
+    Duration timeout{};  // Of an append; a read may take the time it waits in addition.
+    std::size_t max_answer_bytes = 0;
+  };
+
+  LogClient(Options options, EventSink sink);
+
+  void Read(const node_effect::ReadLog& read);
+  void Append(const node_effect::AppendToLog& append);
+
+ private:
+  void OnRead(Time started, const HttpResult& result);
+  void OnAppended(AppendToken token, const HttpResult& result);
+
+  Options options_;
+  std::string records_url_;
+  EventSink sink_;
+  HttpClient http_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_DAEMON_LOG_CLIENT_H_
--- /dev/null
+++ b/packages/daemon/src/peer_transport.cc
@@ -0,0 +1,474 @@
+// websocketpp 0.8.2 does not compile as C++20 with g++ 12, so this file is compiled as C++17.
+#include "peer_transport.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "acceptor.h"
+#include "cactusshelf/base/random.h"
+#include "cactusshelf/daemon/wakeup_timer.h"
+#include "socket_address.h"
+#include "socket_stream.h"
+
+namespace cactusshelf {
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::core>;
+using Client = websocketpp::client<websocketpp::config::core_client>;
+
+constexpr char kPath[] = "/v1/peers";
+constexpr char kMessagesMetric[] = "cactusshelf_shell_peer_messages_total";
+constexpr char kDroppedMetric[] = "cactusshelf_shell_peer_dropped_messages_total";
+constexpr char kConnectionsMetric[] = "cactusshelf_shell_peer_connections_total";
+// Messages stay in the bounded queue while more than this waits to be written.
+constexpr std::size_t kUnwrittenLimit = 65536;
+// Handshakes carry no body.
+constexpr std::size_t kMaxHandshakeBody = 1024;
+constexpr std::size_t kMaxAccepted = 1024;
+
+Time MonotonicNow() { return Time{Duration(g_get_monotonic_time())}; }
+
+// One WebSocket connection over one TCP connection.
+template <typename Endpoint>
+class Session : public std::enable_shared_from_this<Session<Endpoint>> {
+ public:
+  using Connection = typename Endpoint::connection_ptr;
+  using Message = typename Endpoint::message_ptr;
+
+  struct Handlers {
+    std::function<void()> on_open;
+    std::function<void(std::string)> on_message;
+    std::function<void()> on_writable;
+    std::function<void()> on_closed;
+  };
+
+  Session(Connection connection, std::shared_ptr<SocketStream> stream, Handlers handlers)
+      : connection_(std::move(connection)),
+        stream_(std::move(stream)),
+        handlers_(std::move(handlers)),
+        timer_([this] { Close(); }) {}
+
+  // `begin` starts the handshake on the connection, which must end within `timeout`.
+  void Start(std::size_t max_message_bytes, Duration timeout,
+             const std::function<void(const Connection&)>& begin) {
+    const auto keep = this->shared_from_this();
+    timeout_ = timeout;
+    connection_->set_max_message_size(max_message_bytes);
+    connection_->set_max_http_body_size(kMaxHandshakeBody);
+    SetConnectionHandlers();
+    SocketStream::Handlers handlers;
+    handlers.on_data = [this](const char* data, std::size_t n) { OnData(data, n); };
+    handlers.on_end = [this] { Close(); };
+    handlers.on_written = [this] { OnWritten(); };
+    stream_->Start(std::move(handlers));
+    timer_.FireAfter(timeout);
+    begin(connection_);
+  }
+
+  bool CanSend() const { return open_ && stream_->unwritten() < kUnwrittenLimit; }
+
+  void Send(const std::string& bytes) {
+    const auto opcode = websocketpp::frame::opcode::binary;
+    if (connection_->send(bytes.data(), bytes.size(), opcode)) Close();
+  }
+
+  void Close() {
+    if (closed_) return;
+    const auto keep = this->shared_from_this();
+    Abandon();
+    handlers_.on_closed();
+  }
+
+  // Closes without a call to on_closed.
+  void Abandon() {
+    if (closed_) return;
+    closed_ = true;
+    open_ = false;
+    timer_.Clear();
+    stream_->Close();
+    ReleaseLater();
+  }
+
+ private:
+  void SetConnectionHandlers() {
+    using websocketpp::connection_hdl;
+    using websocketpp::lib::error_code;
+    connection_->set_write_handler([this](const connection_hdl&, const char* data, std::size_t n) {
+      stream_->Write(data, n);
+      return error_code();
+    });
+    connection_->set_shutdown_handler([this](const connection_hdl&) {
+      EndAfterWrites();
+      return error_code();
+    });
+    connection_->set_open_handler([this](const connection_hdl&) { OnOpen(); });
+    connection_->set_message_handler(
+        [this](const connection_hdl&, const Message& message) { OnMessage(message); });
+  }
+
+  // A websocketpp connection refers to itself until its pending read fails. That must not happen
+  // within one of its own callbacks, from which Close may be called.
+  void ReleaseLater() {
+    using Self = std::shared_ptr<Session>;
+    const auto release = [](gpointer data) -> gboolean {
+      const Self self = *static_cast<Self*>(data);
+      self->connection_->set_write_handler(nullptr);
+      self->connection_->set_shutdown_handler(nullptr);
+      self->connection_->set_open_handler(nullptr);
+      self->connection_->set_message_handler(nullptr);
+      self->connection_->fatal_error();
+      return G_SOURCE_REMOVE;
+    };
+    const auto destroy = [](gpointer data) { delete static_cast<Self*>(data); };
+    g_idle_add_full(G_PRIORITY_DEFAULT, release, new Self(this->shared_from_this()), destroy);
+  }
+
+  void OnData(const char* data, std::size_t n) {
+    const auto keep = this->shared_from_this();
+    try {
+      connection_->read_all(data, n);
+    } catch (const std::exception&) {
+      Close();
+    }
+  }
+
+  void OnWritten() {
+    if (open_) handlers_.on_writable();
+  }
+
+  void OnOpen() {
+    if (closed_) return;
+    open_ = true;
+    timer_.Clear();
+    handlers_.on_open();
+  }
+
+  void OnMessage(const Message& message) {
+    if (closed_) return;
+    if (message->get_opcode() != websocketpp::frame::opcode::binary) {
+      Close();
+      return;
+    }
+    handlers_.on_message(std::move(message->get_raw_payload()));
+  }
+
+  // The close frame or the refusal of a handshake may still wait to be written.
+  void EndAfterWrites() {
+    if (closed_) return;
+    open_ = false;
+    timer_.FireAfter(timeout_);
+    stream_->CloseAfterWrites();
+  }
+
+  Connection connection_;
+  std::shared_ptr<SocketStream> stream_;
+  Handlers handlers_;
+  WakeupTimer timer_;
+  Duration timeout_{};
+  bool open_ = false;
+  bool closed_ = false;
+};
+
+template <typename Endpoint>
+void Silence(Endpoint& endpoint) {
+  endpoint.clear_access_channels(websocketpp::log::alevel::all);
+  endpoint.clear_error_channels(websocketpp::log::elevel::all);
+}
+
+GObjectPtr<GSocketClient> MakeConnector() {
+  GObjectPtr<GSocketClient> connector(g_socket_client_new());
+  g_socket_client_set_enable_proxy(connector.get(), FALSE);
+  return connector;
+}
+
+}  // namespace
+
+class PeerTransport::Impl {
+ public:
+  Impl(Options options, Counters& counters, std::function<void(std::string)> on_message);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Send(const std::string& address, std::string bytes);
+  const std::string& address() const { return address_; }
+
+ private:
+  class Link;
+  using Accepted = Session<Server>;
+
+  void Accept(GSocketConnection* connection);
+  Link& LinkTo(const std::string& address);
+  void DropIdleLinks();
+
+  Options options_;
+  Counters& counters_;
+  std::function<void(std::string)> on_message_;
+  Random random_;
+  Server server_;
+  Client client_;
+  GObjectPtr<GSocketClient> connector_;
+  std::unique_ptr<Acceptor> acceptor_;
+  std::string address_;
+  std::unordered_map<Accepted*, std::shared_ptr<Accepted>> accepted_;
+  std::map<std::string, std::shared_ptr<Link>> links_;
+};
+
+// The queue for one peer and the connection that empties it.
+class PeerTransport::Impl::Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(Impl& transport, std::string address)
+      : transport_(transport),
+        address_(std::move(address)),
+        cancellable_(g_cancellable_new()),
+        timer_([this] { OnTimer(); }) {}
+
+  ~Link() {
+    if (session_) session_->Abandon();
+  }
+
+  // Ends the link; a connection attempt in progress is dropped when it ends.
+  void Abandon() {
+    state_ = State::kAbandoned;
+    g_cancellable_cancel(cancellable_.get());
+    if (session_) session_->Abandon();
+    session_.reset();
+    timer_.Clear();
+  }
+
+  void Send(std::string bytes) {
+    last_used_ = MonotonicNow();
+    queued_bytes_ += bytes.size();
+    queue_.push_back(std::move(bytes));
+    while (queue_.size() > options().max_queued_messages ||
+           queued_bytes_ > options().max_queued_bytes) {
+      PopOldest();
+      transport_.counters_.Add(kDroppedMetric, "queue_full");
+    }
+    if (state_ == State::kIdle) Connect();
+    Pump();
+  }
+
+  Time last_used() const { return last_used_; }
+
+ private:
+  enum class State { kIdle, kConnecting, kHandshake, kOpen, kBackoff, kAbandoned };
+
+  const Options& options() const { return transport_.options_; }
+
+  std::string PopOldest() {
+    std::string oldest = std::move(queue_.front());
+    queue_.pop_front();
+    queued_bytes_ -= oldest.size();
+    return oldest;
+  }
+
+  void Pump() {
+    while (state_ == State::kOpen && !queue_.empty() && session_->CanSend()) {
+      const std::string bytes = PopOldest();
+      transport_.counters_.Add(kMessagesMetric, "sent");
+      session_->Send(bytes);
+    }
+  }
+
+  void Connect() {
+    state_ = State::kConnecting;
+    timer_.FireAfter(options().handshake_timeout);
+    const GObjectPtr<GInetSocketAddress> target = ParseSocketAddress(address_);
+    cancellable_.reset(g_cancellable_new());
+    const auto on_connected = [](GObject* source, GAsyncResult* result, gpointer data) {
+      const std::unique_ptr<std::shared_ptr<Link>> link(static_cast<std::shared_ptr<Link>*>(data));
+      (*link)->OnConnected(GObjectPtr<GSocketConnection>(
+          g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, nullptr)));
+    };
+    g_socket_client_connect_async(transport_.connector_.get(), G_SOCKET_CONNECTABLE(target.get()),
+                                  cancellable_.get(), on_connected,
+                                  new std::shared_ptr<Link>(this->shared_from_this()));
+  }
+
+  void OnConnected(GObjectPtr<GSocketConnection> connection) {
+    if (state_ != State::kConnecting) return;
+    timer_.Clear();
+    websocketpp::lib::error_code ec;
+    const auto websocket = transport_.client_.get_connection("ws://" + address_ + kPath, ec);
+    if (connection == nullptr || ec) {
+      OnUnreachable();
+      return;
+    }
+    state_ = State::kHandshake;
+    auto stream = std::make_shared<SocketStream>(std::move(connection), options().ack_timeout);
+    Session<Client>::Handlers handlers;
+    handlers.on_open = [this] { OnOpen(); };
+    handlers.on_message = [this](const std::string&) { session_->Close(); };
+    handlers.on_writable = [this] { Pump(); };
+    handlers.on_closed = [this] { OnClosed(); };
+    session_ = std::make_shared<Session<Client>>(websocket, std::move(stream), std::move(handlers));
+    session_->Start(options().max_message_bytes, options().handshake_timeout,
+                    [this](const auto& started) { transport_.client_.connect(started); });
+  }
+
+  void OnOpen() {
+    state_ = State::kOpen;
+    opened_ = MonotonicNow();
+    transport_.counters_.Add(kConnectionsMetric, "opened");
+    Pump();
+  }
+
+  void OnClosed() {
+    const auto keep = this->shared_from_this();
+    const bool was_open = state_ == State::kOpen;
+    session_.reset();
+    if (!was_open) {
+      OnUnreachable();
+      return;
+    }
+    transport_.counters_.Add(kConnectionsMetric, "closed");
+    // A peer that accepts and closes at once is treated like one that cannot be reached.
+    if (MonotonicNow() - opened_ >= options().max_backoff) failures_ = 0;
+    BackOff();
+  }
+
+  void OnUnreachable() {
+    transport_.counters_.Add(kConnectionsMetric, "connect_failed");
+    transport_.counters_.Add(kDroppedMetric, "unreachable", queue_.size());
+    queue_.clear();
+    queued_bytes_ = 0;
+    BackOff();
+  }
+
+  void BackOff() {
+    state_ = State::kBackoff;
+    Duration limit = options().min_backoff;
+    for (int n = 0; n < failures_ && limit < options().max_backoff; ++n) limit *= 2;
+    limit = std::min(limit, options().max_backoff);
+    ++failures_;
+    timer_.FireAfter(transport_.random_.Between(limit / 2, limit));
+  }
+
+  void OnTimer() {
+    if (state_ == State::kConnecting) {
+      // OnConnected follows with no connection.
+      g_cancellable_cancel(cancellable_.get());
+    } else if (state_ == State::kBackoff) {
+      state_ = State::kIdle;
+      if (!queue_.empty()) Connect();
+    }
+  }
+
+  Impl& transport_;
+  std::string address_;
+  GObjectPtr<GCancellable> cancellable_;
+  WakeupTimer timer_;
+  std::shared_ptr<Session<Client>> session_;
+  State state_ = State::kIdle;
+  std::deque<std::string> queue_;
+  std::size_t queued_bytes_ = 0;
+  int failures_ = 0;
+  Time opened_;
+  Time last_used_;
+};
+
+PeerTransport::Impl::Impl(Options options, Counters& counters,
+                          std::function<void(std::string)> on_message)
+    : options_(std::move(options)),
+      counters_(counters),
+      on_message_(std::move(on_message)),
+      random_(options_.seed),
+      connector_(MakeConnector()) {
+  Silence(server_);
+  Silence(client_);
+  const GObjectPtr<GSocket> socket = Listen(options_.address);
+  address_ = LocalAddress(socket.get());
+  acceptor_ = std::make_unique<Acceptor>(
+      socket.get(), [this](GSocketConnection* connection) { Accept(connection); });
+}
+
+PeerTransport::Impl::~Impl() {
+  acceptor_.reset();
+  for (const auto& [address, link] : links_) link->Abandon();
+  for (const auto& [key, session] : accepted_) session->Abandon();
+}
+
+void PeerTransport::Impl::Accept(GSocketConnection* connection) {
+  if (accepted_.size() >= kMaxAccepted) {
+    counters_.Add(kConnectionsMetric, "too_many");
+    return;
+  }
+  const Server::connection_ptr websocket = server_.get_connection();
+  websocket->set_validate_handler(
+      [websocket = websocket.get()](const websocketpp::connection_hdl&) {
+        return websocket->get_resource() == kPath;
+      });
+  auto stream = std::make_shared<SocketStream>(ShareGObject(connection), options_.ack_timeout);
+  // Filled in below, since the handlers name the session that they belong to.
+  const auto self = std::make_shared<Accepted*>(nullptr);
+  Accepted::Handlers handlers;
+  handlers.on_open = [this] { counters_.Add(kConnectionsMetric, "accepted"); };
+  handlers.on_message = [this](std::string bytes) {
+    counters_.Add(kMessagesMetric, "received");
+    on_message_(std::move(bytes));
+  };
+  handlers.on_writable = [] {};
+  handlers.on_closed = [this, self] {
+    counters_.Add(kConnectionsMetric, "accepted_closed");
+    accepted_.erase(*self);
+  };
+  const auto session =
+      std::make_shared<Accepted>(websocket, std::move(stream), std::move(handlers));
+  *self = session.get();
+  accepted_.emplace(session.get(), session);
+  session->Start(options_.max_message_bytes, options_.handshake_timeout,
+                 [](const Server::connection_ptr& started) { started->start(); });
+}
+
+void PeerTransport::Impl::Send(const std::string& address, std::string bytes) {
+  if (bytes.size() > options_.max_message_bytes) {
+    counters_.Add(kDroppedMetric, "too_large");
+    return;
+  }
+  if (ParseSocketAddress(address) == nullptr) {
+    counters_.Add(kDroppedMetric, "bad_address");
+    return;
+  }
+  LinkTo(address).Send(std::move(bytes));
+}
+
+PeerTransport::Impl::Link& PeerTransport::Impl::LinkTo(const std::string& address) {
+  const auto it = links_.find(address);
+  if (it != links_.end()) return *it->second;
+  DropIdleLinks();
+  return *links_.emplace(address, std::make_shared<Link>(*this, address)).first->second;
+}
+
+void PeerTransport::Impl::DropIdleLinks() {
+  const Time oldest = MonotonicNow() - options_.idle_timeout;
+  for (auto it = links_.begin(); it != links_.end();) {
+    if (it->second->last_used() < oldest) {
+      it->second->Abandon();
+      it = links_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+PeerTransport::PeerTransport(Options options, Counters& counters,
+                             std::function<void(std::string)> on_message)
+    : impl_(std::make_unique<Impl>(std::move(options), counters, std::move(on_message))) {}
+
+PeerTransport::~PeerTransport() = default;
+
+void PeerTransport::Send(const std::string& address, std::string bytes) {
+  impl_->Send(address, std::move(bytes));
+}
+
+const std::string& PeerTransport::address() const { return impl_->address(); }
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/daemon/src/program.cc
@@ -0,0 +1,108 @@
+#include "program.h"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+
+#include <cxxopts.hpp>
+#include <random>
+
+#include "cactusshelf/base/findings.h"
+
+namespace cactusshelf {
+namespace {
+
+LogWriter* library_log = nullptr;
+
+LogLevel ToLogLevel(GLogLevelFlags flags) {
+  if ((flags & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL)) != 0) return LogLevel::kError;
+  if ((flags & G_LOG_LEVEL_WARNING) != 0) return LogLevel::kWarning;
+  return LogLevel::kDebug;
+}
+
+std::string FieldText(const GLogField& field) {
+  const auto* text = static_cast<const char*>(field.value);
+  return field.length < 0 ? std::string(text)
+                          : std::string(text, static_cast<std::size_t>(field.length));
+}
+
+GLogWriterOutput WriteLibraryLog(GLogLevelFlags flags, const GLogField* fields, gsize n,
+                                 gpointer /*data*/) {
+  LogEvent event(ToLogLevel(flags), "library");
+  for (gsize i = 0; i < n; ++i) {
+    const std::string_view key = fields[i].key;
+    if (key == "MESSAGE") event.With("message", FieldText(fields[i]));
+    if (key == "GLIB_DOMAIN") event.With("library", FieldText(fields[i]));
+  }
+  library_log->Write(SystemClock().Read().wall, event);
+  return G_LOG_WRITER_HANDLED;
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("cactusshelfd", "Entry host process of cactusshelf");
+  options.add_options()("config", "Settings file", cxxopts::value<std::string>(), "FILE")(
+      "check", "Check the settings file and exit")("help", "Print this help and exit")(
+      "version", "Print the version and exit");
+  return options;
+}
+
+StartPlan LoadSettings(const std::string& path, bool check_only) {
+  Findings findings;
+  Settings settings = ParseSettings(ReadSettingsFile(path), path, findings);
+  if (!findings.empty()) {
+    fmt::print(stderr, "{}", findings.Format());
+    return kExitBadSettings;
+  }
+  if (check_only) {
+    fmt::print("{}: valid\n", path);
+    return 0;
+  }
+  return settings;
+}
+
+}  // namespace
+
+StartPlan PlanStart(int argc, const char* const* argv) {
+  try {
+    cxxopts::Options options = MakeOptions();
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      fmt::print("{}", options.help());
+      return 0;
+    }
+    if (arguments.count("version") > 0) {
+      fmt::print("cactusshelfd {}\n", CACTUSSHELF_VERSION);
+      return 0;
+    }
+    if (!arguments.unmatched().empty()) {
+      throw SettingsError("unexpected argument " + arguments.unmatched().front());
+    }
+    if (arguments.count("config") == 0) throw SettingsError("--config FILE is required");
+    return LoadSettings(arguments["config"].as<std::string>(), arguments.count("check") > 0);
+  } catch (const cxxopts::exceptions::exception& error) {
+    fmt::print(stderr, "cactusshelfd: {}\n", error.what());
+  } catch (const SettingsError& error) {
+    fmt::print(stderr, "cactusshelfd: {}\n", error.what());
+  }
+  return kExitBadSettings;
+}
+
+std::uint64_t SystemRandom() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+std::uint64_t MakeIncarnation() { return static_cast<std::uint64_t>(g_get_real_time()); }
+
+void RouteLibraryLogs(LogWriter& log) {
+  library_log = &log;
+  g_log_set_writer_func(WriteLibraryLog, nullptr, nullptr);
+}
+
+void RaiseFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/daemon/src/program.h
@@ -0,0 +1,63 @@
+#ifndef CACTUSSHELF_DAEMON_PROGRAM_H_
+#define CACTUSSHELF_DAEMON_PROGRAM_H_
+
+#include <cstdint>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/daemon/node_concept.h"
+#include "cactusshelf/daemon/settings.h"
+#include "daemon.h"
+
+namespace cactusshelf {
+
+inline constexpr int kExitFailure = 1;
+inline constexpr int kExitBadSettings = 2;
+
+// What the command line asks for: an exit code if the process has nothing more to do.
+using StartPlan = std::variant<Settings, int>;
+
+// Reads the command line and the settings file. Prints help, version and findings.
+StartPlan PlanStart(int argc, const char* const* argv);
+
+// Value from the system's random source.
+std::uint64_t SystemRandom();
+
+// Microseconds since 1970, which grow between restarts as long as the host's clock is not set back.
+std::uint64_t MakeIncarnation();
+
+// Writes what GLib and libsoup log as log events. `log` outlives the process's use of GLib.
+void RouteLibraryLogs(LogWriter& log);
+
+// Raises the limit of open files to what the system allows; each connection needs one.
+void RaiseFileLimit();
+
+// main() of cactusshelfd with node type `N`.
+template <Node N>
+int RunProgram(int argc, const char* const* argv) {
+  StartPlan plan = PlanStart(argc, argv);
+  if (const int* code = std::get_if<int>(&plan)) return *code;
+  auto& settings = std::get<Settings>(plan);
+  settings.node.incarnation = MakeIncarnation();
+  const std::uint64_t seed = settings.seed ? *settings.seed : SystemRandom();
+  static LogWriter log(settings.log_level, stderr);
+  RouteLibraryLogs(log);
+  RaiseFileLimit();
+  try {
+    N node(settings.node, seed);
+    Daemon<N> daemon(settings, seed, node, log);
+    daemon.Start();
+    return daemon.Run();
+  } catch (const Error& error) {
+    log.Write(SystemClock().Read().wall,
+              LogEvent(LogLevel::kError, "failed").With("reason", std::string(error.what())));
+    return kExitFailure;
+  }
+}
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_DAEMON_PROGRAM_H_
--- /dev/null
+++ b/packages/daemon/src/table_reader.cc
@@ -0,0 +1,215 @@
+#include "table_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <span>
+#include <utility>
+
+#include "socket_address.h"
+
+namespace cactusshelf {
+namespace {
+
+struct Unit {
+  std::string_view name;
+  std::uint64_t factor;
+};
+
+constexpr auto kTimeUnits = std::to_array<Unit>({{"us", 1},
+                                                 {"ms", 1'000},
+                                                 {"s", 1'000'000},
+                                                 {"min", 60'000'000},
+                                                 {"h", 3'600'000'000},
+                                                 {"d", 86'400'000'000}});
+constexpr auto kSizeUnits =
+    std::to_array<Unit>({{"B", 1}, {"KiB", 1ULL << 10}, {"MiB", 1ULL << 20}, {"GiB", 1ULL << 30}});
+constexpr std::uint64_t kMaxQuantity = std::uint64_t{1} << 62;
+
+struct Quantity {
+  std::uint64_t value = 0;
+  std::string error;  // Empty if the text is valid.
+};
+
+// Whole number followed by one of `units`.
+Quantity ParseQuantity(std::string_view text, std::span<const Unit> units,
+                       std::string_view example) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data(), end, number);
+  if (ec != std::errc())
+    return {0, fmt::format("expected a whole number and a unit, such as \"{}\"", example)};
+  const std::string_view name(rest, static_cast<std::size_t>(end - rest));
+  if (name.empty()) return {0, fmt::format("missing unit; write for instance \"{}\"", example)};
+  const auto unit = std::ranges::find(units, name, &Unit::name);
+  if (unit == units.end())
+    return {0, fmt::format("unknown unit \"{}\"; write for instance \"{}\"", name, example)};
+  if (number > kMaxQuantity / unit->factor) return {0, "number too large"};
+  return {number * unit->factor, {}};
+}
+
+// Text in the largest unit that divides `value`.
+std::string FormatQuantity(std::uint64_t value, std::span<const Unit> units) {
+  const Unit* best = &units.front();
+  for (const Unit& unit : units) {
+    if (value % unit.factor == 0 && value > 0) best = &unit;
+  }
+  return fmt::format("{}{}", value / best->factor, best->name);
+}
+
+bool IsUnspecified(GInetSocketAddress* address) {
+  return g_inet_address_get_is_any(g_inet_socket_address_get_address(address));
+}
+
+bool IsNameCharacter(char c) { return g_ascii_isalnum(c) || c == '-' || c == '_' || c == '.'; }
+
+}  // namespace
+
+TableReader::TableReader(const toml::table& table, std::string name, const std::string& file,
+                         Findings& findings)
+    : table_(table), name_(std::move(name)), file_(file), findings_(findings) {}
+
+Place TableReader::ToPlace(const toml::source_region& source) const {
+  return {file_, source.begin.line, source.begin.column};
+}
+
+Place TableReader::PlaceOf(std::string_view key) const {
+  const toml::node* node = table_.get(key);
+  return ToPlace(node != nullptr ? node->source() : table_.source());
+}
+
+std::string TableReader::FullName(std::string_view key) const {
+  return name_.empty() ? std::string(key) : fmt::format("{}.{}", name_, key);
+}
+
+void TableReader::Report(std::string_view key, std::string message) {
+  findings_.Add(PlaceOf(key), fmt::format("{}: {}", FullName(key), std::move(message)));
+}
+
+const toml::node* TableReader::Find(std::string_view key) {
+  known_.emplace(key);
+  return table_.get(key);
+}
+
+void TableReader::Required(std::string_view key) {
+  if (Find(key) == nullptr) Report(key, "missing");
+}
+
+std::optional<std::string> TableReader::Text(std::string_view key, std::string_view expected) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return std::nullopt;
+  const auto* text = node->as_string();
+  if (text == nullptr) {
+    Report(key, fmt::format("expected {}", expected));
+    return std::nullopt;
+  }
+  return text->get();
+}
+
+void TableReader::String(std::string_view key, std::string& target) {
+  if (const auto text = Text(key, "text in quotes")) target = *text;
+}
+
+void TableReader::Name(std::string_view key, std::string& target) {
+  const auto text = Text(key, "text in quotes");
+  if (!text) return;
+  if (text->empty() || !std::ranges::all_of(*text, IsNameCharacter)) {
+    Report(key, "expected letters, digits, '-', '_' and '.'");
+    return;
+  }
+  target = *text;
+}
+
+void TableReader::Address(std::string_view key, std::string& target) {
+  const auto text = Text(key, "an address such as \"127.0.0.1:8080\"");
+  if (!text) return;
+  const auto address = ParseSocketAddress(*text);
+  if (address == nullptr) {
+    Report(key, fmt::format("\"{}\" is not an IP address with a port", *text));
+  } else if (g_inet_socket_address_get_port(address.get()) == 0) {
+    Report(key, "port 0 is not allowed");
+  } else if (IsUnspecified(address.get())) {
+    Report(key, "an unspecified IP address is not allowed");
+  } else {
+    target = *text;
+  }
+}
+
+void TableReader::Time(std::string_view key, Duration low, Duration high, Duration& target) {
+  const auto text = Text(key, "a duration with its unit in quotes, such as \"2s\"");
+  if (!text) return;
+  const Quantity quantity = ParseQuantity(*text, kTimeUnits, "2s");
+  const auto least = static_cast<std::uint64_t>(low.count());
+  const auto most = static_cast<std::uint64_t>(high.count());
+  if (!quantity.error.empty()) {
+    Report(key, quantity.error);
+  } else if (quantity.value < least || quantity.value > most) {
+    Report(key, fmt::format("out of range {} to {}", FormatQuantity(least, kTimeUnits),
+                            FormatQuantity(most, kTimeUnits)));
+  } else {
+    target = Duration(static_cast<Duration::rep>(quantity.value));
+  }
+}
+
+void TableReader::Size(std::string_view key, std::size_t low, std::size_t high,
+                       std::size_t& target) {
+  const auto text = Text(key, "a size with its unit in quotes, such as \"1MiB\"");
+  if (!text) return;
+  const Quantity quantity = ParseQuantity(*text, kSizeUnits, "1MiB");
+  if (!quantity.error.empty()) {
+    Report(key, quantity.error);
+  } else if (quantity.value < low || quantity.value > high) {
+    Report(key, fmt::format("out of range {} to {}", FormatQuantity(low, kSizeUnits),
+                            FormatQuantity(high, kSizeUnits)));
+  } else {
+    target = quantity.value;
+  }
+}
+
+void TableReader::Count(std::string_view key, std::uint64_t low, std::uint64_t high,
+                        std::uint64_t& target) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return;
+  const auto* number = node->as_integer();
+  if (number == nullptr) {
+    Report(key, "expected a whole number");
+  } else if (number->get() < 0 || static_cast<std::uint64_t>(number->get()) < low ||
+             static_cast<std::uint64_t>(number->get()) > high) {
+    Report(key, fmt::format("out of range {} to {}", low, high));
+  } else {
+    target = static_cast<std::uint64_t>(number->get());
+  }
+}
+
+void TableReader::Real(std::string_view key, double low, double high, double& target) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return;
+  const std::optional<double> number = node->is_number() ? node->value<double>() : std::nullopt;
+  if (!number || std::isnan(*number)) {
+    Report(key, "expected a number");
+  } else if (*number < low || *number > high) {
+    Report(key, fmt::format("out of range {} to {}", low, high));
+  } else {
+    target = *number;
+  }
+}
+
+TableReader TableReader::Table(std::string_view key) {
+  static const toml::table empty;
+  const toml::node* node = Find(key);
+  const toml::table* table = node == nullptr ? nullptr : node->as_table();
+  if (node != nullptr && table == nullptr) Report(key, "expected a table");
+  return {table == nullptr ? empty : *table, FullName(key), file_, findings_};
+}
+
+void TableReader::ReportUnknown() {
+  for (const auto& [key, value] : table_) {
+    if (known_.contains(key.str())) continue;
+    findings_.Add(ToPlace(key.source()), fmt::format("{}: unknown key", FullName(key.str())));
+  }
+}
+
+}  // namespace cactusshelf
--- /dev/null
+++ b/packages/daemon/tests/daemon_test.cc
@@ -0,0 +1,199 @@
+#include "daemon.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+
+#include "test_support.h"
+
+namespace cactusshelf {
+namespace {
+
+using node_event::CallerGone;
+using node_event::CallerRequest;
+using node_event::DrainRequested;
+
+constexpr std::size_t kMaxBody = 1000;
+
+Settings TestSettings() {
+  Settings settings;
+  settings.node.http_address = "127.0.0.1:0";
+  settings.node.peer_address = "127.0.0.1:0";
+  settings.node.max_body_bytes = kMaxBody;
+  settings.log_address = ClosedAddress();
+  settings.host_list_address = ClosedAddress();
+  return settings;
+}
+
+struct Fixture {
+  FakeNode node;
+  LogWriter log{LogLevel::kError, stderr};
+  Daemon<FakeNode> daemon{TestSettings(), 1, node, log};
+
+  Fixture() { daemon.Start(); }
+
+  std::size_t requests() const { return EventsOf<CallerRequest>(node.events).size(); }
+
+  // Has the daemon carry out `effect`, with a request as the event.
+  void Emit(NodeEffect effect) {
+    node.effects.push_back(std::move(effect));
+    RawConnection nudge(daemon.http_address());
+    nudge.Write("GET /v1/services/nudge HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(RunUntil([this] { return node.effects.empty(); }));
+    nudge.Close();
+  }
+
+  void Respond(CallerToken token, const std::string& body) {
+    Emit(node_effect::RespondToCaller{
+        token, 200, {{"Cactusshelf-Outcome", "answered"}}, MakeBody(body)});
+  }
+
+  // The response to `request`, up to the end of `last` in it.
+  std::string Ask(const std::string& request, const std::string& last) {
+    RawConnection caller(daemon.http_address());
+    caller.Write(request);
+    RunUntil([&] { return caller.received.find(last) != std::string::npos || caller.ended; });
+    caller.Close();
+    return caller.received;
+  }
+};
+
+std::string Post(const std::string& path, const std::string& body) {
+  return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+TEST_CASE("a caller's request reaches the node and its response reaches the caller") {
+  Fixture fixture;
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write(Post("/v1/services/notices/a%20%3F%25b?x=%2F", "hello"));
+  REQUIRE(RunUntil([&] { return fixture.requests() == 1; }));
+  const auto request = EventsOf<CallerRequest>(fixture.node.events).front();
+  CHECK(request.method == "POST");
+  CHECK(request.path == "/v1/services/notices/a%20%3F%25b?x=%2F");
+  CHECK(*request.body == "hello");
+  fixture.Respond(request.token, "answer");
+  REQUIRE(RunUntil([&] { return caller.received.ends_with("answer"); }));
+  CHECK(caller.received.starts_with("HTTP/1.1 200 "));
+  CHECK(caller.received.find("Cactusshelf-Outcome: answered") != std::string::npos);
+}
+
+TEST_CASE("operators' pages are served, and readiness follows the node") {
+  Fixture fixture;
+  const auto get = [&](const std::string& path, const std::string& last) {
+    return fixture.Ask("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n", last);
+  };
+  CHECK(get("/healthz", "ok\n").starts_with("HTTP/1.1 200 "));
+  CHECK(get("/readyz", "ready\n").starts_with("HTTP/1.1 200 "));
+  CHECK(get("/v1/status", "}").ends_with("{\"fake\":true}"));
+  const std::string metrics = get("/metrics", "cactusshelf_shell_event_seconds_count");
+  CHECK(metrics.find("fake_metric 1\n") != std::string::npos);
+  fixture.node.is_ready = false;
+  CHECK(get("/readyz", "ready\n").starts_with("HTTP/1.1 503 "));
+  CHECK(get("/other", "not_found").starts_with("HTTP/1.1 404 "));
+}
+
+TEST_CASE("a body over the limit is refused as not run, whether or not its length is declared") {
+  Fixture fixture;
+  const std::string head = "POST /v1/services/a/b HTTP/1.1\r\nHost: a\r\n";
+  const std::string body(kMaxBody + 1, 'x');
+  const std::string request =
+      GENERATE_COPY(Post("/v1/services/a/b", body),
+                    head + "Content-Length: 5000000000\r\nExpect: 100-continue\r\n\r\n",
+                    head + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + body + "\r\n0\r\n\r\n");
+  const std::string response = fixture.Ask(request, "\r\n\r\n");
+  CHECK(response.starts_with("HTTP/1.1 413 "));
+  CHECK(response.find("Cactusshelf-Outcome: not-run\r\n") != std::string::npos);
+  CHECK(response.find("Cactusshelf-Reason: body_too_large\r\n") != std::string::npos);
+  CHECK(fixture.requests() == 0);
+}
+
+TEST_CASE("a request body that is cut off never reaches the node") {
+  Fixture fixture;
+  const std::string head = "POST /v1/services/a/b HTTP/1.1\r\nHost: a\r\n";
+  const std::string request = GENERATE_COPY(head + "Content-Length: 5\r\n\r\nabc",
+                                            head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                                            head + "Transfer-Encoding: chunked\r\n\r\n");
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write(request);
+  caller.Finish();
+  REQUIRE(RunUntil([&] { return caller.ended; }));
+  CHECK(fixture.requests() == 0);
+}
+
+TEST_CASE("a caller that goes away is reported, and the late response is dropped") {
+  Fixture fixture;
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write(Post("/v1/services/a/b", "x"));
+  REQUIRE(RunUntil([&] { return fixture.requests() == 1; }));
+  caller.Close();
+  REQUIRE(RunUntil([&] { return !EventsOf<CallerGone>(fixture.node.events).empty(); }));
+  const auto token = EventsOf<CallerRequest>(fixture.node.events).front().token;
+  CHECK(EventsOf<CallerGone>(fixture.node.events).front().token == token);
+  fixture.Respond(token, "late");
+  CHECK(fixture.Ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", "ok\n").ends_with("ok\n"));
+}
+
+TEST_CASE("a request sent before the last answer is neither lost nor taken for a closed caller") {
+  Fixture fixture;
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write(Post("/v1/services/a/1", "x"));
+  REQUIRE(RunUntil([&] { return fixture.requests() == 1; }));
+  caller.Write(Post("/v1/services/a/2", "y"));
+  RunFor(std::chrono::milliseconds(100));
+  CHECK(EventsOf<CallerGone>(fixture.node.events).empty());
+  fixture.Respond(EventsOf<CallerRequest>(fixture.node.events)[0].token, "first");
+  REQUIRE(RunUntil([&] {
+    for (const auto& request : EventsOf<CallerRequest>(fixture.node.events)) {
+      if (request.path == "/v1/services/a/2") return true;
+    }
+    return false;
+  }));
+}
+
+TEST_CASE("a slow caller does not hold up another one") {
+  Fixture fixture;
+  RawConnection slow(fixture.daemon.http_address());
+  slow.Write("POST /v1/services/a/b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
+  RawConnection quick(fixture.daemon.http_address());
+  quick.Write(Post("/v1/services/a/quick", ""));
+  REQUIRE(RunUntil([&] { return fixture.requests() == 1; }));
+  slow.Write("cde");
+  REQUIRE(RunUntil([&] { return fixture.requests() == 2; }));
+  CHECK(*EventsOf<CallerRequest>(fixture.node.events).back().body == "abcde");
+}
+
+TEST_CASE("a planned stop finishes the requests in flight, then exits with 0") {
+  Fixture fixture;
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write(Post("/v1/services/a/b", "x"));
+  REQUIRE(RunUntil([&] { return fixture.requests() == 1; }));
+  const auto token = EventsOf<CallerRequest>(fixture.node.events).front().token;
+  std::raise(GENERATE(SIGTERM, SIGINT));
+  REQUIRE(RunUntil([&] { return !EventsOf<DrainRequested>(fixture.node.events).empty(); }));
+  const std::string page = fixture.Ask("GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n", "ready\n");
+  CHECK(page.starts_with("HTTP/1.1 503 "));
+  CHECK_FALSE(fixture.daemon.exit_code());
+
+  const std::string body(300'000, 'z');
+  fixture.node.effects.push_back(node_effect::RespondToCaller{token, 200, {}, MakeBody(body)});
+  fixture.Emit(node_effect::Stop{});
+  REQUIRE(RunUntil([&] { return fixture.daemon.exit_code().has_value(); }));
+  CHECK(fixture.daemon.exit_code() == 0);
+  REQUIRE(RunUntil([&] { return caller.ended || caller.received.ends_with(body); }));
+  CHECK(caller.received.ends_with(body));
+  CHECK(caller.received.find("Connection: close\r\n") != std::string::npos);
+}
+
+TEST_CASE("a second signal exits with 1 without waiting for requests in flight") {
+  Fixture fixture;
+  std::raise(SIGTERM);
+  REQUIRE(RunUntil([&] { return !EventsOf<DrainRequested>(fixture.node.events).empty(); }));
+  std::raise(SIGINT);
+  REQUIRE(RunUntil([&] { return fixture.daemon.exit_code().has_value(); }));
+  CHECK(fixture.daemon.exit_code() == 1);
+}
+
+}  // namespace cactusshelf
