Apply log records one by one in their order

The order of joins and publishes decides which member holds the slots of a new service. Applied as one batch, two members could each take them as their own. A member that loses its place in the log now ends and starts again.

--- a/packages/node/include/cactusshelf/node/node_effect.h
+++ b/packages/node/include/cactusshelf/node/node_effect.h
@@ -75,8 +75,8 @@
   LogEvent event;
 };
 
-// The process should end. `exit_code` is 0 after a planned stop and kExitRemoved if the other
-// members removed this one, which then has to start again as a new member.
+// The process should end. `exit_code` is 0 after a planned stop and kExitRemoved if this
+// process is no longer a member, or lost its place in the log, and has to start again.
 struct Stop {
   int exit_code = 0;
 };
--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -121,13 +121,18 @@
 // The log.
 
 void EntryNode::Impl::On(const Now& now, const node_event::LogRead& event) {
-  LogReader::Result result = reader_.OnRead(now.monotonic, event);
+  const bool was_loaded = reader_.loaded();
+  const LogReader::Result result = reader_.OnRead(now.monotonic, event, ApplyTo(now));
   if (!result.fault.empty()) {
     Log(LogEvent(LogLevel::kError, "log_unusable").With("reason", result.fault));
   }
-  const bool reached_end = result.reached_end;
-  ApplyResult(now, std::move(result));
-  if (reached_end) {
+  if (was_loaded && result.skipped) {
+    OnRecordsSkipped(now);
+  }
+  if (!was_loaded && reader_.loaded()) {
+    ApplyAll(now);
+  }
+  if (result.reached_end) {
     membership_.OnLogRead(event.started);
   }
 }
@@ -140,7 +145,7 @@
 void EntryNode::Impl::On(const Now& now, const node_event::AppendDone& event) {
   const auto record = appender_.OnDone(now.monotonic, event.token);
   if (record && phase_ == Phase::kLeaving && std::holds_alternative<Leave>(*record)) {
-    Stop(0);
+    Stop(exit_code_);
   }
 }
 
@@ -149,37 +154,47 @@
   Log(LogEvent(LogLevel::kWarning, "log_append_failed").With("reason", event.reason));
 }
 
-void EntryNode::Impl::ApplyResult(const Now& now, LogReader::Result result) {
-  std::vector<Departure> departures;
-  std::vector<JobUpdate> updates;
-  bool configuration = result.skipped;
-  bool members = result.skipped;
-  for (const LogFollower::Applied& it : result.applied) {
-    LogChangeEvent(it);
-    if (std::holds_alternative<PublishAccepted>(it.change)) {
-      configuration = true;
-    } else if (std::holds_alternative<MemberJoined>(it.change)) {
-      members = true;
-    } else if (const auto* gone = std::get_if<MemberGone>(&it.change)) {
-      members = true;
-      const auto kind = gone->remove ? DepartureKind::kRemoved : DepartureKind::kLeft;
-      departures.push_back(
-          {{gone->member.id, gone->member.domain, gone->member.join_offset}, kind});
-    } else if (const auto* jobs = std::get_if<JobsChanged>(&it.change)) {
-      std::ranges::copy(jobs->updates, std::back_inserter(updates));
-    } else if (std::holds_alternative<SnapshotSeen>(it.change)) {
-      appender_.DropWaiting(
-          [](const LogRecord& record) { return std::holds_alternative<SnapshotRecord>(record); });
+// Until the end of the log was reached once, records change only the folded state.
+LogReader::OnApplied EntryNode::Impl::ApplyTo(const Now& now) {
+  return [this, now](const LogFollower::Applied& applied) {
+    if (reader_.loaded()) {
+      ApplyChange(now, applied);
     }
-  }
-  if (members) {
-    ApplyMembers(now, std::move(departures), !result.skipped);
-  }
-  if (configuration) {
+  };
+}
+
+void EntryNode::Impl::ApplyChange(const Now& now, const LogFollower::Applied& applied) {
+  LogChangeEvent(applied);
+  if (std::holds_alternative<PublishAccepted>(applied.change)) {
     ApplyConfiguration(now);
+  } else if (std::holds_alternative<MemberJoined>(applied.change)) {
+    ApplyMembers(now, {}, true);
+  } else if (const auto* gone = std::get_if<MemberGone>(&applied.change)) {
+    const auto kind = gone->remove ? DepartureKind::kRemoved : DepartureKind::kLeft;
+    const Member member{gone->member.id, gone->member.domain, gone->member.join_offset};
+    ApplyMembers(now, {{member, kind}}, true);
+  } else if (const auto* jobs = std::get_if<JobsChanged>(&applied.change)) {
+    cells_.OnJobs(now, state(), jobs->updates);
+  } else if (std::holds_alternative<SnapshotSeen>(applied.change)) {
+    appender_.DropWaiting(
+        [](const LogRecord& record) { return std::holds_alternative<SnapshotRecord>(record); });
   }
-  if (!updates.empty()) {
-    cells_.OnJobs(now, state(), updates);
+}
+
+void EntryNode::Impl::ApplyAll(const Now& now) {
+  ApplyMembers(now, {}, false);
+  ApplyConfiguration(now);
+}
+
+// Without the skipped records, this member cannot tell in which order members and services
+// changed, and so not what it holds. It ends and starts again as a new member.
+void EntryNode::Impl::OnRecordsSkipped(const Now& now) {
+  Log(LogEvent(LogLevel::kError, "log_trimmed_past_this_member"));
+  ApplyAll(now);
+  if (phase_ == Phase::kServing) {
+    records_skipped_ = true;
+    phase_ = Phase::kDraining;
+    gateway_.router().StartDraining(now);
   }
 }
 
@@ -279,13 +294,17 @@
   } else if (const auto* request = std::get_if<CatchUp>(&envelope.payload)) {
     OnCatchUp(envelope.from, *request);
   } else {
-    auto result = reader_.OnCatchUpReply(std::get<CatchUpReply>(envelope.payload));
+    const bool was_loaded = reader_.loaded();
+    const auto result =
+        reader_.OnCatchUpReply(std::get<CatchUpReply>(envelope.payload), ApplyTo(now));
     if (!result.fault.empty()) {
       Log(LogEvent(LogLevel::kWarning, "catch_up_refused")
               .With("from", envelope.from.str())
               .With("reason", result.fault));
     }
-    ApplyResult(now, std::move(result));
+    if (was_loaded && result.skipped) {
+      OnRecordsSkipped(now);
+    }
   }
 }
 
@@ -452,7 +471,7 @@
     case Phase::kLeaving:
       if (now.monotonic >= leave_deadline_) {
         Log(LogEvent(LogLevel::kWarning, "leave_not_recorded"));
-        Stop(0);
+        Stop(exit_code_);
       }
       break;
     case Phase::kStopped:
@@ -465,6 +484,7 @@
     Stop(node_effect::kExitRemoved);
     return;
   }
+  exit_code_ = records_skipped_ ? node_effect::kExitRemoved : 0;
   // After the leave record a successor acts at once, so this member must not act any more.
   phase_ = Phase::kLeaving;
   leave_deadline_ = now.monotonic + kLeaveTimeout;
--- a/packages/node/src/entry_node_impl.h
+++ b/packages/node/src/entry_node_impl.h
@@ -68,7 +68,10 @@
   void On(const Now& now, const node_event::DrainRequested& event);
 
   // Reactions to records of the log.
-  void ApplyResult(const Now& now, LogReader::Result result);
+  LogReader::OnApplied ApplyTo(const Now& now);
+  void ApplyChange(const Now& now, const LogFollower::Applied& applied);
+  void ApplyAll(const Now& now);
+  void OnRecordsSkipped(const Now& now);
   void ApplyConfiguration(const Now& now);
   void ApplyMembers(const Now& now, std::vector<Departure> departures, bool complete);
   void LogChangeEvent(const LogFollower::Applied& applied);
@@ -118,6 +121,8 @@
   Time next_tick_{};
   Time next_seed_query_{};
   Time leave_deadline_{};
+  bool records_skipped_ = false;
+  int exit_code_ = 0;
   std::vector<NodeEffect> effects_;
   Counters counters_;
 };
--- a/packages/node/src/log_reader.cc
+++ b/packages/node/src/log_reader.cc
@@ -29,11 +29,11 @@
   return node_effect::ReadLog{follower_.next_read(), wait};
 }
 
-LogReader::Result LogReader::OnRead(Time now, const node_event::LogRead& read) {
+LogReader::Result LogReader::OnRead(Time now, const node_event::LogRead& read,
+                                    const OnApplied& on_applied) {
   reading_ = false;
   last_success_ = now;
-  const ReadReply reply = ToReply(read);
-  Result result = Consume(follower_, reply);
+  Result result = Consume(ToReply(read), on_applied);
   if (!result.fault.empty()) {
     counters_.Add("cactusshelf_log_reads_total", "unusable");
     next_read_ = now + kRetryDelay;
@@ -52,31 +52,38 @@
   counters_.Add("cactusshelf_log_reads_total", "failed");
 }
 
-LogReader::Result LogReader::Consume(LogFollower& follower, const ReadReply& reply) {
+LogReader::Result LogReader::Consume(const ReadReply& reply, const OnApplied& on_applied) {
   Result result;
-  const Offset before = follower.state().offset();
   try {
-    result.applied = follower.Consume(reply);
+    if (reply.records.empty() || reply.first > follower_.next_read()) {
+      ConsumeOne(reply, on_applied, result);
+      return result;
+    }
+    for (const StoredRecord& it : reply.records) {
+      ConsumeOne({reply.first, reply.next, {it}}, on_applied, result);
+    }
   } catch (const Error& ec) {
     result.fault = ec.what();
   }
-  const Offset after = follower.state().offset();
-  result.skipped = after - before != result.applied.size();
-  if (result.skipped) {
-    cache_.Clear();
-  }
-  Remember(reply, after - result.applied.size());
   return result;
 }
 
-// `before` is the offset of the first record that was applied.
-void LogReader::Remember(const ReadReply& reply, Offset before) {
-  const Offset after = follower_.state().offset();
+void LogReader::ConsumeOne(const ReadReply& reply, const OnApplied& on_applied, Result& result) {
+  const Offset before = state().offset();
+  const auto applied = follower_.Consume(reply);
+  if (state().offset() - before != applied.size()) {
+    result.skipped = true;
+    cache_.Clear();
+  }
+  result.applied += applied.size();
   for (const StoredRecord& it : reply.records) {
-    if (it.offset >= before && it.offset < after) {
+    if (it.offset + applied.size() >= state().offset() && it.offset < state().offset()) {
       cache_.Add({it.offset, it.time, it.data});
     }
   }
+  for (const LogFollower::Applied& it : applied) {
+    on_applied(it);
+  }
 }
 
 bool LogReader::WantsCatchUp(Time now, Offset peer_offset) {
@@ -108,26 +115,25 @@
   return reply;
 }
 
-LogReader::Result LogReader::OnCatchUpReply(const CatchUpReply& reply) {
+LogReader::Result LogReader::OnCatchUpReply(const CatchUpReply& reply,
+                                            const OnApplied& on_applied) {
   if (reply.next <= state().offset()) {
     return {};
   }
-  Result result;
   // Applied to a copy first: records that do not give the sender's chain change nothing.
   LogFollower candidate = follower_;
+  ReadReply read;
+  read.first = reply.records.empty() ? reply.next : reply.records.front().offset;
+  read.next = reply.next;
+  for (const CatchUpRecord& it : reply.records) {
+    read.records.push_back({it.offset, it.time, it.data});
+  }
+  Result result;
   try {
     if (reply.snapshot) {
-      LogState loaded = Snapshot::Decode(*reply.snapshot);
-      candidate = LogFollower(std::move(loaded));
-      result.skipped = true;
+      candidate = LogFollower(Snapshot::Decode(*reply.snapshot));
     } else {
-      ReadReply read;
-      read.first = reply.records.empty() ? reply.next : reply.records.front().offset;
-      read.next = reply.next;
-      for (const CatchUpRecord& it : reply.records) {
-        read.records.push_back({it.offset, it.time, it.data});
-      }
-      result.applied = candidate.Consume(read);
+      candidate.Consume(read);
     }
   } catch (const Error& ec) {
     result.fault = ec.what();
@@ -136,18 +142,16 @@
                       candidate.state().chain() == reply.chain;
   if (!result.fault.empty() || !agrees) {
     counters_.Add("cactusshelf_catch_up_total", "refused");
-    return {{}, false, false, result.fault.empty() ? "chain differs" : result.fault};
-  }
-  follower_ = std::move(candidate);
-  for (const CatchUpRecord& it : reply.records) {
-    if (it.offset + result.applied.size() >= reply.next) {
-      cache_.Add(it);
-    }
-  }
-  if (result.skipped) {
-    cache_.Clear();
+    result.fault = result.fault.empty() ? "chain differs" : result.fault;
+    return result;
   }
   counters_.Add("cactusshelf_catch_up_total", "applied");
+  if (!reply.snapshot) {
+    return Consume(read, on_applied);
+  }
+  follower_ = std::move(candidate);
+  cache_.Clear();
+  result.skipped = true;
   return result;
 }
 
--- a/packages/node/src/log_reader.h
+++ b/packages/node/src/log_reader.h
@@ -1,9 +1,10 @@
 #ifndef CACTUSSHELF_NODE_LOG_READER_H_
 #define CACTUSSHELF_NODE_LOG_READER_H_
 
+#include <cstddef>
+#include <functional>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "cactusshelf/base/counters.h"
 #include "cactusshelf/base/time.h"
@@ -24,8 +25,12 @@
   static constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
   static constexpr Duration kCatchUpAfter = std::chrono::seconds(1);
 
+  // Called after each record, when state() includes it and none of the later ones: the order of
+  // changes of members and configuration decides who holds what.
+  using OnApplied = std::function<void(const LogFollower::Applied&)>;
+
   struct Result {
-    std::vector<LogFollower::Applied> applied;
+    std::size_t applied = 0;
     bool reached_end = false;
     // Records were skipped by loading a snapshot.
     bool skipped = false;
@@ -39,20 +44,20 @@
   // The read to start now, if any.
   std::optional<node_effect::ReadLog> Poll(Time now);
 
-  Result OnRead(Time now, const node_event::LogRead& read);
+  Result OnRead(Time now, const node_event::LogRead& read, const OnApplied& on_applied);
   void OnReadFailed(Time now);
 
   // Whether to ask a peer whose state is at `peer_offset` for records.
   bool WantsCatchUp(Time now, Offset peer_offset);
   CatchUpReply Answer(const CatchUp& request) const;
-  Result OnCatchUpReply(const CatchUpReply& reply);
+  Result OnCatchUpReply(const CatchUpReply& reply, const OnApplied& on_applied);
 
   std::optional<Time> NextWakeup() const;
   const Counters& counters() const { return counters_; }
 
  private:
-  Result Consume(LogFollower& follower, const ReadReply& reply);
-  void Remember(const ReadReply& reply, Offset before);
+  Result Consume(const ReadReply& reply, const OnApplied& on_applied);
+  void ConsumeOne(const ReadReply& reply, const OnApplied& on_applied, Result& result);
 
   LogFollower follower_;
   RecordCache cache_;
