--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -175,7 +175,7 @@
     findings.Add({file, begin.line, begin.column}, std::string(error.description()));
     return settings;
   }
-  TableReader reader(root, "", file, findings);
+  TableReader reader(root, file, findings);
   ReadIdentity(reader, settings);
   ReadLogLevel(reader, findings, settings.log_level);
   ReadSeed(reader, settings);
--- a/packages/daemon/src/table_reader.cc
+++ b/packages/daemon/src/table_reader.cc
@@ -64,21 +64,28 @@
   return g_inet_address_get_is_any(g_inet_socket_address_get_address(address));
 }
 
+Place ToPlace(const std::string& file, const toml::source_region& source) {
+  return {file, source.begin.line, source.begin.column};
+}
+
 bool IsNameCharacter(char c) { return g_ascii_isalnum(c) || c == '-' || c == '_' || c == '.'; }
 
 }  // namespace
 
-TableReader::TableReader(const toml::table& table, std::string name, const std::string& file,
-                         Findings& findings)
-    : table_(table), name_(std::move(name)), file_(file), findings_(findings) {}
+TableReader::TableReader(const toml::table& table, const std::string& file, Findings& findings)
+    : TableReader(table, "", ToPlace(file, table.source()), file, findings) {}
 
-Place TableReader::ToPlace(const toml::source_region& source) const {
-  return {file_, source.begin.line, source.begin.column};
-}
+TableReader::TableReader(const toml::table& table, std::string name, Place place,
+                         const std::string& file, Findings& findings)
+    : table_(table),
+      name_(std::move(name)),
+      place_(std::move(place)),
+      file_(file),
+      findings_(findings) {}
 
 Place TableReader::PlaceOf(std::string_view key) const {
   const toml::node* node = table_.get(key);
-  return ToPlace(node != nullptr ? node->source() : table_.source());
+  return node == nullptr ? place_ : ToPlace(file_, node->source());
 }
 
 std::string TableReader::FullName(std::string_view key) const {
@@ -202,13 +209,14 @@
   const toml::node* node = Find(key);
   const toml::table* table = node == nullptr ? nullptr : node->as_table();
   if (node != nullptr && table == nullptr) Report(key, "expected a table");
-  return {table == nullptr ? empty : *table, FullName(key), file_, findings_};
+  return {table == nullptr ? empty : *table, FullName(key), PlaceOf(key), file_, findings_};
 }
 
 void TableReader::ReportUnknown() {
   for (const auto& [key, value] : table_) {
     if (known_.contains(key.str())) continue;
-    findings_.Add(ToPlace(key.source()), fmt::format("{}: unknown key", FullName(key.str())));
+    findings_.Add(ToPlace(file_, key.source()),
+                  fmt::format("{}: unknown key", FullName(key.str())));
   }
 }
 
--- a/packages/daemon/src/table_reader.h
+++ b/packages/daemon/src/table_reader.h
@@ -19,9 +19,8 @@
 // faulty leaves its target unchanged. Not thread-safe.
 class TableReader {
  public:
-  // The arguments outlive the reader. `name` is empty for the top level.
-  TableReader(const toml::table& table, std::string name, const std::string& file,
-              Findings& findings);
+  // Reader of the top level of `file`. The arguments outlive the reader.
+  TableReader(const toml::table& table, const std::string& file, Findings& findings);
 
   void Required(std::string_view key);
 
@@ -57,13 +56,16 @@
   std::string FullName(std::string_view key) const;
 
  private:
+  TableReader(const toml::table& table, std::string name, Place place, const std::string& file,
+              Findings& findings);
+
   const toml::node* Find(std::string_view key);
   std::optional<std::string> Text(std::string_view key, std::string_view expected);
   void Report(std::string_view key, std::string message);
-  Place ToPlace(const toml::source_region& source) const;
 
   const toml::table& table_;
   std::string name_;
+  Place place_;
   const std::string& file_;
   Findings& findings_;
   std::set<std::string, std::less<>> known_;
--- /dev/null
+++ b/packages/daemon/tests/platform_clients_test.cc
@@ -0,0 +1,155 @@
+#include <catch2/catch.hpp>
+
+#include "cactusshelf/base/errors.h"
+#include "host_list_client.h"
+#include "log_client.h"
+#include "log_codec.h"
+#include "test_support.h"
+#include "worker_client.h"
+
+namespace cactusshelf {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kMaxAnswer = 10'000;
+
+// The next event that a client reports to `events`.
+NodeEvent Await(std::vector<NodeEvent>& events) {
+  REQUIRE(RunUntil([&] { return !events.empty(); }));
+  NodeEvent event = std::move(events.front());
+  events.erase(events.begin());
+  return event;
+}
+
+template <typename T>
+T AwaitOf(std::vector<NodeEvent>& events) {
+  const NodeEvent event = Await(events);
+  REQUIRE(std::holds_alternative<T>(event));
+  return std::get<T>(event);
+}
+
+EventSink Into(std::vector<NodeEvent>& events) {
+  return [&events](NodeEvent event) { events.push_back(std::move(event)); };
+}
+
+}  // namespace
+
+TEST_CASE("log codec keeps arbitrary bytes and refuses answers that cannot be right") {
+  const std::string bytes("\0\xff\x80 text", 8);
+  const std::string encoded = EncodeAppend(bytes);
+  CHECK(encoded == R"({"data":"AP+AIHRleHQ="})");
+  const LogPage page = DecodeReadAnswer(
+      R"({"first":3,"next":9,"records":[{"offset":4,"time_ms":1500,"data":"AP+AIHRleHQ="},)"
+      R"({"offset":8,"time_ms":1501,"data":""}]})");
+  CHECK(page.first == 3);
+  CHECK(page.next == 9);
+  REQUIRE(page.entries.size() == 2);
+  CHECK(page.entries[0].data == bytes);
+  CHECK(page.entries[0].time == WallTime(milliseconds(1500)));
+  CHECK(DecodeAppendAnswer(R"({"offset":12})") == 12);
+  CHECK_THROWS_AS(DecodeAppendAnswer(R"({"offset":-1})"), DecodeError);
+  CHECK_THROWS_AS(DecodeAppendAnswer("[]"), DecodeError);
+  const std::string record =
+      GENERATE(as<std::string>(), R"({"offset":2,"time_ms":1,"data":""})",
+               R"({"offset":9,"time_ms":1,"data":""})", R"({"offset":4,"time_ms":1,"data":"A"})",
+               R"({"offset":4,"time_ms":1,"data":"A===" })",
+               R"({"offset":4,"time_ms":1,"data":"AB*="})", R"({"offset":4,"time_ms":1})",
+               R"({"offset":4,"time_ms":1,"data":""},)"
+               R"({"offset":4,"time_ms":1,"data":""})");
+  CHECK_THROWS_AS(DecodeReadAnswer(R"({"first":3,"next":9,"records":[)" + record + "]}"),
+                  DecodeError);
+}
+
+TEST_CASE("log client appends, reads with a long poll, and reports failures") {
+  std::string answer = HttpOk(R"({"offset":5})");
+  ScriptServer server(
+      [&](RawConnection& connection, const std::string&) { connection.Write(answer); });
+  std::vector<NodeEvent> events;
+  LogClient client({server.address(), "main", seconds(15), kMaxAnswer}, Into(events));
+
+  client.Append({AppendToken{1}, "data"});
+  CHECK(AwaitOf<node_event::AppendDone>(events).offset == 5);
+  CHECK(server.requests()[0].starts_with("POST /v1/streams/main/records HTTP/1.1\r\n"));
+  CHECK(server.requests()[0].ends_with("\r\n\r\n{\"data\":\"ZGF0YQ==\"}"));
+
+  answer = HttpOk(R"({"first":0,"next":1,"records":[{"offset":0,"time_ms":7,"data":"YQ=="}]})");
+  const Time before{Duration(g_get_monotonic_time())};
+  client.Read({0, milliseconds(250)});
+  const auto read = AwaitOf<node_event::LogRead>(events);
+  CHECK(read.started >= before);
+  CHECK(read.entries[0].data == "a");
+  CHECK(server.requests()[1].starts_with(
+      "GET /v1/streams/main/records?from=0&wait_ms=250 HTTP/1.1\r\n"));
+
+  answer = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  client.Append({AppendToken{2}, ""});
+  CHECK(AwaitOf<node_event::AppendFailed>(events).token == AppendToken{2});
+  client.Read({0, seconds(0)});
+  CHECK(AwaitOf<node_event::LogReadFailed>(events).reason == "status 503");
+  answer = HttpOk("not JSON");
+  client.Read({0, seconds(0)});
+  AwaitOf<node_event::LogReadFailed>(events);
+}
+
+TEST_CASE("a read of a log service that does not answer ends after its wait and the timeout") {
+  ScriptServer server([](RawConnection&, const std::string&) {});
+  std::vector<NodeEvent> events;
+  LogClient client({server.address(), "main", milliseconds(100), kMaxAnswer}, Into(events));
+  const gint64 start = g_get_monotonic_time();
+  client.Read({0, milliseconds(100)});
+  AwaitOf<node_event::LogReadFailed>(events);
+  CHECK(g_get_monotonic_time() - start >= 200'000);
+}
+
+TEST_CASE("host list client reads the hosts and reports faulty lists") {
+  std::string answer =
+      HttpOk(R"({"hosts":[{"name":"a","state":"live"},{"name":"b","state":"leaving"}]})");
+  ScriptServer server(
+      [&](RawConnection& connection, const std::string&) { connection.Write(answer); });
+  std::vector<NodeEvent> events;
+  HostListClient client({server.address(), seconds(15), kMaxAnswer}, Into(events));
+  client.Read();
+  const auto read = AwaitOf<node_event::HostsRead>(events);
+  REQUIRE(read.hosts.size() == 2);
+  CHECK(read.hosts[1].name == "b");
+  CHECK(read.hosts[1].state == node_event::HostState::kLeaving);
+  CHECK(server.requests()[0].starts_with("GET /v1/hosts HTTP/1.1\r\n"));
+  answer = HttpOk(R"({"hosts":[{"name":"a","state":"asleep"}]})");
+  client.Read();
+  AwaitOf<node_event::HostsReadFailed>(events);
+}
+
+TEST_CASE("worker client sends commands, reads the state, and tells whether a command was sent") {
+  ScriptServer server([&](RawConnection& connection, const std::string& request) {
+    if (request.find("hang up") != std::string::npos) {
+      connection.Close();
+    } else {
+      connection.Write(HttpOk("state"));
+    }
+  });
+  ShellMetrics metrics;
+  std::vector<NodeEvent> events;
+  WorkerClient client(kMaxAnswer, metrics, Into(events));
+  const auto call = [](std::uint64_t token, const std::string& address, const std::string& body) {
+    return node_effect::CallWorker{WorkerCallToken{token}, address, body, seconds(15), {}};
+  };
+  client.Call(call(1, server.address(), "{}"));
+  CHECK(AwaitOf<node_event::WorkerAnswered>(events).body == "state");
+  CHECK(server.requests()[0].starts_with("POST /v1/commands HTTP/1.1\r\n"));
+  client.Call(call(2, server.address(), ""));
+  AwaitOf<node_event::WorkerAnswered>(events);
+  CHECK(server.requests()[1].starts_with("GET /v1/state HTTP/1.1\r\n"));
+  client.Call(call(3, server.address(), "hang up"));
+  CHECK(AwaitOf<node_event::WorkerFailed>(events).sent);
+  client.Call(call(4, ClosedAddress(), "{}"));
+  CHECK_FALSE(AwaitOf<node_event::WorkerFailed>(events).sent);
+  auto expired = call(5, server.address(), "{}");
+  expired.valid_until = Time{Duration(g_get_monotonic_time())};
+  client.Call(expired);
+  AwaitOf<node_event::EffectExpired>(events);
+  CHECK(server.requests().size() == 3);
+}
+
+}  // namespace cactusshelf
