--- a/packages/cli/src/report.cc
+++ b/packages/cli/src/report.cc
@@ -127,6 +127,34 @@
   }
 }
 
+std::string_view ToString(JobStatus status) {
+  switch (status) {
+    case JobStatus::kAssigned:
+      return "assigned";
+    case JobStatus::kCancelled:
+      return "cancelled";
+    case JobStatus::kFinished:
+      return "finished";
+    case JobStatus::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
+// Jobs of which the log has a record; the others wait for their cell.
+void AddJobs(const LogState& state, Report& report) {
+  report.json["jobs"] = Json::array();
+  for (const auto& [id, job] : state.jobs()) {
+    report.text += fmt::format("job {}: {}", id.str(), ToString(job.status));
+    report.text += job.cell.empty() ? "" : " in cell " + job.cell.str();
+    report.text += job.detail.empty() ? "\n" : ": " + job.detail + "\n";
+    report.json["jobs"].push_back({{"job", id.str()},
+                                   {"status", ToString(job.status)},
+                                   {"cell", job.cell.str()},
+                                   {"detail", job.detail}});
+  }
+}
+
 void AddMembers(const LogState& state, Report& report) {
   report.json["members"] = Json::array();
   for (const auto& [id, member] : state.members()) {
@@ -209,6 +237,7 @@
   }
   report.text += '\n';
   AddFiles(state, report);
+  AddJobs(state, report);
   AddMembers(state, report);
   AddRetirements(state, report);
   AddEntries(state, entries, report);
--- a/packages/daemon/include/cactusshelf/daemon/shell.h
+++ b/packages/daemon/include/cactusshelf/daemon/shell.h
@@ -20,9 +20,9 @@
 template <Node N, Clock C, Ports P>
 class Shell {
  public:
-  // `on_stop` runs when the node asks the process to end.
+  // `on_stop` runs with the exit code when the node asks the process to end.
   Shell(N& node, const C& clock, P& ports, LogWriter& log, ShellMetrics& metrics,
-        std::function<void()> on_stop)
+        std::function<void(int)> on_stop)
       : node_(node),
         clock_(clock),
         ports_(ports),
@@ -105,14 +105,14 @@
   void CarryOut(const node_effect::WriteLogEvent& effect) {
     log_.Write(clock_.Read().wall, effect.event);
   }
-  void CarryOut(const node_effect::Stop& /*effect*/) { on_stop_(); }
+  void CarryOut(const node_effect::Stop& effect) { on_stop_(effect.exit_code); }
 
   N& node_;
   const C& clock_;
   P& ports_;
   LogWriter& log_;
   ShellMetrics& metrics_;
-  std::function<void()> on_stop_;
+  std::function<void(int)> on_stop_;
   WakeupTimer timer_;
   std::deque<NodeEvent> pending_;
   bool handling_ = false;
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -27,7 +27,7 @@
         stop_timeout_(settings.stop_timeout),
         ports_(settings, seed, MakePages(), metrics_,
                [this](NodeEvent event) { shell_.Post(std::move(event)); }),
-        shell_(node, clock_, ports_, log, metrics_, [this] { OnStop(); }),
+        shell_(node, clock_, ports_, log, metrics_, [this](int code) { OnStop(code); }),
         stop_timer_([this] { OnStopTimeout(); }),
         signals_([this] { OnSignal(); }) {}
 
@@ -68,7 +68,8 @@
     shell_.Post(node_event::DrainRequested{});
   }
 
-  void OnStop() {
+  void OnStop(int code) {
+    requested_code_ = code;
     ports_.callers.Close([this] { End(); });
     if (!exit_code_) stop_timer_.FireAfter(stop_timeout_);
   }
@@ -81,7 +82,7 @@
   void End() {
     if (exit_code_) return;
     log_.Write(clock_.Read().wall, LogEvent(LogLevel::kInfo, "stopped"));
-    exit_code_ = 0;
+    exit_code_ = requested_code_;
   }
 
   N& node_;
@@ -90,6 +91,7 @@
   ShellMetrics metrics_;
   Duration stop_timeout_;
   bool draining_ = false;
+  int requested_code_ = 0;
   std::optional<int> exit_code_;
   DaemonPorts ports_;
   Shell<N, SystemClock, DaemonPorts> shell_;
--- a/packages/daemon/src/log_client.h
+++ b/packages/daemon/src/log_client.h
@@ -28,7 +28,6 @@
   void OnAppended(AppendToken token, const HttpResult& result);
 
   Options options_;
-  std::string records_url_;
   EventSink sink_;
   HttpClient http_;
 };
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -9,6 +9,7 @@
 #include <system_error>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/version/retirement.h"
 #include "table_reader.h"
 
 namespace cactusshelf {
@@ -49,6 +50,7 @@
   reader.Name("domain", domain);
   reader.Address("http_address", settings.node.http_address);
   reader.Address("peer_address", settings.node.peer_address);
+  reader.Addresses("seed_peers", settings.node.seed_peers);
   settings.node.domain = DomainId(domain);
 }
 
@@ -75,11 +77,29 @@
   reader.ReportUnknown();
 }
 
+// One table for each failure domain that is reached over a link.
+void ReadLinks(TableReader reader, NodeOptions& node) {
+  for (const std::string& domain : reader.Keys()) {
+    TableReader link_reader = reader.Table(domain);
+    DomainLink link;
+    link.from = node.domain;
+    link.to = DomainId(domain);
+    link_reader.Required("distance");
+    link_reader.Time("distance", Duration::zero(), seconds(1), link.distance);
+    link_reader.Time("cost", Duration::zero(), seconds(1), link.link_cost);
+    link_reader.ReportUnknown();
+    node.links.push_back(std::move(link));
+  }
+  reader.ReportUnknown();
+}
+
 void ReadTiming(TableReader reader, NodeOptions& node) {
-  reader.Time("authority_lease", milliseconds(200), seconds(30), node.authority_lease);
+  // Retirement certificates count on these two upper limits.
+  reader.Time("authority_lease", milliseconds(200), kAuthorityLease, node.authority_lease);
   reader.Time("max_clock_skew", milliseconds(1), seconds(30), node.max_clock_skew);
   reader.Time("claim_window", seconds(10), hours(24), node.claim_window);
-  reader.Time("max_request_timeout", milliseconds(100), minutes(10), node.max_request_timeout);
+  reader.Time("max_request_timeout", milliseconds(100), kLongestRequestTimeout,
+              node.max_request_timeout);
   reader.Time("task_lease", seconds(1), hours(1), node.task_lease);
   reader.Time("log_retention", minutes(1), hours(24 * 365), node.log_retention);
   reader.Time("gossip_period", milliseconds(20), seconds(10), node.gossip_period);
@@ -182,6 +202,7 @@
   reader.Time("stop_timeout", milliseconds(100), minutes(10), settings.stop_timeout);
   ReadLogService(reader.Table("log_service"), settings);
   ReadHostList(reader.Table("host_list"), settings);
+  ReadLinks(reader.Table("links"), settings.node);
   ReadTiming(reader.Table("timing"), settings.node);
   ReadWeights(reader.Table("weights"), settings.node);
   ReadLimits(reader.Table("limits"), settings);
--- a/packages/daemon/src/table_reader.cc
+++ b/packages/daemon/src/table_reader.cc
@@ -133,16 +133,47 @@
 void TableReader::Address(std::string_view key, std::string& target) {
   const auto text = Text(key, "an address such as \"127.0.0.1:8080\"");
   if (!text) return;
-  const auto address = ParseSocketAddress(*text);
+  if (IsUsableAddress(key, *text)) target = *text;
+}
+
+bool TableReader::IsUsableAddress(std::string_view key, const std::string& text) {
+  const auto address = ParseSocketAddress(text);
   if (address == nullptr) {
-    Report(key, fmt::format("\"{}\" is not an IP address with a port", *text));
+    Report(key, fmt::format("\"{}\" is not an IP address with a port", text));
   } else if (g_inet_socket_address_get_port(address.get()) == 0) {
     Report(key, "port 0 is not allowed");
   } else if (IsUnspecified(address.get())) {
     Report(key, "an unspecified IP address is not allowed");
   } else {
-    target = *text;
+    return true;
+  }
+  return false;
+}
+
+void TableReader::Addresses(std::string_view key, std::vector<std::string>& target) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return;
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    Report(key, "expected an array of addresses");
+    return;
+  }
+  for (const toml::node& it : *array) {
+    const auto text = it.value<std::string>();
+    if (!text) {
+      Report(key, "expected an address such as \"127.0.0.1:8080\"");
+    } else if (IsUsableAddress(key, *text)) {
+      target.push_back(*text);
+    }
+  }
+}
+
+std::vector<std::string> TableReader::Keys() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, value] : table_) {
+    keys.emplace_back(key.str());
   }
+  return keys;
 }
 
 void TableReader::Time(std::string_view key, Duration low, Duration high, Duration& target) {
--- a/packages/daemon/src/table_reader.h
+++ b/packages/daemon/src/table_reader.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cactusshelf/base/findings.h"
 #include "cactusshelf/base/time.h"
@@ -33,6 +34,9 @@
   // to others.
   void Address(std::string_view key, std::string& target);
 
+  // Array of addresses as for Address.
+  void Addresses(std::string_view key, std::vector<std::string>& target);
+
   // Text such as "250ms"; units us, ms, s, min, h, d.
   void Time(std::string_view key, Duration low, Duration high, Duration& target);
 
@@ -46,6 +50,9 @@
   // Reader of a table below this one, or of an empty one if it is absent.
   TableReader Table(std::string_view key);
 
+  // Keys of this table, whether read or not.
+  std::vector<std::string> Keys() const;
+
   // Reports the keys that were not read. Call last.
   void ReportUnknown();
 
@@ -60,6 +67,7 @@
               Findings& findings);
 
   const toml::node* Find(std::string_view key);
+  bool IsUsableAddress(std::string_view key, const std::string& text);
   std::optional<std::string> Text(std::string_view key, std::string_view expected);
   void Report(std::string_view key, std::string message);
 
