--- a/packages/cli/src/command_line.cc
+++ b/packages/cli/src/command_line.cc
@@ -232,7 +232,12 @@
   }
   const CustomerId customer(Text(options, "customer"));
   LogFollower follower;
-  MakeLogClient(options).Follow(follower);
+  try {
+    MakeLogClient(options).Follow(follower);
+  } catch (const LogUnavailableError& error) {
+    throw LogUnavailableError(
+        fmt::format("the state of the retirement cannot be determined: {}", error.what()));
+  }
   const RetirementCase* retirement_case = follower.state().retirements().Find(customer);
   if (retirement_case == nullptr) {
     return {ExitCode::kNotCertified,
--- a/packages/cli/src/publisher.h
+++ b/packages/cli/src/publisher.h
@@ -41,14 +41,13 @@
     FollowWithRetries();
     const cactusshelf::Publish publish{
         std::move(publication_id), base.value_or(follower_.state().revision()), std::move(changes)};
-    const std::string bytes = EncodeRecord(publish);
     for (;;) {
       // Also recognizes an earlier append that lies before the snapshot this state started from.
       LogChange expected = follower_.state().Check(publish);
       if (!std::holds_alternative<PublishAccepted>(expected)) {
         return expected;
       }
-      if (auto verdict = AppendAndRead(publish, bytes)) {
+      if (auto verdict = AppendAndRead(publish)) {
         return std::move(*verdict);
       }
       if (!Wait()) {
@@ -89,11 +88,10 @@
     }
   }
 
-  std::optional<LogChange> AppendAndRead(const cactusshelf::Publish& publish,
-                                         std::string_view bytes) {
+  std::optional<LogChange> AppendAndRead(const cactusshelf::Publish& publish) {
     std::optional<LogChange> verdict;
     try {
-      log_.Append(bytes);
+      log_.Append(EncodeRecord(publish));
     } catch (const LogUnavailableError&) {
       // The record may be in the log; the read below shows it.
     }
--- a/packages/cli/tests/publisher_test.cc
+++ b/packages/cli/tests/publisher_test.cc
@@ -134,6 +134,16 @@
   CHECK(it.service.appends == 1);
 }
 
+TEST_CASE("files that are too large are findings and are not sent to the log") {
+  PublisherFixture it;
+  const std::string large(ConfigFile::kMaxFileBytes + 1, '#');
+  FileChanges changes{{"a", large}, {"b", large}, {"c", large}, {"d", large}};
+  const LogChange change = it.Publish(std::move(changes));
+  REQUIRE(As<PublishRejected>(change));
+  CHECK(As<PublishRejected>(change)->reason == PublishRejection::kInvalid);
+  CHECK(it.service.appends == 0);
+}
+
 TEST_CASE("a publish to a trimmed log starts from its snapshot and not from nothing") {
   PublisherFixture it;
   REQUIRE(As<PublishAccepted>(it.Publish(it.customers)));
