Move slots between hosts at once when a failure domain is lost

Hosts of the lost domain kept asking for slots of endpoints that did not answer, and the others held idle leases for up to 2 s. Now slots of suspect endpoints count for no demand, a host names the endpoints that it cannot use when it returns their slots, and hosts give idle slots back when all together need more than there are.

--- a/packages/connection/include/cactusshelf/connection/endpoint_tracker.h
+++ b/packages/connection/include/cactusshelf/connection/endpoint_tracker.h
@@ -33,19 +33,20 @@
   double samples() const { return latency_.weight(); }
   Duration Median() const { return median_; }
 
-  // Latency to expect from one more attempt, given the same quantile of the whole service.
+  // Latency to expect from one more attempt, given the median of the whole service. A higher
+  // quantile would make the load of an endpoint outweigh the link to another failure domain.
   // Few or old samples count less, so that an endpoint that was slow is tried again. Attempts
   // that are late and recent failures raise it.
-  Duration Expected(Time now, Duration service_quantile) const;
+  Duration Expected(Time now, Duration service_median) const;
 
-  static constexpr double kQuantile = 0.9;
+  // Failures or several late attempts suggest that the endpoint does not work at present.
+  bool Suspect(Time now) const;
 
  private:
   std::uint32_t PenaltyDoublings(Time now) const;
 
   LatencyHistogram latency_;
   Duration median_{};
-  Duration quantile_{};
   std::uint32_t in_flight_ = 0;
   std::uint32_t late_ = 0;
   std::uint32_t failures_ = 0;
--- a/packages/connection/include/cactusshelf/connection/slot_allocation.h
+++ b/packages/connection/include/cactusshelf/connection/slot_allocation.h
@@ -23,8 +23,9 @@
 
   struct Slot {
     std::size_t domain = 0;
-    int current = kNobody;  // Member that holds it under a lease.
-    int target = kNobody;   // Set by Allocate.
+    int current = kNobody;      // Member that holds it under a lease.
+    int target = kNobody;       // Set by Allocate.
+    std::vector<int> excluded;  // Members that cannot use it.
   };
 
   // Gives slots first to members of their own failure domain, then to the nearest ones that
--- a/packages/connection/include/cactusshelf/connection/slot_messages.h
+++ b/packages/connection/include/cactusshelf/connection/slot_messages.h
@@ -50,6 +50,8 @@
 struct Return {
   LeaseNumber number = 0;
   std::vector<SlotSet> slots;
+  // The sender cannot use these endpoints at present and wants no other slots of them.
+  bool unusable = false;
 };
 
 }  // namespace cactusshelf
--- a/packages/connection/include/cactusshelf/connection/slot_shares.h
+++ b/packages/connection/include/cactusshelf/connection/slot_shares.h
@@ -35,6 +35,7 @@
   struct Transfer {
     MemberId to;
     LeaseNumber number = 0;
+    bool unusable = false;
     SlotSet slots;
   };
 
@@ -52,6 +53,10 @@
                    std::uint32_t slots, bool fresh);
   void RemoveEndpoint(std::uint32_t n);
 
+  // Slots of an endpoint that is not in use here (ejected or leaving) count for no one's demand
+  // and are not lent, since its other slots would have to serve that demand.
+  void SetInUse(std::uint32_t n, bool in_use);
+
   // Whether a slot is free for an attempt that ends by `end`.
   bool CanTake(Time now, std::uint32_t n, Time end) const;
   // Takes such a slot; empty if there is none.
@@ -73,9 +78,10 @@
   std::vector<SlotSet> LendTo(Time now, const MemberId& member, LeaseNumber number);
   void OnLend(Time now, const MemberId& lender, LeaseNumber number, Time until,
               const SlotSet& slots);
-  // Gives idle lent slots back early, as far as more are lent than this member now needs.
+  // Gives idle lent slots back early: those of endpoints that are not in use here, and what
+  // exceeds this member's need, or its share of the slots if all members together need more.
   void ReturnSurplus(Time now);
-  void OnReturn(Time now, const MemberId& from, LeaseNumber number, const SlotSet& slots);
+  void OnReturn(Time now, const MemberId& from, const Return& header, const SlotSet& slots);
 
   // Extends no lease any more, so that the slots of this home come back to it.
   void StopLending();
@@ -108,12 +114,19 @@
     Time keep_until = Time::min();  // Not to be passed on before.
   };
 
+  struct Unwanted {
+    MemberNumber member = kNobody;
+    Time until{};
+  };
+
   struct Endpoint {
     EndpointId id;
     std::size_t domain = 0;
     bool present = false;
     bool free = false;
+    bool in_use = true;
     std::vector<Token> tokens;
+    std::vector<Unwanted> unwanted;
   };
 
   struct Peer {
@@ -137,6 +150,8 @@
   void CountUsable(Time now);
   void Allocate(Time now);
   void RankMembers();
+  void MarkUnwanted(Time now, Endpoint& endpoint, MemberNumber member);
+  double Share(Time now) const;
   double QuotaOf(Time now, MemberNumber member) const;
   std::uint32_t* IndexOf(const EndpointId& id);
 
--- a/packages/connection/src/endpoint_pool.cc
+++ b/packages/connection/src/endpoint_pool.cc
@@ -15,7 +15,6 @@
 // Three times the median of the peers is beyond the noise of a median of eight samples.
 constexpr int kSlowFactor = 3;
 constexpr Duration kSlowMargin = std::chrono::milliseconds(1);
-constexpr std::size_t kLatencyWindow = 512;
 // A request that must not be repeated probes an endpoint only if no other request did.
 constexpr Duration kProbeDelay = std::chrono::seconds(1);
 
@@ -35,7 +34,6 @@
 EndpointPool::EndpointPool(RouterEnv& env)
     : env_(&env),
       ejector_(env.options.protections.ejection_floor ? env.options.ejection_limit : 1.0),
-      all_latencies_(kLatencyWindow),
       shares_(SharesOptions(env), env.costs, [this](std::uint32_t n, bool free) {
         endpoints_[n].free_slot = free;
         UpdateCandidate(n);
@@ -91,8 +89,11 @@
 }
 
 void EndpointPool::Tick(Now now) {
+  for (std::uint32_t n = 0; n < endpoints_.size(); ++n) {
+    shares_.SetInUse(n, InUse(n) && !endpoints_[n].tracker.Suspect(now.monotonic));
+  }
   shares_.Tick(now.monotonic);
-  quantile_ = all_latencies_.Quantile(EndpointTracker::kQuantile);
+  median_ = latency_.Median();
   if (now.monotonic >= next_slow_check_) {
     next_slow_check_ = now.monotonic + kSlowCheckPeriod;
     EjectSlow(now);
@@ -155,16 +156,16 @@
   }
   if (result == AttemptResult::kFailure) {
     tracker.OnFailure(now.monotonic);
+    shares_.SetInUse(n, false);  // Until the next tick at least.
     if (ejector_.OnFailure(now.monotonic, n)) {
       OnEjected(now, n, "failures");
     }
     return;
   }
   const Duration latency = std::max(elapsed - RoundTrip(n), Duration(1));
-  const Duration usual = all_latencies_.Quantile(0.5);
+  const Duration usual = latency_.Median();
   tracker.OnLatency(now.monotonic, latency);
   latency_.OnLatency(latency);
-  all_latencies_.Add(latency);
   if (picked.probe && FarSlower(latency, usual)) {
     if (ejector_.OnSlow(now.monotonic, n)) {
       OnEjected(now, n, "slow");
@@ -263,12 +264,19 @@
   }
 }
 
-void EndpointPool::UpdateCandidate(std::uint32_t n) {
+bool EndpointPool::InUse(std::uint32_t n) const {
   const Endpoint& endpoint = endpoints_[n];
   const bool leaving = endpoint.leaving && env_->options.protections.avoid_leaving;
   const bool open = ejector_.AccessTo(Time::max(), n) == EndpointAccess::kOpen;
-  picker_.SetCandidate(n, endpoint.domain,
-                       endpoint.present && endpoint.free_slot && !leaving && open);
+  return endpoint.present && !leaving && open;
+}
+
+void EndpointPool::UpdateCandidate(std::uint32_t n) {
+  const bool in_use = InUse(n);
+  if (!in_use) {
+    shares_.SetInUse(n, false);
+  }
+  picker_.SetCandidate(n, endpoints_[n].domain, in_use && endpoints_[n].free_slot);
 }
 
 void EndpointPool::EjectSlow(Now now) {
@@ -345,7 +353,7 @@
 
 Duration EndpointPool::CostOf(Now now, std::uint32_t n) const {
   const EndpointTracker& tracker = endpoints_[n].tracker;
-  return tracker.Expected(now.monotonic, quantile_) * (tracker.in_flight() + 1) / slots_;
+  return tracker.Expected(now.monotonic, median_) * (tracker.in_flight() + 1) / slots_;
 }
 
 Duration EndpointPool::RoundTrip(std::uint32_t n) const {
--- a/packages/connection/src/endpoint_pool.h
+++ b/packages/connection/src/endpoint_pool.h
@@ -99,6 +99,7 @@
   std::uint32_t Place(const EndpointId& id);
   void Remove(Now now, std::uint32_t n);
   void Purge(Now now);
+  bool InUse(std::uint32_t n) const;
   void UpdateCandidate(std::uint32_t n);
   void EjectSlow(Now now);
   void OnEjected(Now now, std::uint32_t n, const char* reason);
@@ -121,8 +122,7 @@
   EndpointPicker picker_;
   EndpointEjector ejector_;
   HedgePolicy latency_;
-  LatencyHistogram all_latencies_;
-  Duration quantile_{};
+  Duration median_{};
   Duration spill_after_{};
   Time next_slow_check_{};
   SlotShares shares_;
--- a/packages/connection/src/router.cc
+++ b/packages/connection/src/router.cc
@@ -466,12 +466,12 @@
   env_.timers.Arm({TimerKind::kTick, 0}, now.monotonic + env_.options.demand_period);
   for (auto& [id, service] : services_) {
     service->LearnDemand();
-    service->pool().shares().SetOwnDemand(service->Demand(ServiceState::Lane::kLendable),
-                                          service->Demand(ServiceState::Lane::kOwnOnly));
+  }
+  exchange_.RefreshOwnDemand();
+  for (auto& [id, service] : services_) {
     service->pool().Tick(now);
-    service->pool().shares().ReturnSurplus(now.monotonic);
   }
-  exchange_.SendTransfers(now);
+  exchange_.SendSurplus(now);
   exchange_.SendDemand(now);
   for (auto& [id, service] : services_) {
     Dispatch(now, *service);
--- a/packages/connection/src/slot_allocation.cc
+++ b/packages/connection/src/slot_allocation.cc
@@ -22,13 +22,17 @@
 
 bool Needs(const SlotAllocation::Member& member) { return member.quota >= 1; }
 
+bool Excluded(const SlotAllocation::Slot& slot, int member) {
+  return std::ranges::find(slot.excluded, member) != slot.excluded.end();
+}
+
 void Assign(Members& members, SlotAllocation::Slot& slot, int member) {
   slot.target = member;
   members[static_cast<std::size_t>(member)].quota -= 1;
 }
 
 void KeepLocal(Members& members, SlotAllocation::Slot& slot) {
-  if (slot.current == SlotAllocation::kNobody) {
+  if (slot.current == SlotAllocation::kNobody || Excluded(slot, slot.current)) {
     return;
   }
   const SlotAllocation::Member& holder = members[static_cast<std::size_t>(slot.current)];
@@ -46,7 +50,7 @@
   for (std::size_t i = 0; i < members.size(); ++i) {
     const SlotAllocation::Member& member = members[i];
     const bool local = member.domain == slot.domain;
-    if (!Needs(member) || (local_only && !local)) {
+    if (!Needs(member) || (local_only && !local) || Excluded(slot, static_cast<int>(i))) {
       continue;
     }
     const Duration cost = local ? Duration::zero() : costs.Cost(member.domain, slot.domain);
@@ -76,7 +80,7 @@
 void KeepRemote(Members& members, std::vector<SlotAllocation::Slot>& slots) {
   for (SlotAllocation::Slot& slot : slots) {
     const bool open = slot.target == SlotAllocation::kNobody;
-    if (open && slot.current != SlotAllocation::kNobody &&
+    if (open && slot.current != SlotAllocation::kNobody && !Excluded(slot, slot.current) &&
         Needs(members[static_cast<std::size_t>(slot.current)])) {
       Assign(members, slot, slot.current);
     }
--- a/packages/connection/src/slot_exchange.cc
+++ b/packages/connection/src/slot_exchange.cc
@@ -1,6 +1,8 @@
 #include "slot_exchange.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace cactusshelf {
@@ -9,6 +11,10 @@
 
 constexpr Duration kUrgentPeriod = std::chrono::milliseconds(25);
 
+bool Recent(Now now, Time last) {
+  return last != Time::min() && now.monotonic - last < kUrgentPeriod;
+}
+
 }  // namespace
 
 SlotExchange::SlotExchange(RouterEnv& env, Services& services,
@@ -43,27 +49,47 @@
 }
 
 void SlotExchange::SendUrgentDemand(Now now) {
-  const bool recent = last_demand_ != Time::min() && now.monotonic - last_demand_ < kUrgentPeriod;
-  if (!recent) {
-    SendDemand(now);
+  if (Recent(now, last_demand_)) {
+    return;
+  }
+  RefreshOwnDemand();
+  SendSurplus(now);
+  SendDemand(now);
+}
+
+void SlotExchange::RefreshOwnDemand() {
+  for (auto& [id, service] : *services_) {
+    service->pool().shares().SetOwnDemand(service->Demand(ServiceState::Lane::kLendable),
+                                          service->Demand(ServiceState::Lane::kOwnOnly));
   }
 }
 
+void SlotExchange::SendSurplus(Now now) {
+  last_surplus_ = now.monotonic;
+  for (auto& [id, service] : *services_) {
+    service->pool().shares().ReturnSurplus(now.monotonic);
+  }
+  SendTransfers(now);
+}
+
 void SlotExchange::SendTransfers(Now now) {
-  std::unordered_map<MemberId, std::unordered_map<LeaseNumber, Return>> returns;
-  std::vector<std::pair<MemberId, LeaseNumber>> order;
+  std::vector<std::pair<MemberId, Return>> returns;
   for (const auto& [id, service] : *services_) {
     for (SlotShares::Transfer& transfer : service->pool().shares().TakeTransfers(now.monotonic)) {
-      Return& message = returns[transfer.to][transfer.number];
-      if (message.slots.empty()) {
-        order.emplace_back(transfer.to, transfer.number);
+      const auto same = [&](const std::pair<MemberId, Return>& item) {
+        return item.first == transfer.to && item.second.number == transfer.number &&
+               item.second.unusable == transfer.unusable;
+      };
+      auto it = std::ranges::find_if(returns, same);
+      if (it == returns.end()) {
+        returns.emplace_back(transfer.to, Return{transfer.number, {}, transfer.unusable});
+        it = std::prev(returns.end());
       }
-      message.number = transfer.number;
-      message.slots.push_back(std::move(transfer.slots));
+      it->second.slots.push_back(std::move(transfer.slots));
     }
   }
-  for (const auto& [to, number] : order) {
-    env_->Send(to, std::move(returns[to][number]));
+  for (auto& [to, message] : returns) {
+    env_->Send(to, std::move(message));
   }
 }
 
@@ -83,6 +109,9 @@
   if (!lend.slots.empty()) {
     env_->Send(from, std::move(lend));
   }
+  if (!Recent(now, last_surplus_)) {
+    SendSurplus(now);
+  }
 }
 
 void SlotExchange::OnLend(Now now, const MemberId& from, const Lend& lend) {
@@ -99,7 +128,7 @@
   for (const SlotSet& slots : returned.slots) {
     ServiceState* service = service_of_(slots.endpoint);
     if (service != nullptr) {
-      service->pool().shares().OnReturn(now.monotonic, from, returned.number, slots);
+      service->pool().shares().OnReturn(now.monotonic, from, returned, slots);
     }
   }
 }
--- a/packages/connection/src/slot_exchange.h
+++ b/packages/connection/src/slot_exchange.h
@@ -25,11 +25,15 @@
 
   void SetMembers(const std::vector<RouterMember>& members);
 
+  // Learns from the services what this member needs.
+  void RefreshOwnDemand();
   // Tells the other members what this one needs.
   void SendDemand(Now now);
   // The same, at once but at most every 25 ms: requests wait and there is no slot.
   void SendUrgentDemand(Now now);
-  // Sends slots whose home moved.
+  // Gives back lent slots that others need more, and sends slots whose home moved.
+  void SendSurplus(Now now);
+  // Sends slots whose home moved or that are to be given back.
   void SendTransfers(Now now);
 
   void OnDemand(Now now, const MemberId& from, const Demand& demand);
@@ -43,6 +47,7 @@
   std::vector<MemberId> others_;
   LeaseNumber last_lease_ = 0;
   Time last_demand_ = Time::min();
+  Time last_surplus_ = Time::min();
 };
 
 }  // namespace cactusshelf
--- a/packages/connection/src/slot_shares.cc
+++ b/packages/connection/src/slot_shares.cc
@@ -20,6 +20,8 @@
 // A demand this old no longer tells what its sender needs.
 constexpr Duration kDemandLife = std::chrono::seconds(1);
 // A token from a member that knows a newer member list is kept until that list arrives here.
+// A member that cannot use an endpoint gets no slots of it for this long.
+constexpr Duration kUnwantedFor = std::chrono::seconds(1);
 constexpr Duration kKeepReceived = std::chrono::seconds(1);
 
 constexpr std::uint64_t Bit(std::uint32_t slot) { return std::uint64_t{1} << slot; }
@@ -93,6 +95,12 @@
   endpoint = Endpoint{};
 }
 
+void SlotShares::SetInUse(std::uint32_t n, bool in_use) {
+  if (n < endpoints_.size()) {
+    endpoints_[n].in_use = in_use;
+  }
+}
+
 bool SlotShares::CanTake(Time now, std::uint32_t n, Time end) const {
   if (!options_.enforce) {
     return true;
@@ -211,36 +219,70 @@
 
 void SlotShares::ReturnSurplus(Time now) {
   std::vector<std::pair<std::uint32_t, Token*>> idle;
+  double held = 0;
   double borrowed = 0;
   for (std::uint32_t n = 0; n < endpoints_.size(); ++n) {
     for (Token& token : endpoints_[n].tokens) {
-      if (token.borrowed_until <= now) {
+      const bool lent_here = token.borrowed_until > now && !token.give_back;
+      if (lent_here && !endpoints_[n].in_use) {
+        token.give_back = !token.in_use;
         continue;
       }
-      ++borrowed;
-      if (!token.in_use) {
+      held += OwnUsable(now, token) ? 1 : 0;
+      borrowed += lent_here ? 1 : 0;
+      if (lent_here && !token.in_use) {
         idle.emplace_back(n, &token);
       }
     }
   }
+  const double share = Share(now);
+  const bool contended = share < own_demand_;
+  double surplus = contended ? held + borrowed - share : borrowed - own_demand_ - 1;
+  // The farthest first.
+  std::ranges::stable_sort(idle, std::greater<>(), [&](const auto& item) {
+    return costs_->Cost(options_.domain, endpoints_[item.first].domain);
+  });
   for (const auto& [n, token] : idle) {
-    if (borrowed <= own_demand_ + 1) {
+    if (surplus < 1) {
       return;
     }
-    --borrowed;
+    surplus -= 1;
     token->give_back = true;
     UpdateFree(now, n);
   }
 }
 
-void SlotShares::OnReturn(Time now, const MemberId& from, LeaseNumber number,
+double SlotShares::Share(Time now) const {
+  double wanted = own_demand_ + own_only_;
+  for (std::size_t i = 1; i < peers_.size(); ++i) {
+    wanted += QuotaOf(now, static_cast<MemberNumber>(i)) * static_cast<double>(members_);
+  }
+  double slots = 0;
+  for (const Endpoint& endpoint : endpoints_) {
+    slots += endpoint.in_use ? static_cast<double>(endpoint.tokens.size()) : 0;
+  }
+  return own_demand_ * std::min(slots / std::max(wanted, 1.0), 1.0);
+}
+
+void SlotShares::MarkUnwanted(Time now, Endpoint& endpoint, MemberNumber member) {
+  std::erase_if(endpoint.unwanted, [&](const Unwanted& entry) {
+    return entry.member == member || entry.until <= now;
+  });
+  endpoint.unwanted.push_back(Unwanted{member, now + kUnwantedFor});
+}
+
+void SlotShares::OnReturn(Time now, const MemberId& from, const Return& header,
                           const SlotSet& slots) {
+  const LeaseNumber number = header.number;
   const std::uint32_t* n = IndexOf(slots.endpoint);
   if (n == nullptr) {
     return;
   }
   const MemberNumber sender = NumberOf(from);
   bool sender_is_home = false;
+  if (header.unusable) {
+    MarkUnwanted(now, endpoints_[*n], sender);
+  }
   std::vector<Token>& tokens = endpoints_[*n].tokens;
   for (std::uint32_t slot = 0; slot < tokens.size(); ++slot) {
     Token& token = tokens[slot];
@@ -297,7 +339,8 @@
         return;
       }
     }
-    transfers.push_back(Transfer{id, number, SlotSet{endpoint.id, Bit(slot)}});
+    const bool unusable = number != 0 && !endpoint.in_use;
+    transfers.push_back(Transfer{id, number, unusable, SlotSet{endpoint.id, Bit(slot)}});
   };
   for (Endpoint& endpoint : endpoints_) {
     for (std::uint32_t slot = 0; slot < endpoint.tokens.size(); ++slot) {
@@ -393,6 +436,9 @@
   usable_ = 0;
   usable_near_ = 0;
   for (const Endpoint& endpoint : endpoints_) {
+    if (!endpoint.in_use) {
+      continue;
+    }
     for (const Token& token : endpoint.tokens) {
       if (OwnUsable(now, token) || BorrowedUsable(now, token, now)) {
         ++usable_;
@@ -421,12 +467,22 @@
   std::vector<SlotAllocation::Slot> slots;
   std::vector<Token*> tokens;
   for (Endpoint& endpoint : endpoints_) {
+    std::vector<int> excluded;
+    for (const Unwanted& entry : endpoint.unwanted) {
+      if (entry.until > now) {
+        excluded.push_back(entry.member);
+      }
+    }
     for (Token& token : endpoint.tokens) {
       if (token.home != kSelf || token.held_from > now) {
         continue;
       }
+      if (!endpoint.in_use) {
+        token.meant_for = kNobody;
+        continue;
+      }
       const bool lent = token.lent_until > now;
-      slots.push_back({endpoint.domain, lent ? token.lent_to : kNobody, kNobody});
+      slots.push_back({endpoint.domain, lent ? token.lent_to : kNobody, kNobody, excluded});
       tokens.push_back(&token);
     }
   }
