--- a/packages/connection/src/slot_exchange.cc
+++ b/packages/connection/src/slot_exchange.cc
@@ -1,6 +1,8 @@
 #include "slot_exchange.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace cactusshelf {
@@ -9,6 +11,15 @@
 
 constexpr Duration kUrgentPeriod = std::chrono::milliseconds(25);
 
+constexpr Duration kResendAfter = std::chrono::milliseconds(500);
+// Well before the new home takes the slots without word of the former one.
+constexpr Duration kGiveUpAfter = std::chrono::seconds(20);
+constexpr std::size_t kRememberedTransfers = 1000;
+
+bool Recent(Now now, Time last) {
+  return last != Time::min() && now.monotonic - last < kUrgentPeriod;
+}
+
 }  // namespace
 
 SlotExchange::SlotExchange(RouterEnv& env, Services& services,
@@ -22,6 +33,7 @@
       others_.push_back(member.id);
     }
   }
+  std::erase_if(received_, [&](const auto& item) { return !IsOther(item.first); });
 }
 
 void SlotExchange::SendDemand(Now now) {
@@ -43,28 +55,53 @@
 }
 
 void SlotExchange::SendUrgentDemand(Now now) {
-  const bool recent = last_demand_ != Time::min() && now.monotonic - last_demand_ < kUrgentPeriod;
-  if (!recent) {
-    SendDemand(now);
+  if (Recent(now, last_demand_)) {
+    return;
+  }
+  RefreshOwnDemand();
+  SendSurplus(now);
+  SendDemand(now);
+}
+
+void SlotExchange::RefreshOwnDemand() {
+  for (auto& [id, service] : *services_) {
+    service->pool().shares().SetOwnDemand(service->Demand(ServiceState::Lane::kLendable),
+                                          service->Demand(ServiceState::Lane::kOwnOnly));
   }
 }
 
+void SlotExchange::SendSurplus(Now now) {
+  last_surplus_ = now.monotonic;
+  for (auto& [id, service] : *services_) {
+    service->pool().shares().ReturnSurplus(now.monotonic);
+  }
+  SendTransfers(now);
+}
+
 void SlotExchange::SendTransfers(Now now) {
-  std::unordered_map<MemberId, std::unordered_map<LeaseNumber, Return>> returns;
-  std::vector<std::pair<MemberId, LeaseNumber>> order;
+  std::vector<std::pair<MemberId, Return>> returns;
   for (const auto& [id, service] : *services_) {
     for (SlotShares::Transfer& transfer : service->pool().shares().TakeTransfers(now.monotonic)) {
-      Return& message = returns[transfer.to][transfer.number];
-      if (message.slots.empty()) {
-        order.emplace_back(transfer.to, transfer.number);
+      const auto same = [&](const std::pair<MemberId, Return>& item) {
+        return item.first == transfer.to && item.second.number == transfer.number &&
+               item.second.unusable == transfer.unusable;
+      };
+      auto it = std::ranges::find_if(returns, same);
+      if (it == returns.end()) {
+        returns.emplace_back(transfer.to, Return{transfer.number, {}, transfer.unusable});
+        it = std::prev(returns.end());
       }
-      message.number = transfer.number;
-      message.slots.push_back(std::move(transfer.slots));
+      it->second.slots.push_back(std::move(transfer.slots));
     }
   }
-  for (const auto& [to, number] : order) {
-    env_->Send(to, std::move(returns[to][number]));
+  for (auto& [to, message] : returns) {
+    if (message.number == 0) {
+      message.transfer = ++last_transfer_;
+      unconfirmed_[message.transfer] = Sent{to, message, now.monotonic, now.monotonic};
+    }
+    env_->Send(to, std::move(message));
   }
+  Resend(now);
 }
 
 void SlotExchange::OnDemand(Now now, const MemberId& from, const Demand& demand) {
@@ -83,6 +120,9 @@
   if (!lend.slots.empty()) {
     env_->Send(from, std::move(lend));
   }
+  if (!Recent(now, last_surplus_)) {
+    SendSurplus(now);
+  }
 }
 
 void SlotExchange::OnLend(Now now, const MemberId& from, const Lend& lend) {
@@ -95,11 +135,51 @@
   }
 }
 
+void SlotExchange::Resend(Now now) {
+  std::erase_if(unconfirmed_, [&](const auto& item) {
+    return !IsOther(item.second.to) || now.monotonic - item.second.first > kGiveUpAfter;
+  });
+  for (auto& [number, sent] : unconfirmed_) {
+    if (now.monotonic - sent.last >= kResendAfter) {
+      sent.last = now.monotonic;
+      env_->Send(sent.to, sent.message);
+    }
+  }
+}
+
+bool SlotExchange::IsOther(const MemberId& member) const {
+  return std::ranges::find(others_, member) != others_.end();
+}
+
+bool SlotExchange::KnowsAll(const Return& returned) const {
+  return std::ranges::all_of(
+      returned.slots, [&](const SlotSet& slots) { return service_of_(slots.endpoint) != nullptr; });
+}
+
 void SlotExchange::OnReturn(Now now, const MemberId& from, const Return& returned) {
+  if (returned.received) {
+    unconfirmed_.erase(returned.transfer);
+    return;
+  }
+  if (returned.number == 0) {
+    // Without its configuration this member cannot keep the slots; the sender tries again.
+    if (!KnowsAll(returned)) {
+      return;
+    }
+    env_->Send(from, Return{0, {}, false, returned.transfer, true});
+    std::set<TransferNumber>& received = received_[from];
+    const bool known = !received.insert(returned.transfer).second;
+    if (known) {
+      return;
+    }
+    if (received.size() > kRememberedTransfers) {
+      received.erase(received.begin());
+    }
+  }
   for (const SlotSet& slots : returned.slots) {
     ServiceState* service = service_of_(slots.endpoint);
     if (service != nullptr) {
-      service->pool().shares().OnReturn(now.monotonic, from, returned.number, slots);
+      service->pool().shares().OnReturn(now.monotonic, from, returned, slots);
     }
   }
 }
