Weigh relief by its worth and ask for room before evicting for urgent work

Any service above the limit had its neighbours throttled, which kept room occupied, delayed starts and led to evictions for urgent work; a step is now taken only if the gain of the service exceeds the loss of the batch work, each by its weight. And ends of tasks are known only with the next report, up to 5 s later, so urgent work evicted tasks from a cell that had room; workers are now asked first.

--- /dev/null
+++ b/packages/placement/bench/cell_scheduler_bench.cc
@@ -0,0 +1,191 @@
+// Cost of one start decision and of one worker report, by the size of the cell.
+#include <benchmark/benchmark.h>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cactusshelf/placement/cell_scheduler.h"
+
+namespace cactusshelf {
+namespace {
+
+constexpr Time kBegin{std::chrono::hours(1)};
+constexpr Epoch kEpoch = 1;
+constexpr int kPerRack = 8;
+constexpr int kClasses = 20;
+constexpr int kTasksPerJob = 10;
+constexpr std::int64_t kGib = std::int64_t{1} << 30;
+
+// A cell with running tasks whose workers answer at once and finish nothing by themselves.
+class BusyCell {
+ public:
+  BusyCell(int workers, int tasks) : scheduler_(CellOptions{}, Random(1)) {
+    std::vector<WorkerSpec> specs;
+    for (int i = 0; i < workers; ++i) {
+      WorkerSpec spec;
+      spec.id = WorkerId("w" + std::to_string(i));
+      spec.rack = RackId("r" + std::to_string(i / kPerRack));
+      spec.domain = DomainId("d" + std::to_string(i / kPerRack % 7));
+      spec.capacity = {16000, 60 * kGib, 0};
+      spec.services.push_back({ServiceId("service"), 1, {2000, 8 * kGib, 0}});
+      specs.push_back(std::move(spec));
+    }
+    scheduler_.ApplyTeams(now_, {{TeamId("team"),
+                                  CustomerId("customer"),
+                                  0,
+                                  {std::int64_t{1} << 40, std::int64_t{1} << 60, 0}}});
+    scheduler_.ApplyWorkers(now_, specs);
+    scheduler_.SetAuthority(now_, Time::max());
+    scheduler_.TakeOwnership(now_, kEpoch, now_);
+    Answer();
+    for (int i = 0; i < tasks / kTasksPerJob; ++i) {
+      AdmitJob(kTasksPerJob);
+    }
+  }
+
+  JobId AdmitJob(std::uint32_t tasks) {
+    JobSpec job;
+    job.id = JobId("job" + std::to_string(next_job_));
+    job.team = TeamId("team");
+    job.customer = CustomerId("customer");
+    job.job_class = JobClass("class" + std::to_string(next_job_ % kClasses));
+    job.tasks = tasks;
+    job.size = {1000, 3 * kGib, 0};
+    ++next_job_;
+    scheduler_.AdmitJob(now_, job);
+    Answer();
+    return job.id;
+  }
+
+  void Cancel(const JobId& job) {
+    scheduler_.CancelJob(now_, job);
+    Answer();
+  }
+
+  // Answers all commands until none is left.
+  void Answer() {
+    now_ += std::chrono::milliseconds(1);
+    ++worker_time_.ms;
+    for (std::vector<CellEffect> effects = scheduler_.TakeEffects(); !effects.empty();
+         effects = scheduler_.TakeEffects()) {
+      for (const CellEffect& effect : effects) {
+        std::visit([this](const auto& any) { AnswerOne(any); }, effect);
+      }
+    }
+  }
+
+  // A report of worker `i`, as it would send it now.
+  WorkerState Report(int i) {
+    WorkerState state = states_.at(WorkerId("w" + std::to_string(i)));
+    state.worker_time = worker_time_;
+    const WorkerTime measured{worker_time_.ms - 1};
+    for (RunningTask& task : state.running) {
+      task.usage = {800, 2 * kGib, 0};
+      task.measured_at = measured;
+    }
+    state.services.push_back({ServiceId("service"), std::chrono::milliseconds(40), 100, measured});
+    return state;
+  }
+
+  void Apply(int i, const WorkerState& state) {
+    scheduler_.OnWorkerState(now_, WorkerId("w" + std::to_string(i)), state);
+  }
+
+  // Moves the clocks on without running timers.
+  void Tick() {
+    now_ += std::chrono::microseconds(100);
+    worker_time_.ms += 2;
+  }
+
+  std::size_t running() const {
+    std::size_t count = 0;
+    for (const auto& [id, state] : states_) {
+      count += state.running.size();
+    }
+    return count;
+  }
+
+ private:
+  void Confirm(const CommandHeader& header) {
+    scheduler_.OnCommandResult(now_, header.id, {CommandStatus::kDone, kEpoch, 1, worker_time_});
+  }
+  void AnswerOne(const StartTask& command) {
+    RunningTask task;
+    task.task = command.task;
+    task.job_class = command.job_class;
+    task.customer = command.customer;
+    task.size = command.size;
+    states_[command.header.worker].running.push_back(task);
+    Confirm(command.header);
+  }
+  void AnswerOne(const StopTask& command) {
+    std::erase_if(states_[command.header.worker].running,
+                  [&](const RunningTask& task) { return task.task == command.task; });
+    Confirm(command.header);
+  }
+  void AnswerOne(const ReadState& command) {
+    WorkerState& state = states_[command.header.worker];
+    state.epoch_held = kEpoch;
+    state.incarnation = 1;
+    state.worker_time = worker_time_;
+    scheduler_.OnWorkerState(now_, command.header.worker, state);
+  }
+  void AnswerOne(const JobFinished&) {}
+  void AnswerOne(const JobRefused&) {}
+  template <typename Command>
+  void AnswerOne(const Command& command) {
+    Confirm(command.header);
+  }
+
+  Time now_ = kBegin;
+  WorkerTime worker_time_{1000};
+  CellScheduler scheduler_;
+  std::unordered_map<WorkerId, WorkerState> states_;
+  int next_job_ = 0;
+};
+
+// One start: the admission of a job of one task, the decision, and its end by cancellation, with
+// the messages of the worker.
+void StartDecision(benchmark::State& state) {
+  BusyCell cell(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
+  for (auto _ : state) {
+    cell.Cancel(cell.AdmitJob(1));
+  }
+  state.counters["running"] = static_cast<double>(cell.running());
+}
+
+// One report of a worker with its share of the tasks.
+void WorkerReport(benchmark::State& state) {
+  const int workers = static_cast<int>(state.range(0));
+  BusyCell cell(workers, static_cast<int>(state.range(1)));
+  int next = 0;
+  for (auto _ : state) {
+    state.PauseTiming();
+    cell.Tick();
+    const WorkerState report = cell.Report(next);
+    state.ResumeTiming();
+    cell.Apply(next, report);
+    state.PauseTiming();
+    cell.Answer();
+    state.ResumeTiming();
+    next = (next + 1) % workers;
+  }
+  state.counters["running"] = static_cast<double>(cell.running());
+}
+
+void Sizes(benchmark::internal::Benchmark* benchmark) {
+  // The last has the tasks per worker of the target size.
+  benchmark->Args({65, 800})->Args({520, 6400})->Args({5200, 6400})->Args({5200, 64000});
+}
+
+BENCHMARK(StartDecision)->Apply(Sizes)->Iterations(20000);
+BENCHMARK(WorkerReport)->Apply(Sizes)->Iterations(20000);
+
+}  // namespace
+}  // namespace cactusshelf
+
+BENCHMARK_MAIN();
--- a/packages/placement/src/cell_scheduler_impl.h
+++ b/packages/placement/src/cell_scheduler_impl.h
@@ -171,6 +171,7 @@
   void Schedule(Time now);
   bool ScheduleSet(Time now, const JobSet& jobs);
   bool TryJob(Time now, Job& job);
+  void AskForRoom(Time now, Job& job);
   std::optional<WorkerSlot> ChooseWorker(Time now, const Job& job);
   bool IsSuitable(Time now, const Job& job, WorkerSlot slot) const;
   void StartOn(Time now, Job& job, WorkerSlot slot);
--- a/packages/placement/src/eviction_budget.cc
+++ b/packages/placement/src/eviction_budget.cc
@@ -1,6 +1,7 @@
 #include "eviction_budget.h"
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 
 namespace cactusshelf {
@@ -20,13 +21,14 @@
   per_hour_ = per_hour;
 }
 
-bool EvictionBudget::TryTake(Time now) {
+bool EvictionBudget::HasLeft(Time now) {
   Refill(now);
-  if (left_ < 1) {
-    return false;
-  }
+  return left_ >= 1;
+}
+
+void EvictionBudget::Take(Time now) {
+  assert(HasLeft(now));
   left_ -= 1;
-  return true;
 }
 
 void EvictionBudget::Refill(Time now) {
--- a/packages/placement/src/eviction_budget.h
+++ b/packages/placement/src/eviction_budget.h
@@ -12,8 +12,10 @@
   // Precondition: per_hour >= 0.
   void SetRate(Time now, double per_hour);
 
-  // Takes one eviction. False if the budget is spent.
-  bool TryTake(Time now);
+  bool HasLeft(Time now);
+
+  // Precondition: HasLeft(now).
+  void Take(Time now);
 
  private:
   void Refill(Time now);
--- a/packages/placement/src/job.h
+++ b/packages/placement/src/job.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -83,6 +84,7 @@
   std::vector<std::uint32_t> waiting;  // Indexes of tasks to start; the last goes first.
   std::uint32_t unfinished = 0;
   bool is_finish_reported = false;
+  std::optional<Time> room_asked_at;  // Of an urgent job: when workers were asked for room.
   std::map<std::uint32_t, std::uint32_t> tasks_by_rack;
   std::map<std::uint32_t, std::uint32_t> tasks_by_domain;
 
--- a/packages/placement/src/placement_ranker.cc
+++ b/packages/placement/src/placement_ranker.cc
@@ -83,7 +83,7 @@
     const double after = now + effect.mean + kCaution * effect.deviation;
     // The tail of a service is that of its slowest endpoints, so the same rise costs more on a
     // worker that is slow already.
-    cost.tail += (std::exp(2 * after) - std::exp(2 * now)) / 2 * status.endpoints;
+    cost.tail += (std::exp(3 * after) - std::exp(3 * now)) / 3 * status.endpoints;
     cost.worst = std::max(cost.worst, std::exp(after));
   }
   return cost;
--- a/packages/placement/src/relief.cc
+++ b/packages/placement/src/relief.cc
@@ -23,7 +23,7 @@
     return;
   }
   WorkerRecord& worker = *workers_[slot];
-  const Relief relief = relief_.Decide(now, worker, ledger_.available(slot));
+  const Relief relief = relief_.Decide(now, worker, ledger_.available(slot), budget_.HasLeft(now));
   Placement* const placement = FindPlacement(slot, relief.task);
   if (relief.action == ReliefAction::kNone || placement == nullptr) {
     return;
@@ -39,10 +39,7 @@
       Throttle(now, *placement, kFullRate);
       return;
     case ReliefAction::kEvict:
-      if (!budget_.TryTake(now)) {
-        counters_.Add("cactusshelf_placement_relief_total", "over_budget");
-        return;
-      }
+      budget_.Take(now);
       counters_.Add("cactusshelf_placement_relief_total", "evicted");
       if (worker.avoid_until.size() >= kMostAvoided) {
         std::erase_if(worker.avoid_until, [&](const auto& item) { return item.second <= now; });
--- a/packages/placement/src/relief_policy.cc
+++ b/packages/placement/src/relief_policy.cc
@@ -14,10 +14,10 @@
 constexpr Duration kSettle = std::chrono::seconds(10);
 // Memory beyond this share of the worker's ends in tasks being killed, which wastes their work.
 constexpr double kMemoryLimit = 0.95;
-// Effects below this are not worth acting on.
-constexpr double kLeastEffect = 0.03;
-// Excess slowdown that is worth one eviction when both weights are equal.
-constexpr double kEvictionWorth = 0.5;
+// Reduction of the slowdown of one endpoint that is worth an eviction, and one that is worth
+// holding up one processor, when the weights are equal.
+constexpr double kEvictionCost = 2;
+constexpr double kThrottleCost = 3;
 // A throttle is lifted at most this often after it was set, in units of the patience.
 constexpr int kLeastThrottleTime = 2;
 
@@ -35,20 +35,21 @@
                            const InterferenceModel& interference)
     : patience_(options.throttle_patience),
       end_(options.relief_end_slowdown),
+      throttle_share_(static_cast<double>(options.throttle_permille) / kFullRate),
+      tail_(ranker.tail_weight()),
+      evictions_(ranker.eviction_weight()),
+      throughput_(ranker.throughput_weight()),
       interference_(interference) {
-  const double tail = std::max(ranker.tail_weight(), 0.01);
-  // A throttle costs throughput and an eviction work; both must be worth it by the weights.
-  begin_ = 1 + (options.relief_begin_slowdown - 1) *
-                   std::sqrt(std::max(1.0, ranker.throughput_weight() / tail));
-  evict_above_ = std::max(begin_, 1 + kEvictionWorth * ranker.eviction_weight() / tail);
+  const double tail = std::max(tail_, 0.01);
+  begin_ = 1 + (options.relief_begin_slowdown - 1) * std::sqrt(std::max(1.0, throughput_ / tail));
 }
 
-Relief ReliefPolicy::Decide(Time now, const WorkerRecord& worker,
-                            const Resources& available) const {
+Relief ReliefPolicy::Decide(Time now, const WorkerRecord& worker, const Resources& available,
+                            bool may_evict) const {
   if (now < worker.relief_checked + kSettle) {
     return {};
   }
-  Relief relief = RelieveMemory(worker, available);
+  Relief relief = may_evict ? RelieveMemory(worker, available) : Relief{};
   if (relief.action != ReliefAction::kNone) {
     return relief;
   }
@@ -57,7 +58,7 @@
                                         return left.slowdown < right.slowdown;
                                       });
   if (worst != worker.services.end() && worst->reports_above >= kReportsForRelief) {
-    return RelieveService(now, worker, *worst);
+    return RelieveService(now, worker, *worst, may_evict);
   }
   if (worst == worker.services.end() || worst->slowdown < end_) {
     return Lift(now, worker);
@@ -85,32 +86,34 @@
   return {ReliefAction::kEvict, worst->id};
 }
 
+// Takes the step that is worth most: what the service gains less what the batch work loses, each by
+// its weight. Throttling everything would keep room occupied for longer than it helps.
 Relief ReliefPolicy::RelieveService(Time now, const WorkerRecord& worker,
-                                    const ServiceStatus& service) const {
-  const Placement* culprit = nullptr;
-  double greatest = kLeastEffect;
+                                    const ServiceStatus& service, bool may_evict) const {
+  Relief best;
+  double best_worth = 0;
   for (const auto& [id, placement] : worker.placements) {
     if (placement.phase != PlacementPhase::kRunning || IsUrgent(placement)) {
       continue;
     }
-    const PairEffect effect =
-        interference_.Effect(service.service, placement.job_class, service.load);
-    const double share = (effect.mean + effect.deviation / 2) * ShareOf(placement);
-    if (share > greatest) {
-      greatest = share;
-      culprit = &placement;
+    const double effect =
+        interference_.Effect(service.service, placement.job_class, service.load).mean;
+    const bool is_throttled = placement.permille != kFullRate;
+    if (is_throttled && (!may_evict || now < placement.throttled_at + patience_)) {
+      continue;
+    }
+    const double removed = effect * (is_throttled ? throttle_share_ : 1 - throttle_share_);
+    const double gain = tail_ * service.endpoints * service.slowdown * (1 - std::exp(-removed));
+    const double processors = static_cast<double>(placement.size.milliprocessors) / 1000;
+    const double loss = is_throttled
+                            ? kEvictionCost * evictions_
+                            : kThrottleCost * throughput_ * processors * (1 - throttle_share_);
+    if (gain - loss > best_worth) {
+      best_worth = gain - loss;
+      best = {is_throttled ? ReliefAction::kEvict : ReliefAction::kThrottle, id};
     }
   }
-  if (culprit == nullptr) {
-    return {};
-  }
-  if (culprit->permille == kFullRate) {
-    return {ReliefAction::kThrottle, culprit->id};
-  }
-  if (now >= culprit->throttled_at + patience_ && service.slowdown > evict_above_) {
-    return {ReliefAction::kEvict, culprit->id};
-  }
-  return {};
+  return best;
 }
 
 Relief ReliefPolicy::Lift(Time now, const WorkerRecord& worker) const {
--- a/packages/placement/src/relief_policy.h
+++ b/packages/placement/src/relief_policy.h
@@ -24,20 +24,25 @@
                const InterferenceModel& interference);
 
   // Precondition: worker.services and the usage of its placements are up to date.
-  Relief Decide(Time now, const WorkerRecord& worker, const Resources& available) const;
+  Relief Decide(Time now, const WorkerRecord& worker, const Resources& available,
+                bool may_evict) const;
 
   // Slowdown above which a service counts as disturbed.
   double begin_slowdown() const { return begin_; }
 
  private:
   Relief RelieveMemory(const WorkerRecord& worker, const Resources& available) const;
-  Relief RelieveService(Time now, const WorkerRecord& worker, const ServiceStatus& service) const;
+  Relief RelieveService(Time now, const WorkerRecord& worker, const ServiceStatus& service,
+                        bool may_evict) const;
   Relief Lift(Time now, const WorkerRecord& worker) const;
 
   Duration patience_;
-  double begin_;
+  double begin_ = 0;
   double end_;
-  double evict_above_;
+  double throttle_share_;
+  double tail_;
+  double evictions_;
+  double throughput_;
   const InterferenceModel& interference_;
 };
 
--- a/packages/placement/src/starts.cc
+++ b/packages/placement/src/starts.cc
@@ -14,6 +14,9 @@
 // Waiting work is looked at again after this time even if no room grew, for changes in what is
 // learned and for ageing.
 constexpr Duration kRetryPlacement = std::chrono::seconds(1);
+// Leaves time to evict with a checkpoint within the 2 s in which urgent work starts.
+constexpr Duration kWaitForReports = std::chrono::milliseconds(300);
+constexpr std::size_t kAskedForRoom = 48;
 
 }  // namespace
 
@@ -65,7 +68,7 @@
     const std::optional<WorkerSlot> slot = ChooseWorker(now, job);
     if (!slot.has_value()) {
       if (job.spec.urgent) {
-        MakeRoom(now, job);
+        AskForRoom(now, job);
       } else {
         queue_.BlockBySize(job);
       }
@@ -85,6 +88,24 @@
   return true;
 }
 
+// Tasks that ended since the last report may have left room. Workers are asked for that before
+// anything is evicted for an urgent job.
+void CellScheduler::Impl::AskForRoom(Time now, Job& job) {
+  if (job.room_asked_at.has_value() && now >= *job.room_asked_at + kWaitForReports) {
+    MakeRoom(now, job);
+    return;
+  }
+  if (job.room_asked_at.has_value() || ledger_.size() == 0) {
+    return;
+  }
+  job.room_asked_at = now;
+  const auto start = static_cast<WorkerSlot>(random_.Below(ledger_.size()));
+  for (const WorkerSlot slot : ledger_.FindLargeEnough(job.spec.size, start, kAskedForRoom)) {
+    SendRead(now, slot, options_.report_period);
+  }
+  ArmPlacement(now + kWaitForReports);
+}
+
 std::optional<WorkerSlot> CellScheduler::Impl::ChooseWorker(Time now, const Job& job) {
   if (const auto it = reservations_.find(job.spec.id); it != reservations_.end()) {
     for (const WorkerSlot slot : it->second) {
