--- a/packages/placement/bench/sim/baseline_scheduler.cc
+++ b/packages/placement/bench/sim/baseline_scheduler.cc
@@ -43,10 +43,11 @@
 
 void BaselineScheduler::CollectEnds(Time now) {
   for (std::size_t i = 0; i < model_.size(); ++i) {
-    const WorkerState state = model_.worker(i).State(now);
-    if (state.incarnation != incarnations_[i]) {
+    FakeWorker& worker = model_.worker(i);
+    worker.Advance(now);
+    if (worker.incarnation() != incarnations_[i]) {
       // The worker restarted: everything there is lost.
-      incarnations_[i] = state.incarnation;
+      incarnations_[i] = worker.incarnation();
       InstallEpoch install{NextHeader(i)};
       model_.Execute(now, i, install);
       std::vector<Waiting> lost;
@@ -61,9 +62,9 @@
       }
     }
     RenewLeases renew{NextHeader(i), {}, {}, {}};
-    for (const EndedTask& ended : state.ended) {
-      const auto it = placed_.find(ended.task);
-      renew.forget.push_back(ended.task);
+    for (const auto& [id, ended] : worker.ended()) {
+      const auto it = placed_.find(id);
+      renew.forget.push_back(id);
       if (it == placed_.end()) {
         continue;
       }
--- a/packages/placement/src/cell_scheduler_impl.h
+++ b/packages/placement/src/cell_scheduler_impl.h
@@ -170,7 +170,7 @@
   // Starts.
   void Schedule(Time now);
   bool ScheduleSet(Time now, const JobSet& jobs);
-  bool TryJob(Time now, Job& job);
+  bool TryJob(Time now, Job& job, std::size_t position);
   void AskForRoom(Time now, Job& job);
   std::optional<WorkerSlot> ChooseWorker(Time now, const Job& job);
   bool IsSuitable(Time now, const Job& job, WorkerSlot slot) const;
--- a/packages/placement/src/relief.cc
+++ b/packages/placement/src/relief.cc
@@ -101,10 +101,16 @@
   }
 }
 
-// The tasks to evict so that one task of the job fits, or none if that is not possible.
+// The tasks to evict so that one task of the job fits. None if that is not possible, or if enough
+// is about to end.
 std::vector<Placement*> CellScheduler::Impl::PlanRoom(const Job& job, WorkerSlot slot) {
   std::vector<Placement*> movable;
+  Resources free = ledger_.Free(slot);
   for (auto& [id, placement] : workers_[slot]->placements) {
+    if (placement.phase == PlacementPhase::kCheckpointing ||
+        placement.phase == PlacementPhase::kStopping) {
+      free += placement.size;  // Is about to end.
+    }
     const bool is_movable = placement.phase == PlacementPhase::kRunning &&
                             placement.job != nullptr && !placement.job->spec.urgent;
     if (is_movable) {
@@ -116,7 +122,6 @@
                    [](const Placement* left, const Placement* right) {
                      return left->started_at > right->started_at;
                    });
-  Resources free = ledger_.Free(slot);
   std::vector<Placement*> plan;
   for (Placement* placement : movable) {
     if (Fits(job.spec.size, free)) {
--- a/packages/placement/src/starts.cc
+++ b/packages/placement/src/starts.cc
@@ -10,6 +10,9 @@
 // Bound the work of one input; the rest follows at once from a timer, between other inputs.
 constexpr std::size_t kMostJobsPerRound = 256;
 constexpr std::size_t kMostStartsPerJob = 256;
+// Urgent jobs for which room is made at a time. The others wait like normal ones, so that they are
+// not tried in vain in each round.
+constexpr std::size_t kMostMakingRoom = 64;
 constexpr Duration kNextRound = std::chrono::milliseconds(1);
 // Waiting work is looked at again after this time even if no room grew, for changes in what is
 // learned and for ageing.
@@ -42,15 +45,16 @@
     }
     Job& job = **it;
     ++it;
-    if (!TryJob(now, job)) {
+    if (!TryJob(now, job, tried - 1)) {
       return false;
     }
   }
   return true;
 }
 
-// Starts tasks of the job until none waits or it must wait. Returns false if it was cut short.
-bool CellScheduler::Impl::TryJob(Time now, Job& job) {
+// Starts tasks of the job, which is at `position` of those ready, until none waits or it must wait.
+// Returns false if it was cut short.
+bool CellScheduler::Impl::TryJob(Time now, Job& job, std::size_t position) {
   std::size_t starts = 0;
   while (!job.waiting.empty()) {
     const bool is_probe = failures_.IsClassQuarantined(job.job_class);
@@ -67,7 +71,7 @@
     }
     const std::optional<WorkerSlot> slot = ChooseWorker(now, job);
     if (!slot.has_value()) {
-      if (job.spec.urgent) {
+      if (job.spec.urgent && position < kMostMakingRoom) {
         AskForRoom(now, job);
       } else {
         queue_.BlockBySize(job);
--- a/packages/placement/tests/cell_scheduler_test.cc
+++ b/packages/placement/tests/cell_scheduler_test.cc
@@ -328,6 +328,27 @@
   CHECK(resumed == 8);
 }
 
+TEST_CASE("many urgent jobs without room neither keep the owner busy nor hold up small work") {
+  CellHarness cell(Workers(2, Size(8, 32)), 600);
+  CellScheduler& owner = cell.AddOwner();
+  owner.AdmitJob(cell.now(), Urgent(MakeJob("running", 2, Size(6, 4))));
+  cell.Take(0, kEpoch, cell.now());
+  cell.RunFor(seconds(5));
+  for (int i = 0; i < 600; ++i) {
+    owner.AdmitJob(cell.now(), Urgent(MakeJob("urgent" + std::to_string(i), 1, Size(4, 4))));
+  }
+  owner.AdmitJob(cell.now(), MakeJob("small", 4, Size(1, 1)));
+  cell.RunFor(seconds(30));
+  CHECK(StartsOf(cell, TaskId("small/3")).size() == 1);
+  CHECK(owner.NextWakeup() >= cell.now());
+  int wakeups = 0;
+  for (Time now = cell.now(); owner.NextWakeup() < cell.now() + seconds(1); ++wakeups) {
+    now = *owner.NextWakeup();
+    owner.OnTimer(now);
+  }
+  CHECK(wakeups < 20);
+}
+
 TEST_CASE("evicted work that forgets its checkpoint starts from the beginning") {
   CellOptions options;
   options.protections.keep_checkpoints = false;
--- a/packages/placement/tests/fake_worker.h
+++ b/packages/placement/tests/fake_worker.h
@@ -54,6 +54,8 @@
 
   const WorkerSpec& spec() const { return spec_; }
   const std::map<TaskAttempt, FakeTask>& running() const { return running_; }
+  const std::map<TaskAttempt, EndedTask>& ended() const { return ended_; }
+  std::uint64_t incarnation() const { return incarnation_; }
   Resources Committed() const;
   // Ends a task from within, for instance for lack of memory.
   void Kill(const TaskAttempt& task) { End(task, TaskEnd::kFailed); }
