--- a/packages/placement/bench/sim/baseline_scheduler.h
+++ b/packages/placement/bench/sim/baseline_scheduler.h
@@ -47,7 +47,7 @@
   std::vector<TaskAttempt> Plan(std::size_t worker, const Resources& size) const;
   void Start(Time now, std::size_t worker, Waiting task);
   void Requeue(Waiting task);
-  Resources Free(std::size_t worker) const;
+  Resources ComputeFree(std::size_t worker) const;
   CommandHeader NextHeader(std::size_t worker);
 
   BaselineKind kind_;
@@ -58,6 +58,7 @@
   std::unordered_set<JobId> cancelled_;
   std::map<TaskAttempt, Placed> placed_;
   std::vector<std::uint64_t> incarnations_;
+  std::vector<Resources> free_;  // By worker.
   std::uint64_t next_command_ = 0;
 };
 
--- a/packages/placement/bench/sim/cell_model.h
+++ b/packages/placement/bench/sim/cell_model.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "cactusshelf/base/random.h"
@@ -52,7 +53,12 @@
     Time at;
     double p99_ms = 0;
     double load = 0;
-    std::unordered_map<TaskId, double> processors;
+    std::vector<std::pair<TaskAttempt, double>> processors;  // In order of attempts.
+  };
+  struct Running {
+    const TaskAttempt* id;
+    const FakeTask* task;
+    const TaskTruth* truth;
   };
   struct ModelWorker {
     std::unique_ptr<FakeWorker> fake;
@@ -62,9 +68,10 @@
   };
 
   void StepWorker(Time now, ModelWorker& worker);
-  void KillForMemory(ModelWorker& worker);
-  double Latency(Time now, const ModelWorker& worker, double pressure) const;
-  void Measure(Time now, ModelWorker& worker, double p99_ms);
+  std::vector<Running> RunningOn(const ModelWorker& worker) const;
+  bool KillForMemory(ModelWorker& worker, const std::vector<Running>& running);
+  double Latency(Time now, const std::vector<Running>& running, double pressure) const;
+  void Measure(Time now, ModelWorker& worker, const std::vector<Running>& running, double p99_ms);
   void FillReport(const ModelWorker& worker, WorkerState& state) const;
   void CheckPlaces();
   const TaskTruth& TruthOf(const TaskId& task) const { return scenario_.truth.at(task); }
@@ -72,6 +79,7 @@
   const Scenario& scenario_;
   Random random_;
   Time now_ = kSimStart;
+  std::uint64_t steps_ = 0;
   std::vector<std::unique_ptr<ModelWorker>> workers_;
   std::unordered_set<JobId> cancelled_;
   std::unordered_map<TaskId, Time> first_start_;
