--- a/packages/placement/src/starts.cc
+++ b/packages/placement/src/starts.cc
@@ -10,10 +10,16 @@
 // Bound the work of one input; the rest follows at once from a timer, between other inputs.
 constexpr std::size_t kMostJobsPerRound = 256;
 constexpr std::size_t kMostStartsPerJob = 256;
+// Urgent jobs for which room is made at a time. The others wait like normal ones, so that they are
+// not tried in vain in each round.
+constexpr std::size_t kMostMakingRoom = 64;
 constexpr Duration kNextRound = std::chrono::milliseconds(1);
 // Waiting work is looked at again after this time even if no room grew, for changes in what is
 // learned and for ageing.
 constexpr Duration kRetryPlacement = std::chrono::seconds(1);
+// Leaves time to evict with a checkpoint within the 2 s in which urgent work starts.
+constexpr Duration kWaitForReports = std::chrono::milliseconds(300);
+constexpr std::size_t kAskedForRoom = 48;
 
 }  // namespace
 
@@ -39,15 +45,16 @@
     }
     Job& job = **it;
     ++it;
-    if (!TryJob(now, job)) {
+    if (!TryJob(now, job, tried - 1)) {
       return false;
     }
   }
   return true;
 }
 
-// Starts tasks of the job until none waits or it must wait. Returns false if it was cut short.
-bool CellScheduler::Impl::TryJob(Time now, Job& job) {
+// Starts tasks of the job, which is at `position` of those ready, until none waits or it must wait.
+// Returns false if it was cut short.
+bool CellScheduler::Impl::TryJob(Time now, Job& job, std::size_t position) {
   std::size_t starts = 0;
   while (!job.waiting.empty()) {
     const bool is_probe = failures_.IsClassQuarantined(job.job_class);
@@ -64,8 +71,8 @@
     }
     const std::optional<WorkerSlot> slot = ChooseWorker(now, job);
     if (!slot.has_value()) {
-      if (job.spec.urgent) {
-        MakeRoom(now, job);
+      if (job.spec.urgent && position < kMostMakingRoom) {
+        AskForRoom(now, job);
       } else {
         queue_.BlockBySize(job);
       }
@@ -85,6 +92,24 @@
   return true;
 }
 
+// Tasks that ended since the last report may have left room. Workers are asked for that before
+// anything is evicted for an urgent job.
+void CellScheduler::Impl::AskForRoom(Time now, Job& job) {
+  if (job.room_asked_at.has_value() && now >= *job.room_asked_at + kWaitForReports) {
+    MakeRoom(now, job);
+    return;
+  }
+  if (job.room_asked_at.has_value() || ledger_.size() == 0) {
+    return;
+  }
+  job.room_asked_at = now;
+  const auto start = static_cast<WorkerSlot>(random_.Below(ledger_.size()));
+  for (const WorkerSlot slot : ledger_.FindLargeEnough(job.spec.size, start, kAskedForRoom)) {
+    SendRead(now, slot, options_.report_period);
+  }
+  ArmPlacement(now + kWaitForReports);
+}
+
 std::optional<WorkerSlot> CellScheduler::Impl::ChooseWorker(Time now, const Job& job) {
   if (const auto it = reservations_.find(job.spec.id); it != reservations_.end()) {
     for (const WorkerSlot slot : it->second) {
