--- a/packages/membership/src/ownership_tenure.cc
+++ b/packages/membership/src/ownership_tenure.cc
@@ -138,12 +138,12 @@
   departed.read = now;
   departed.settled = now;
   departed.not_before = now;
-  if (departure.kind == DepartureKind::kRemoved || !departed.knew_self) {
+  if (departure.kind == DepartureKind::kRemoved) {
     departed.settled = now + settings_.takeover_wait;
     departed.not_before = departed.settled;
-  }
-  if (departure.kind == DepartureKind::kRemoved && !departed.knew_self) {
-    departed.awaited = EarlierMembersBefore(map_.epoch());
+    if (!departed.knew_self) {
+      departed.awaited = EarlierMembersBefore(map_.epoch());
+    }
   }
   departed_.push_back(std::move(departed));
 }
--- a/packages/membership/tests/ownership_test.cc
+++ b/packages/membership/tests/ownership_test.cc
@@ -149,24 +149,94 @@
   CHECK_FALSE(cluster.HasAuthority(0));
 }
 
-TEST_CASE("removed members that confirm each other are fenced by a member they do not know") {
-  ClusterSimulation cluster = MakeCluster(3);
-  const std::string key = KeyOf(cluster, 0);
-  for (std::size_t i = 0; i < 3; ++i) {
-    cluster.SetLogCut(i, true);
+// Largest number of members that may act on one of 100 keys.
+std::size_t MostHolders(const ClusterSimulation& cluster) {
+  std::size_t most = 0;
+  for (int i = 0; i < 100; ++i) {
+    most = std::max(most, cluster.Holders(std::to_string(i)).size());
   }
+  return most;
+}
+
+TEST_CASE("a removed member that is still promised by others keeps a new member from acting") {
+  ClusterSimulation cluster = MakeCluster(3);
+  cluster.SetLogCut(0, true);
   const std::size_t joined = cluster.Join("host-new");
-  cluster.Run(seconds(5));
+  cluster.Run(seconds(3));
+  // Member 0 does not know the new member; the others know it, but not that 0 is removed.
+  cluster.SetLogCut(1, true);
+  cluster.SetLogCut(2, true);
   cluster.Remove(0);
-  cluster.Remove(1);
   cluster.Run(seconds(10));
-  CHECK(cluster.Holder(key) == 0);
-  CHECK_FALSE(cluster.TenureStart(joined, key).has_value());
+  CHECK(cluster.HasAuthority(0));
+  CHECK(cluster.HasAuthority(joined));
+  CHECK(MostHolders(cluster) == 1);
+  cluster.SetLogCut(1, false);
   cluster.SetLogCut(2, false);
-  cluster.Run(seconds(6));
-  CHECK(cluster.Holder(key).has_value());
-  CHECK(cluster.Holder(key) != 0);
-  CHECK(cluster.max_holders() == 1);
+  cluster.Run(seconds(5));
+  CHECK_FALSE(cluster.HasAuthority(0));
+  KeyOf(cluster, joined);
+  CHECK(MostHolders(cluster) == 1);
+}
+
+TEST_CASE("a member that joins an all but empty cluster waits for owners it cannot know of") {
+  const MemberId self("b/1");
+  const Member earlier{MemberId("a/1"), DomainId("d"), 1};
+  const Member own{self, DomainId("d"), 2};
+  const Time start{seconds(100)};
+  OwnershipTenure tenure(self, {});
+  SECTION("no earlier member") {
+    tenure.OnMapChange({OwnershipMap::Make(2, {own}), {}, false}, start);
+    CHECK(tenure.TenureStart("key") == start + kTakeoverWait);
+    CHECK(tenure.SettledEpoch(start) < own.joined);
+    CHECK(tenure.SettledEpoch(start + kTakeoverWait) == 2);
+  }
+  SECTION("an earlier member that leaves before it confirmed") {
+    tenure.OnMapChange({OwnershipMap::Make(2, {earlier, own}), {}, false}, start);
+    CHECK(tenure.AwaitedMembers() == std::vector<MemberId>{earlier.id});
+    tenure.OnMapChange({OwnershipMap::Make(3, {own}), {{earlier, DepartureKind::kLeft}}, true},
+                       start + seconds(5));
+    CHECK(tenure.TenureStart("key") == start + seconds(5) + kTakeoverWait);
+  }
+  SECTION("an earlier member that confirms") {
+    tenure.OnMapChange({OwnershipMap::Make(2, {earlier, own}), {}, false}, start);
+    tenure.OnPeerEpoch(earlier.id, 1, start + seconds(1));
+    CHECK_FALSE(tenure.AwaitedMembers().empty());
+    tenure.OnPeerEpoch(earlier.id, 2, start + seconds(2));
+    CHECK(tenure.AwaitedMembers().empty());
+    tenure.OnMapChange({OwnershipMap::Make(3, {own}), {{earlier, DepartureKind::kLeft}}, true},
+                       start + seconds(3));
+    const OwnershipMap before = OwnershipMap::Make(2, {earlier, own});
+    for (int i = 0; i < 20; ++i) {
+      const std::string key = std::to_string(i);
+      const bool kept = before.OwnerOf(key)->id == self;
+      CHECK(tenure.TenureStart(key) == start + (kept ? seconds(2) : seconds(3)));
+    }
+  }
+}
+
+TEST_CASE("a member does not report a map while members removed from it may act") {
+  const MemberId self("a/1");
+  const Member own{self, DomainId("d"), 1};
+  const Member other{MemberId("b/1"), DomainId("d"), 2};
+  const Time start{seconds(100)};
+  OwnershipTenure tenure(self, {});
+  tenure.OnMapChange({OwnershipMap::Make(2, {own, other}), {}, true}, start);
+  const Time removed = start + seconds(10);
+  tenure.OnMapChange({OwnershipMap::Make(3, {own}), {{other, DepartureKind::kRemoved}}, true},
+                     removed);
+  CHECK(tenure.SettledEpoch(removed) == 2);
+  CHECK(tenure.SettledEpoch(removed + kTakeoverWait) == 3);
+}
+
+TEST_CASE("a member that loaded a snapshot waits for removals it did not read") {
+  const MemberId self("a/1");
+  const Member own{self, DomainId("d"), 1};
+  const Time start{seconds(100)};
+  OwnershipTenure tenure(self, {});
+  tenure.OnMapChange({OwnershipMap::Make(1, {own}), {}, true}, start);
+  tenure.OnMapChange({OwnershipMap::Make(9, {own}), {}, false}, start + seconds(60));
+  CHECK(tenure.TenureStart("key") == start + seconds(60) + kTakeoverWait);
 }
 
 TEST_CASE("the keys of a member that left are taken over without the wait") {
