--- a/packages/membership/tests/authority_test.cc
+++ b/packages/membership/tests/authority_test.cc
@@ -9,16 +9,15 @@
 using std::chrono::seconds;
 
 constexpr Time kStart{seconds(100)};
-const MemberId kSelf("a/1");
-const MemberId kOther("b/1");
-const MemberId kThird("c/1");
+const MemberId self("a/1");
+const MemberId other("b/1");
+const MemberId third("c/1");
 
 Authority MakeAuthority() {
-  Authority authority(kSelf, {});
+  Authority authority(self, {});
   const DomainId domain("d");
   authority.OnMap(
-      OwnershipMap::Make(3, {{kSelf, domain, 1}, {kOther, domain, 2}, {kThird, domain, 3}}),
-      kStart);
+      OwnershipMap::Make(3, {{self, domain, 1}, {other, domain, 2}, {third, domain, 3}}), kStart);
   return authority;
 }
 
@@ -41,7 +40,7 @@
 
 TEST_CASE("a member that is not in the map has no authority although it reads the log") {
   Authority authority = MakeAuthority();
-  authority.OnMap(OwnershipMap::Make(4, {{kOther, DomainId("d"), 2}}), kStart);
+  authority.OnMap(OwnershipMap::Make(4, {{other, DomainId("d"), 2}}), kStart);
   authority.OnLogRead(kStart);
   CHECK_FALSE(authority.ValidUntil(kStart).has_value());
 }
@@ -56,10 +55,10 @@
 TEST_CASE("a joined member that is not yet on the host list must confirm") {
   Authority authority = MakeAuthority();
   authority.OnHostList({"a", "c"}, kStart + seconds(1));
-  Reply(authority, kThird, true, kStart + seconds(1));
+  Reply(authority, third, true, kStart + seconds(1));
   CHECK_FALSE(authority.ValidUntil(kStart + seconds(1)).has_value());
   authority.OnHostList({"a", "c"}, kStart + seconds(61));
-  Reply(authority, kThird, true, kStart + seconds(61));
+  Reply(authority, third, true, kStart + seconds(61));
   CHECK(authority.ValidUntil(kStart + seconds(61)) == kStart + seconds(63));
 }
 
@@ -67,7 +66,7 @@
   Authority authority = MakeAuthority();
   authority.OnHostList({"a", "b", "c"}, kStart);
   authority.OnHostList({"a", "c"}, kStart);
-  Reply(authority, kThird, true, kStart + seconds(1));
+  Reply(authority, third, true, kStart + seconds(1));
   CHECK(authority.ValidUntil(kStart + seconds(1)).has_value());
   authority.OnHostList({"a", "b", "c"}, kStart + seconds(1));
   CHECK_FALSE(authority.ValidUntil(kStart + seconds(1)).has_value());
@@ -77,9 +76,9 @@
   Authority authority = MakeAuthority();
   authority.OnHostList({"a", "b", "c"}, kStart);
   authority.OnHostList({"a", "c"}, kStart);
-  Reply(authority, kThird, true, kStart);
+  Reply(authority, third, true, kStart);
   CHECK(authority.ValidUntil(kStart).has_value());
-  Reply(authority, kThird, false, kStart + seconds(1));
+  Reply(authority, third, false, kStart + seconds(1));
   CHECK_FALSE(authority.ValidUntil(kStart + seconds(1)).has_value());
 }
 
@@ -90,15 +89,15 @@
   const std::vector<OutgoingMessage> sent = authority.Poll({}, kStart);
   REQUIRE(sent.size() == 1);
   const std::uint64_t query = std::get<Confirm>(sent[0].message).query;
-  authority.OnConfirmReply({kOther, query, 3, true});
+  authority.OnConfirmReply({other, query, 3, true});
   CHECK_FALSE(authority.ValidUntil(kStart).has_value());
-  authority.OnConfirmReply({kThird, query, 3, true});
+  authority.OnConfirmReply({third, query, 3, true});
   CHECK(authority.ValidUntil(kStart + seconds(1)) == kStart + seconds(2));
 }
 
 TEST_CASE("no promise is given to a member that is not in the map") {
   const Authority authority = MakeAuthority();
-  CHECK(authority.Answer({kOther, 7}, 3).promised);
+  CHECK(authority.Answer({other, 7}, 3).promised);
   CHECK_FALSE(authority.Answer({MemberId("x/1"), 8}, 3).promised);
 }
 
