Let the stand-ins announce that they close each connection

Listening in libsoup itself, tried before, kept connections open that clients had closed, so that the endpoint's limit of connections was used up.

--- a/testing/standins/src/exchange.cc
+++ b/testing/standins/src/exchange.cc
@@ -56,6 +56,9 @@
 
 void Exchange::Answer(unsigned status, const nlohmann::json& body) {
   const std::string text = body.dump();
+  // libsoup closes connections that it did not accept itself after one answer; the client must
+  // know, or it would send the next request on a connection that is about to close.
+  AddAnswerHeader("Connection", "close");
   soup_server_message_set_status(message_, status, nullptr);
   soup_server_message_set_response(message_, "application/json", SOUP_MEMORY_COPY, text.data(),
                                    text.size());
--- a/testing/standins/src/standin_server.cc
+++ b/testing/standins/src/standin_server.cc
@@ -72,8 +72,6 @@
 StandinServer::StandinServer(const std::string& address, const std::string& port_file)
     : service_(ListenOn(address, port_file)), server_(soup_server_new(nullptr, nullptr)) {
   soup_server_add_handler(server_, nullptr, OnRequest, this, nullptr);
-  // libsoup closes each connection after its first answer unless the server also listens itself.
-  soup_server_listen_local(server_, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, nullptr);
   g_signal_connect(service_, "incoming", G_CALLBACK(OnIncoming), this);
   g_socket_service_start(service_);
 }
