--- a/packages/placement/bench/placement_bench.cc
+++ b/packages/placement/bench/placement_bench.cc
@@ -4,7 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
-#include <cstring>
+#include <cxxopts.hpp>
 #include <future>
 #include <string>
 #include <vector>
@@ -19,7 +19,7 @@
 
 constexpr Duration kMessageStep = std::chrono::milliseconds(100);
 constexpr int kStepsForModel = 5;
-constexpr std::uint64_t kScenarioSeed = 11;
+constexpr std::uint64_t kDefaultSeed = 11;
 constexpr std::uint64_t kModelSeed = 12;
 constexpr std::uint64_t kSchedulerSeed = 13;
 constexpr double kUrgentBound = 2;  // Seconds.
@@ -166,11 +166,11 @@
   }
 }
 
-int Main(bool is_check, bool has_counters) {
+int Main(std::uint64_t seed, bool is_check, bool has_counters) {
   std::vector<Scenario> scenarios;
   for (const Site& site : {kConsorcio, kCooperativa}) {
     for (const ScenarioKind kind : kAllScenarios) {
-      scenarios.push_back(MakeScenario(site, kind, kScenarioSeed));
+      scenarios.push_back(MakeScenario(site, kind, seed));
     }
   }
   fmt::print(
@@ -203,11 +203,17 @@
 }  // namespace cactusshelf::sim
 
 int main(int argc, char** argv) {
-  bool is_check = false;
-  bool has_counters = false;
-  for (int i = 1; i < argc; ++i) {
-    is_check = is_check || std::strcmp(argv[i], "--check") == 0;
-    has_counters = has_counters || std::strcmp(argv[i], "--counters") == 0;
+  cxxopts::Options options("placement_bench", "Compares placement with baselines");
+  options.add_options()("check", "exit with 1 if a bound does not hold")(
+      "counters", "print the counters of the scheduler")(
+      "seed", "seed of the arrivals",
+      cxxopts::value<std::uint64_t>()->default_value(
+          std::to_string(cactusshelf::sim::kDefaultSeed)))("help", "print the options");
+  const cxxopts::ParseResult parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    fmt::print("{}", options.help());
+    return 0;
   }
-  return cactusshelf::sim::Main(is_check, has_counters);
+  return cactusshelf::sim::Main(parsed["seed"].as<std::uint64_t>(), parsed.count("check") > 0,
+                                parsed.count("counters") > 0);
 }
