--- a/testing/standins/tests/programs_test.sh
+++ b/testing/standins/tests/programs_test.sh
@@ -72,7 +72,9 @@
 control "$endpoint" '{"hold_answers": false}'
 wait "$held"
 expect "held answer" "$(jq -r .request_id "$dir/held")" r1
-control "$endpoint" '{"service_time_ms": 500}'
+control "$endpoint" '{"hold_answers": true}'
+status --max-time 0.2 "${request[@]}" "$endpoint/x" >/dev/null
+control "$endpoint" '{"hold_answers": false, "service_time_ms": 500}'
 curl -s "${request[@]}" "$endpoint/x" >/dev/null &
 busy=$!
 sleep 0.2
@@ -81,7 +83,18 @@
 control "$endpoint" '{"service_time_ms": 0, "leaving": true}'
 expect "leaving" "$(status "${request[@]}" "$endpoint/x")" 503
 control "$endpoint" '{"leaving": false}'
-expect "executions" "$(curl -s "$endpoint/control/executions" | jq .executions.r1)" 5
+expect "executions" "$(curl -s "$endpoint/control/executions" | jq .executions.r1)" 6
+# Idle connections take all but one; the refused ones see their connection closed.
+for fd in 11 12 13 14 15; do
+  eval "exec $fd<>/dev/tcp/127.0.0.1/${endpoint##*:}"
+done
+sleep 0.2
+expect "connection beyond the limit" "$(status "${request[@]}" "$endpoint/x")" 000
+for fd in 11 12 13 14 15; do
+  eval "exec $fd>&-"
+done
+sleep 0.2
+expect "after the idle connections" "$(status "${request[@]}" "$endpoint/x")" 200
 
 expect "proxied" "$(curl -s "${request[@]}" "$proxy/x" | jq -r .digest)" "$digest"
 control "$proxy_control" '{"swallow_answer": true}'
@@ -91,6 +104,15 @@
 control "$proxy_control" '{"cut_after_bytes": -1, "delay_ms": 300}'
 took=$(curl -s -o /dev/null -w '%{time_total}' "${request[@]}" "$proxy/x")
 [[ $(jq -n "$took >= 0.6") == true ]] || fail "delay: took $took s"
+control "$proxy_control" '{"delay_ms": 0, "bytes_per_second": 200}'
+took=$(curl -s -o /dev/null -w '%{time_total}' "${request[@]}" -H "X-Fill: $(printf 'x%.0s' {1..100})" \
+  --data "$(printf 'x%.0s' {1..17000})" "$proxy/x" --max-time 2 || true)
+[[ $(jq -n "$took >= 2") == true ]] || fail "throttle: took $took s"
+control "$proxy_control" '{"bytes_per_second": 0, "stall_probability": 1, "stall_ms": 300}'
+took=$(curl -s -o /dev/null -w '%{time_total}' "${request[@]}" "$proxy/x")
+[[ $(jq -n "$took >= 0.6") == true ]] || fail "stall: took $took s"
+control "$proxy_control" '{"stall_probability": 0, "half_open": true}'
+expect "half-open" "$(status --max-time 0.5 "${request[@]}" "$proxy/x")" 000
 
 command() { post "$worker/v1/commands" "$1" | jq -r .status; }
 start_task() {
