Accept callers' connections ourselves, since libsoup 3.2.3 leaks those that callers close

SoupServer 3.2.3 keeps the socket of a caller that closes an idle connection open for ever, so a host would run out of files. CallerConnections accepts connections, hands each to SoupServer for one request at a time and watches idle ones.

--- a/packages/daemon/src/caller_server.cc
+++ b/packages/daemon/src/caller_server.cc
@@ -6,7 +6,6 @@
 #include "cactusshelf/base/errors.h"
 #include "cactusshelf/daemon/clock.h"
 #include "http_headers.h"
-#include "socket_address.h"
 
 namespace cactusshelf {
 namespace {
@@ -24,7 +23,7 @@
 }
 
 void CloseSocket(SoupServerMessage* message) {
-  g_socket_shutdown(soup_server_message_get_socket(message), TRUE, TRUE, nullptr);
+  g_socket_shutdown(CallerConnections::SocketOf(message), TRUE, TRUE, nullptr);
 }
 
 // libsoup has removed dot segments and decoded the path, so it is encoded again.
@@ -72,9 +71,8 @@
       pages_(std::move(pages)),
       metrics_(metrics),
       sink_(std::move(sink)),
-      listener_(Listen(options.address)),
-      address_(LocalAddress(listener_.get())),
-      server_(soup_server_new(nullptr, nullptr)) {
+      server_(soup_server_new(nullptr, nullptr)),
+      connections_(options.address, server_.get()) {
   const auto on_headers = [](SoupServer* /*server*/, SoupServerMessage* message,
                              const char* /*path*/, GHashTable* /*query*/, gpointer data) {
     static_cast<CallerServer*>(data)->OnHeaders(message);
@@ -85,23 +83,27 @@
     static_cast<CallerServer*>(data)->OnRequest(message, path);
   };
   soup_server_add_handler(server_.get(), nullptr, on_request, this, nullptr);
-  GError* error = nullptr;
-  soup_server_listen_socket(server_.get(), listener_.get(), SoupServerListenOptions{}, &error);
-  const GErrorPtr owned_error(error);
-  if (owned_error) throw Error("cannot listen at " + address_ + ": " + owned_error->message);
 }
 
 CallerServer::~CallerServer() {
-  const auto disconnect = [this](SoupServerMessage* message) {
+  for (SoupServerMessage* message : messages_) {
     g_signal_handlers_disconnect_by_data(message, this);
-  };
-  for (const auto& [token, caller] : callers_) disconnect(caller->message.get());
-  for (SoupServerMessage* message : unwritten_) disconnect(message);
-  for (const auto& [message, bytes] : counted_) disconnect(message);
+    g_object_weak_unref(G_OBJECT(message), OnFreed, this);
+  }
   soup_server_disconnect(server_.get());
 }
 
 void CallerServer::OnHeaders(SoupServerMessage* message) {
+  const auto on_written = [](SoupServerMessage* written, gpointer data) {
+    static_cast<CallerServer*>(data)->OnWritten(written);
+  };
+  g_signal_connect(message, "wrote-body", G_CALLBACK(+on_written), this);
+  const auto on_finished = [](SoupServerMessage* finished, gpointer data) {
+    static_cast<CallerServer*>(data)->OnFinished(finished);
+  };
+  g_signal_connect(message, "finished", G_CALLBACK(+on_finished), this);
+  g_object_weak_ref(G_OBJECT(message), OnFreed, this);
+  messages_.insert(message);
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
   const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
   const bool has_length = encoding == SOUP_ENCODING_CONTENT_LENGTH;
@@ -113,10 +115,6 @@
     static_cast<CallerServer*>(data)->OnChunk(chunked, g_bytes_get_size(chunk));
   };
   g_signal_connect(message, "got-chunk", G_CALLBACK(+on_chunk), this);
-  const auto on_finished = [](SoupServerMessage* finished, gpointer data) {
-    static_cast<CallerServer*>(data)->OnFinished(finished);
-  };
-  g_signal_connect(message, "finished", G_CALLBACK(+on_finished), this);
   if (has_length) {
     soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
     Refuse(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "body_too_large");
@@ -144,7 +142,7 @@
       return;
     }
     // libsoup 3.2.3 takes a chunked body as complete when the connection is closed between chunks.
-    if (IsAtEnd(soup_server_message_get_socket(message))) {
+    if (IsAtEnd(CallerConnections::SocketOf(message))) {
       Refuse(message, SOUP_STATUS_BAD_REQUEST, "body_truncated");
       return;
     }
@@ -189,10 +187,6 @@
   caller->token = CallerToken{next_token_++};
   caller->message = ShareGObject(message);
   caller->started = SystemClock().Read().monotonic;
-  const auto on_finished = [](SoupServerMessage* finished, gpointer data) {
-    static_cast<CallerServer*>(data)->OnFinished(finished);
-  };
-  g_signal_connect(message, "finished", G_CALLBACK(+on_finished), this);
   soup_server_message_pause(message);
   WatchForClose(*caller, G_IO_IN);
   tokens_.emplace(message, caller->token);
@@ -209,7 +203,7 @@
 
 // libsoup does not look at the socket while a message is paused.
 void CallerServer::WatchForClose(Caller& caller, GIOCondition condition) {
-  GSocket* socket = soup_server_message_get_socket(caller.message.get());
+  GSocket* socket = CallerConnections::SocketOf(caller.message.get());
   caller.StopWatch();
   caller.watch = g_socket_create_source(socket, condition, nullptr);
   const auto on_ready = [](GSocket* /*socket*/, GIOCondition /*condition*/, gpointer data) {
@@ -223,7 +217,7 @@
 
 void CallerServer::OnReadable(CallerToken token) {
   Caller& caller = *callers_.at(token);
-  if (IsAtEnd(soup_server_message_get_socket(caller.message.get()))) {
+  if (IsAtEnd(CallerConnections::SocketOf(caller.message.get()))) {
     OnGone(token);
     return;
   }
@@ -270,6 +264,23 @@
   soup_server_message_unpause(message);
 }
 
+void CallerServer::OnWritten(SoupServerMessage* message) {
+  unwritten_.erase(message);
+  connections_.TakeBack(message);
+  CloseIfIdle();
+}
+
+// libsoup does not report each message as finished, in particular none whose connection was taken
+// back.
+void CallerServer::OnFreed(gpointer data, GObject* object) {
+  auto* server = static_cast<CallerServer*>(data);
+  auto* message = reinterpret_cast<SoupServerMessage*>(object);
+  server->messages_.erase(message);
+  server->counted_.erase(message);
+  server->unwritten_.erase(message);
+  server->CloseIfIdle();
+}
+
 void CallerServer::OnFinished(SoupServerMessage* message) {
   counted_.erase(message);
   unwritten_.erase(message);
@@ -283,8 +294,7 @@
 
 void CallerServer::Close(std::function<void()> on_closed) {
   on_closed_ = std::move(on_closed);
-  // soup_server_disconnect would also break off the requests in flight.
-  g_socket_close(listener_.get(), nullptr);
+  connections_.Stop();
   CloseIfIdle();
 }
 
--- a/packages/daemon/src/caller_server.h
+++ b/packages/daemon/src/caller_server.h
@@ -13,6 +13,7 @@
 #include "cactusshelf/daemon/gobject_ptr.h"
 #include "cactusshelf/daemon/interfaces.h"
 #include "cactusshelf/daemon/shell_metrics.h"
+#include "caller_connections.h"
 
 namespace cactusshelf {
 
@@ -47,7 +48,7 @@
   void Close(std::function<void()> on_closed);
 
   // Address at which the server listens.
-  const std::string& address() const { return address_; }
+  const std::string& address() const { return connections_.address(); }
 
  private:
   struct Caller;
@@ -61,19 +62,21 @@
   void WatchForClose(Caller& caller, GIOCondition condition);
   void OnReadable(CallerToken token);
   void OnGone(CallerToken token);
+  void OnWritten(SoupServerMessage* message);
   void OnFinished(SoupServerMessage* message);
+  static void OnFreed(gpointer data, GObject* object);
   void CloseIfIdle();
 
   std::size_t max_body_bytes_;
   Pages pages_;
   ShellMetrics& metrics_;
   EventSink sink_;
-  GObjectPtr<GSocket> listener_;
-  std::string address_;
   GObjectPtr<SoupServer> server_;
+  CallerConnections connections_;
   std::uint64_t next_token_ = 1;
   std::unordered_map<CallerToken, std::unique_ptr<Caller>> callers_;
   std::unordered_map<SoupServerMessage*, CallerToken> tokens_;  // Of unanswered messages.
+  std::unordered_set<SoupServerMessage*> messages_;             // All that exist.
   std::unordered_set<SoupServerMessage*> unwritten_;            // Answered, not yet written.
   // Messages with a body of unknown length or over the limit, with the bytes received so far.
   std::unordered_map<SoupServerMessage*, std::size_t> counted_;
--- a/packages/daemon/src/http_client.cc
+++ b/packages/daemon/src/http_client.cc
@@ -18,9 +18,10 @@
 
 Time MonotonicNow() { return Time{Duration(g_get_monotonic_time())}; }
 
-bool IsComplete(GUri* uri) {
+// Processes find each other by IP address, so that no request waits for a name to be looked up.
+bool NamesAddress(GUri* uri) {
   const char* host = g_uri_get_host(uri);
-  return host != nullptr && *host != '\0' && *g_uri_get_path(uri) == '/';
+  return host != nullptr && g_hostname_is_ip_address(host) && *g_uri_get_path(uri) == '/';
 }
 
 bool HasNoBody(guint status) {
@@ -66,7 +67,7 @@
   active->id = next_id_++;
   active->call = std::move(call);
   const GUriPtr uri(g_uri_parse(active->call.url.c_str(), kUriFlags, nullptr));
-  const bool valid = uri != nullptr && IsComplete(uri.get());
+  const bool valid = uri != nullptr && NamesAddress(uri.get());
   if (valid) {
     active->message.reset(soup_message_new_from_uri(active->call.method, uri.get()));
     active->cancellable.reset(g_cancellable_new());
--- a/packages/daemon/tests/daemon_test.cc
+++ b/packages/daemon/tests/daemon_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 
 #include "test_support.h"
 
@@ -153,6 +154,48 @@
   }));
 }
 
+TEST_CASE("a connection serves one request after another, also when they arrive together") {
+  Fixture fixture;
+  const std::string get = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+  RawConnection caller(fixture.daemon.http_address());
+  for (const int together : {1, 1, 3}) {
+    caller.received.clear();
+    for (int n = 0; n < together; ++n) caller.Write(get);
+    const auto answers = [&] {
+      int n = 0;
+      for (std::size_t at = 0; (at = caller.received.find("ok\n", at)) != std::string::npos; ++at)
+        ++n;
+      return n;
+    };
+    CHECK(RunUntil([&] { return answers() == together; }));
+  }
+  CHECK_FALSE(caller.ended);
+}
+
+TEST_CASE("a connection is closed after its response when the caller asks for that") {
+  Fixture fixture;
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write(GENERATE("GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+                        "GET /healthz HTTP/1.0\r\n\r\n"));
+  REQUIRE(RunUntil([&] { return caller.ended; }));
+  CHECK(caller.received.ends_with("ok\n"));
+}
+
+TEST_CASE("the sockets of callers that closed their connections are closed") {
+  Fixture fixture;
+  const auto open_files = [] {
+    return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+  };
+  const auto before = open_files();
+  for (int n = 0; n < 50; ++n) {
+    RawConnection silent(fixture.daemon.http_address());
+    fixture.Ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n", "ok\n");
+    RawConnection partial(fixture.daemon.http_address());
+    partial.Write("POST /v1/services/a/b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
+  }
+  CHECK(RunUntil([&] { return open_files() <= before; }));
+}
+
 TEST_CASE("a slow caller does not hold up another one") {
   Fixture fixture;
   RawConnection slow(fixture.daemon.http_address());
