--- a/packages/connection/tests/invariants_test.cc
+++ b/packages/connection/tests/invariants_test.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 
+#include "cactusshelf/testing/broken.h"
 #include "fake_cluster.h"
 
 namespace cactusshelf {
@@ -119,8 +120,17 @@
   return found;
 }
 
+RouterProtections ProtectionsUnderTest() {
+  RouterProtections protections;
+  protections.claims = !IsBroken("claims");
+  protections.not_run_only_if_proven = !IsBroken("not-run-only-if-proven");
+  protections.drop_truncated = !IsBroken("drop-truncated");
+  protections.avoid_leaving = !IsBroken("avoid-leaving");
+  return protections;
+}
+
 TEST_CASE("300 random schedules of faults with 7 routers break no invariant") {
-  CHECK(Violations(1, kSchedules, {}).empty());
+  CHECK(Violations(1, kSchedules, ProtectionsUnderTest()).empty());
 }
 
 // Each check must be able to fail: with its protection off, the same schedules break it.
--- a/packages/membership/tests/ownership_test.cc
+++ b/packages/membership/tests/ownership_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/testing/broken.h"
 #include "cluster_simulation.h"
 
 namespace cactusshelf {
@@ -323,7 +324,8 @@
 }
 
 TEST_CASE("no two members ever have authority over the same key") {
-  const ScheduleResult result = RunSchedules(kTakeoverWait);
+  const bool waits = !IsBroken("takeover-wait");
+  const ScheduleResult result = RunSchedules(waits ? kTakeoverWait : Duration::zero());
   CHECK(result.violations == 0);
   // The check says nothing if hardly any key has an owner.
   CHECK(result.owned_share > 0.3);
--- a/packages/node/include/cactusshelf/node/entry_node.h
+++ b/packages/node/include/cactusshelf/node/entry_node.h
@@ -15,6 +15,14 @@
 
 namespace cactusshelf {
 
+// Switches that disable one protection each, so that tests can show that their checks fail without
+// it. Production code leaves all of them at their defaults.
+struct NodeProtections {
+  bool finish_before_stop = true;     // A planned stop waits for the requests in flight.
+  bool attest_only_when_idle = true;  // A member attests only with nothing in flight.
+  bool catch_up_from_peers = true;    // Records come from peers while the log cannot be read.
+};
+
 // What one process knows of itself from its settings.
 struct NodeOptions {
   std::string host_name;  // Name of the entry host, as in the host list.
@@ -40,6 +48,7 @@
   double tail_latency_weight = 1.0;
   double eviction_weight = 1.0;
   double throughput_weight = 1.0;
+  NodeProtections protections;
 };
 
 // All decisions of one entry host as a deterministic state machine: the same events at the same
--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -62,7 +62,9 @@
           Random(random_.Next()))),
       cells_(self_, MakeCellOptions(options_), Random(random_.Next())),
       attester_(self_, {[this](const CustomerId& customer) {
-                          return gateway_.router().in_flight(customer);
+                          return options_.protections.attest_only_when_idle
+                                     ? gateway_.router().in_flight(customer)
+                                     : 0;
                         },
                         [this](const CellId& cell, const CustomerId& customer, Offset epoch) {
                           return cells_.CellEvidence(now_, cell, customer, epoch, membership_);
@@ -332,7 +334,8 @@
   } else if (const auto* ack = std::get_if<Ack>(&message)) {
     offset = ack->gossip.status.log_offset;
   }
-  if (offset && reader_.WantsCatchUp(now.monotonic, *offset)) {
+  if (offset && options_.protections.catch_up_from_peers &&
+      reader_.WantsCatchUp(now.monotonic, *offset)) {
     SendTo(from, CatchUp{state().offset(), options_.peer_address});
   }
 }
@@ -464,7 +467,7 @@
       }
       break;
     case Phase::kDraining:
-      if (gateway_.router().in_flight() == 0) {
+      if (gateway_.router().in_flight() == 0 || !options_.protections.finish_before_stop) {
         FinishDraining(now);
       }
       break;
--- a/packages/node/tests/entry_node_test.cc
+++ b/packages/node/tests/entry_node_test.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cactusshelf/request/request_id.h"
+#include "cactusshelf/testing/broken.h"
 #include "fake_deployment.h"
 
 namespace cactusshelf {
@@ -37,6 +38,9 @@
 class Deployment : public FakeDeployment {
  public:
   Deployment(std::uint64_t seed, int nodes) : FakeDeployment(seed) {
+    protections.finish_before_stop = !IsBroken("finish-before-stop");
+    protections.attest_only_when_idle = !IsBroken("attest-only-when-idle");
+    protections.catch_up_from_peers = !IsBroken("catch-up-from-peers");
     for (int i = 1; i <= nodes; ++i) {
       StartNode(HostName(i));
     }
@@ -225,6 +229,21 @@
   CHECK(deployment.Call("entry3", deployment.NewId(), true).outcome == "not-run");
 }
 
+TEST_CASE("the certificate is withheld while a request of the customer is in flight") {
+  Deployment deployment(15, 3);
+  deployment.PublishServices();
+  deployment.RunFor(seconds(5));
+  deployment.service_time = seconds(4);
+  const auto request = deployment.Send("entry2", "notices", deployment.NewId(), true);
+  deployment.RunFor(std::chrono::milliseconds(100));
+  deployment.Publish("entry1", "retire",
+                     {{"services.toml", std::nullopt}, {"retirement.toml", kRetirement}});
+  deployment.RunFor(seconds(2));
+  CHECK_FALSE(deployment.IsComplete("entry1"));
+  CHECK(deployment.RunUntil([&] { return deployment.IsComplete("entry1"); }, seconds(20)));
+  CHECK(deployment.AnswerTo(request).value().outcome == "answered");
+}
+
 TEST_CASE("the certificate is withheld while a paused member may still act") {
   Deployment deployment(10, 5);
   deployment.PublishServices();
--- a/packages/node/tests/fake_deployment.cc
+++ b/packages/node/tests/fake_deployment.cc
@@ -36,6 +36,7 @@
   options.domain = DomainId("domain-" + name.substr(name.size() - 1));
   options.peer_address = name + ":1";
   options.http_address = name + ":2";
+  options.protections = protections;
   Process process;
   process.incarnation = options.incarnation;
   process.address = options.peer_address;
--- a/packages/node/tests/fake_deployment.h
+++ b/packages/node/tests/fake_deployment.h
@@ -69,6 +69,8 @@
   Duration service_time = std::chrono::milliseconds(20);
   // The endpoint executes but its answer is lost.
   bool lose_answers = false;
+  // Of nodes that are started from now on.
+  NodeProtections protections;
   // Removes hosts from the host list; by default all hosts with a process are listed.
   std::set<std::string> unlisted;
 
--- a/packages/placement/tests/invariant_test.cc
+++ b/packages/placement/tests/invariant_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "cactusshelf/testing/broken.h"
 #include "cell_harness.h"
 
 namespace cactusshelf {
@@ -318,10 +319,18 @@
   }
 }
 
+PlacementProtections ProtectionsUnderTest() {
+  PlacementProtections protections;
+  protections.count_unconfirmed_starts = !IsBroken("count-unconfirmed-starts");
+  protections.wait_for_old_leases = !IsBroken("wait-for-old-leases");
+  protections.keep_checkpoints = !IsBroken("keep-checkpoints");
+  return protections;
+}
+
 // 400 schedules; a failing one can be run again by its seed.
 TEST_CASE("no fault schedule breaks an invariant, and all work ends once faults are over") {
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
-    FaultSchedule schedule(seed, {});
+    FaultSchedule schedule(seed, ProtectionsUnderTest());
     schedule.Run();
     INFO("seed " << seed);
     for (const std::string& violation : schedule.violations()) {
--- a/packages/version/tests/schedule_property_test.cc
+++ b/packages/version/tests/schedule_property_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "cactusshelf/base/random.h"
+#include "cactusshelf/testing/broken.h"
 #include "cactusshelf/version/snapshot.h"
 #include "support.h"
 
@@ -287,10 +288,17 @@
   std::vector<std::string> violations_;
 };
 
+Fault FaultUnderTest() {
+  if (IsBroken("record-order")) {
+    return Fault::kSwappedRecords;
+  }
+  return IsBroken("publication-id") ? Fault::kNewIdOnRetry : Fault::kNone;
+}
+
 TEST_CASE("folds agree and no update is lost, doubled or reverted in 400 random schedules") {
   for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
     INFO("seed " << seed);
-    const std::vector<std::string> violations = Schedule(seed, Fault::kNone).Run();
+    const std::vector<std::string> violations = Schedule(seed, FaultUnderTest()).Run();
     CAPTURE(violations);
     CHECK(violations.empty());
   }
