--- a/packages/connection/tests/slots_test.cc
+++ b/packages/connection/tests/slots_test.cc
@@ -129,10 +129,11 @@
   options.hosts = 7;
   options.endpoints = 7;
   options.slots = 8;
-  options.message_loss = 0.5;
+  options.message_loss = 0.8;
   options.message_repeat = 0.5;
   FakeCluster cluster(options);
-  cluster.Run(seconds(8));
+  cluster.Run(seconds(15));
+  cluster.SetMessageLoss(0);
   for (int i = 0; i < 350; ++i) {
     cluster.Ask(i % 7, true);
     cluster.Run(milliseconds(1));
