--- a/packages/connection/include/cactusshelf/connection/slot_shares.h
+++ b/packages/connection/include/cactusshelf/connection/slot_shares.h
@@ -140,6 +140,8 @@
   };
 
   MemberNumber NumberOf(const MemberId& id);
+  // Makes the numbers of members that left reusable, so that replaced hosts cost nothing.
+  void ForgetFormerMembers(Time now);
   MemberNumber HomeOf(const std::string& key) const;
   void AssignHomes(Time now);
   void SetHome(Time now, Token& token, MemberNumber home) const;
@@ -160,6 +162,7 @@
   std::function<void(std::uint32_t, bool)> on_free_;
   std::vector<Peer> peers_;
   std::unordered_map<MemberId, MemberNumber> numbers_;
+  std::vector<MemberNumber> free_numbers_;
   std::size_t members_ = 0;
   std::vector<Endpoint> endpoints_;
   std::unordered_map<EndpointId, std::uint32_t> indexes_;
--- a/packages/connection/src/slot_shares.cc
+++ b/packages/connection/src/slot_shares.cc
@@ -50,6 +50,7 @@
   members_ = members.size();
   RankMembers();
   AssignHomes(now);
+  ForgetFormerMembers(now);
   if (founder) {
     for (Endpoint& endpoint : endpoints_) {
       for (Token& token : endpoint.tokens) {
@@ -362,13 +363,63 @@
 }
 
 SlotShares::MemberNumber SlotShares::NumberOf(const MemberId& id) {
-  const auto [it, added] = numbers_.try_emplace(id, static_cast<MemberNumber>(peers_.size()));
-  if (added) {
-    Peer peer;
-    peer.id = id;
-    peers_.push_back(std::move(peer));
+  const auto it = numbers_.find(id);
+  if (it != numbers_.end()) {
+    return it->second;
+  }
+  auto number = static_cast<MemberNumber>(peers_.size());
+  if (free_numbers_.empty()) {
+    peers_.emplace_back();
+  } else {
+    number = free_numbers_.back();
+    free_numbers_.pop_back();
+  }
+  peers_[static_cast<std::size_t>(number)].id = id;
+  numbers_.emplace(id, number);
+  return number;
+}
+
+void SlotShares::ForgetFormerMembers(Time now) {
+  std::vector<bool> keep(peers_.size(), false);
+  const auto mark = [&](MemberNumber number) {
+    if (number != kNobody) {
+      keep[static_cast<std::size_t>(number)] = true;
+    }
+  };
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    keep[i] = peers_[i].member || peers_[i].id.empty();
+  }
+  mark(kSelf);
+  for (const Endpoint& endpoint : endpoints_) {
+    for (const Token& token : endpoint.tokens) {
+      mark(token.home);
+      mark(token.lent_until > now ? token.lent_to : kNobody);
+      mark(token.borrowed_until > now ? token.lender : kNobody);
+    }
+  }
+  const auto gone = [&](MemberNumber number) {
+    return number != kNobody && !keep[static_cast<std::size_t>(number)];
+  };
+  for (Endpoint& endpoint : endpoints_) {
+    std::erase_if(endpoint.unwanted, [&](const Unwanted& entry) { return gone(entry.member); });
+    for (Token& token : endpoint.tokens) {
+      token.lent_to = gone(token.lent_to) ? kNobody : token.lent_to;
+      token.meant_for = gone(token.meant_for) ? kNobody : token.meant_for;
+      if (gone(token.lender)) {
+        // Lease numbers count within one lender.
+        token.lender = kNobody;
+        token.borrowed_lease = 0;
+      }
+    }
+  }
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    if (keep[i]) {
+      continue;
+    }
+    numbers_.erase(peers_[i].id);
+    peers_[i] = Peer{};
+    free_numbers_.push_back(static_cast<MemberNumber>(i));
   }
-  return it->second;
 }
 
 SlotShares::MemberNumber SlotShares::HomeOf(const std::string& key) const {
--- a/packages/connection/tests/slots_test.cc
+++ b/packages/connection/tests/slots_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 
+#include "cactusshelf/connection/slot_shares.h"
 #include "fake_cluster.h"
 
 namespace cactusshelf {
@@ -144,6 +145,30 @@
   CHECK(cluster.violations.empty());
 }
 
+TEST_CASE("lending goes on after many hosts were replaced") {
+  DomainCosts costs;
+  const std::size_t domain = costs.IndexOf(DomainId("d"));
+  SlotSharesOptions options{MemberId("self"), domain, seconds(2), seconds(40), true, true};
+  SlotShares shares(options, costs, [](std::uint32_t, bool) {});
+  Time now{seconds(1)};
+  shares.SetMembers(now, {{MemberId("self"), DomainId("d")}}, {domain}, true);
+  shares.AddEndpoint(now, 0, EndpointId("e"), domain, 8, true);
+  for (int i = 0; i < 50; ++i) {
+    const MemberId other("other" + std::to_string(i));
+    const std::vector<RouterMember> members = {{MemberId("self"), DomainId("d")},
+                                               {other, DomainId("d")}};
+    shares.SetMembers(now, members, {domain, domain}, false);
+    shares.TakeTransfers(now);
+    if (i % 2 == 0) {
+      // Each new member counts its leases from 1.
+      shares.OnLend(now, other, 1, now + seconds(2), SlotSet{EndpointId("e"), 0xff});
+      shares.Tick(now);
+      CHECK(shares.usable() == 8);
+    }
+    now += seconds(3);
+  }
+}
+
 TEST_CASE("slots of a host that died come back after its requests have ended") {
   ClusterOptions options;
   options.endpoints = 3;
