--- a/packages/connection/include/cactusshelf/connection/router.h
+++ b/packages/connection/include/cactusshelf/connection/router.h
@@ -71,7 +71,7 @@
   std::optional<Time> NextWakeup() const;
 
   // Metrics: requests_total, outcomes_total, refusals_total, retries_total, late_answers_total,
-  // claims_total, ejections_total, slots_total, each prefixed with "cactusshelf_".
+  // claims_total, ejections_total, each prefixed with "cactusshelf_".
   const Counters& counters() const;
 
   // Requests received and not yet ended, including those with no caller left and attempts that
