--- a/packages/placement/bench/sim/cell_model.h
+++ b/packages/placement/bench/sim/cell_model.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cactusshelf/base/random.h"
-#include "fake_worker.h"
+#include "sim/fake_worker.h"
 #include "sim/scenario.h"
 
 namespace cactusshelf::sim {
--- a/packages/placement/tests/fake_worker.cc
+++ b/packages/placement/bench/sim/fake_worker.cc
@@ -1,4 +1,4 @@
-#include "fake_worker.h"
+#include "sim/fake_worker.h"
 
 #include <algorithm>
 #include <chrono>
--- a/packages/placement/tests/fake_worker.h
+++ b/packages/placement/bench/sim/fake_worker.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSSHELF_PLACEMENT_TESTS_FAKE_WORKER_H_
-#define CACTUSSHELF_PLACEMENT_TESTS_FAKE_WORKER_H_
+#ifndef CACTUSSHELF_PLACEMENT_BENCH_SIM_FAKE_WORKER_H_
+#define CACTUSSHELF_PLACEMENT_BENCH_SIM_FAKE_WORKER_H_
 
 #include <cstdint>
 #include <functional>
@@ -89,4 +89,4 @@
 
 }  // namespace cactusshelf
 
-#endif  // CACTUSSHELF_PLACEMENT_TESTS_FAKE_WORKER_H_
+#endif  // CACTUSSHELF_PLACEMENT_BENCH_SIM_FAKE_WORKER_H_
--- a/packages/placement/src/eviction_budget.cc
+++ b/packages/placement/src/eviction_budget.cc
@@ -13,11 +13,12 @@
 
 void EvictionBudget::SetRate(Time now, double per_hour) {
   if (!is_set_) {
-    left_ = std::max(1.0, per_hour * kInitialShare);
+    left_ = per_hour > 0 ? std::max(1.0, per_hour * kInitialShare) : 0;
     at_ = now;
     is_set_ = true;
+  } else {
+    Refill(now);
   }
-  Refill(now);
   per_hour_ = per_hour;
 }
 
@@ -33,7 +34,8 @@
 
 void EvictionBudget::Refill(Time now) {
   using Hours = std::chrono::duration<double, std::ratio<3600>>;
-  left_ = std::min(left_ + per_hour_ * Hours(now - at_).count(), std::max(1.0, per_hour_));
+  left_ = std::min(left_ + per_hour_ * Hours(now - at_).count(),
+                   per_hour_ > 0 ? std::max(1.0, per_hour_) : 0.0);
   at_ = now;
 }
 
--- a/packages/placement/src/eviction_budget.h
+++ b/packages/placement/src/eviction_budget.h
@@ -8,8 +8,8 @@
 // Limits how often work is evicted for relief. Not thread-safe.
 class EvictionBudget {
  public:
-  // The budget grows evenly by `per_hour` up to that much, and begins with a tenth of it.
-  // Precondition: per_hour >= 0.
+  // The budget grows evenly by `per_hour` up to that much, and begins with a tenth of it. Unless
+  // the rate is 0, one eviction can always accumulate. Precondition: per_hour >= 0.
   void SetRate(Time now, double per_hour);
 
   bool HasLeft(Time now);
--- a/packages/placement/src/job.h
+++ b/packages/placement/src/job.h
@@ -51,7 +51,8 @@
   std::string checkpoint;         // Latest reported.
   std::string checkpoint_before;  // The latest when a checkpoint was asked for.
   Time throttled_at;
-  CommandId stop_id;  // Outstanding stop; empty if none.
+  std::uint32_t throttles = 0;  // Times it was throttled.
+  CommandId stop_id;            // Outstanding stop; empty if none.
 };
 
 struct Task {
--- a/packages/placement/src/relief.cc
+++ b/packages/placement/src/relief.cc
@@ -54,6 +54,7 @@
 
 void CellScheduler::Impl::Throttle(Time now, Placement& placement, std::uint32_t permille) {
   placement.throttled_at = now;
+  placement.throttles += permille < kFullRate ? 1 : 0;
   Send(now, placement.slot, ThrottleTask{{}, placement.id, permille});
 }
 
--- a/packages/placement/src/relief_policy.cc
+++ b/packages/placement/src/relief_policy.cc
@@ -18,8 +18,10 @@
 // holding up one processor, when the weights are equal.
 constexpr double kEvictionCost = 2;
 constexpr double kThrottleCost = 3;
-// A throttle is lifted at most this often after it was set, in units of the patience.
+// A throttle stays for at least this time, in units of the patience. The time doubles with each
+// throttle of the task, so that a task that disturbs whenever it is let go does not alternate.
 constexpr int kLeastThrottleTime = 2;
+constexpr std::uint32_t kMostDoublings = 6;
 
 double ShareOf(const Placement& placement) {
   return static_cast<double>(placement.permille) / kFullRate;
@@ -116,12 +118,17 @@
   return best;
 }
 
+Duration ReliefPolicy::LeastThrottleTime(const Placement& placement) const {
+  const std::uint32_t doublings = std::min(std::max(placement.throttles, 1U) - 1, kMostDoublings);
+  return patience_ * kLeastThrottleTime * (1 << doublings);
+}
+
 Relief ReliefPolicy::Lift(Time now, const WorkerRecord& worker) const {
   const Placement* least = nullptr;
   double least_rise = 0;
   for (const auto& [id, placement] : worker.placements) {
     if (placement.permille == kFullRate || placement.phase != PlacementPhase::kRunning ||
-        now < placement.throttled_at + kLeastThrottleTime * patience_) {
+        now < placement.throttled_at + LeastThrottleTime(placement)) {
       continue;
     }
     double after = 1;
--- a/packages/placement/src/relief_policy.h
+++ b/packages/placement/src/relief_policy.h
@@ -34,6 +34,7 @@
   Relief RelieveMemory(const WorkerRecord& worker, const Resources& available) const;
   Relief RelieveService(Time now, const WorkerRecord& worker, const ServiceStatus& service,
                         bool may_evict) const;
+  Duration LeastThrottleTime(const Placement& placement) const;
   Relief Lift(Time now, const WorkerRecord& worker) const;
 
   Duration patience_;
--- a/packages/placement/tests/cell_harness.h
+++ b/packages/placement/tests/cell_harness.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cactusshelf/placement/cell_scheduler.h"
-#include "fake_worker.h"
+#include "sim/fake_worker.h"
 
 namespace cactusshelf {
 
