--- a/packages/placement/src/cell_scheduler_impl.cc
+++ b/packages/placement/src/cell_scheduler_impl.cc
@@ -41,7 +41,9 @@
   unvisited_ = slots_.size();
   counters_.Add("cactusshelf_placement_ownership_total", "taken");
   for (WorkerSlot slot = 0; slot < workers_.size(); ++slot) {
-    timers_.Add(now + random_.Between(Duration(1), options_.report_period), ReportDue{slot});
+    if (!workers_[slot]->is_gone) {
+      timers_.Add(now + random_.Between(Duration(1), options_.report_period), ReportDue{slot});
+    }
   }
   timers_.Add(old_leases_end_, RecoveryDue{});
   ContactAll(now);
@@ -91,6 +93,7 @@
     fresh.rack = worker.rack;
     fresh.domain = worker.domain;
     fresh.is_removed = worker.is_removed;
+    fresh.is_gone = worker.is_gone;
     fresh.services = std::move(worker.services);
     worker = std::move(fresh);
     ledger_.SetOpen(slot, false);
@@ -119,7 +122,9 @@
     return;
   }
   for (WorkerSlot slot = 0; slot < workers_.size(); ++slot) {
-    Contact(now, slot);
+    if (!workers_[slot]->is_gone) {
+      Contact(now, slot);
+    }
   }
 }
 
@@ -433,9 +438,13 @@
 }
 
 void CellScheduler::Impl::Handle(Time now, const ReportDue& event) {
-  const WorkerRecord& worker = *workers_[event.slot];
+  WorkerRecord& worker = *workers_[event.slot];
   ExpireLeases(now, event.slot);
+  if (worker.is_gone) {
+    return;
+  }
   if (worker.is_removed && worker.placements.empty() && !is_recovering_) {
+    worker.is_gone = true;
     slots_.erase(worker.spec.id);
     return;
   }
@@ -445,7 +454,9 @@
 
 void CellScheduler::Impl::Handle(Time now, const PollDue& event) {
   ExpireLeases(now, event.slot);
-  Contact(now, event.slot);
+  if (!workers_[event.slot]->is_gone) {
+    Contact(now, event.slot);
+  }
 }
 
 void CellScheduler::Impl::Handle(Time now, const CheckpointDue& event) {
@@ -488,7 +499,7 @@
   std::vector<WorkerId> unvisited;
   if (is_recovering_) {
     for (const auto& worker : workers_) {
-      if (!worker->is_visited && slots_.contains(worker->spec.id)) {
+      if (!worker->is_visited && !worker->is_gone) {
         unvisited.push_back(worker->spec.id);
       }
     }
--- a/packages/placement/src/worker_record.h
+++ b/packages/placement/src/worker_record.h
@@ -29,7 +29,8 @@
   WorkerSpec spec;
   std::uint32_t rack = 0;
   std::uint32_t domain = 0;
-  bool is_removed = false;
+  bool is_removed = false;  // From the configuration; still contacted while it has work.
+  bool is_gone = false;     // Removed and without work; a worker added again gets another slot.
 
   // Contact. `base_*`: a reading of the worker's clock and the time by which it had been taken.
   std::uint64_t incarnation = 0;  // 0: never heard of.
--- a/packages/placement/tests/cell_scheduler_test.cc
+++ b/packages/placement/tests/cell_scheduler_test.cc
@@ -474,6 +474,28 @@
   }
 }
 
+TEST_CASE("work of a removed worker moves, and the worker is used again once it is added again") {
+  CellHarness cell(Workers(2, Size(4, 32)), 600);
+  CellScheduler& owner = cell.AddOwner();
+  owner.AdmitJob(cell.now(), MakeJob("job", 4, Size(2, 4)));
+  cell.Take(0, kEpoch, cell.now());
+  cell.RunFor(seconds(10));
+  REQUIRE(cell.RunningCount() == 4);
+  owner.ApplyWorkers(cell.now(), {Worker(0, Size(4, 32))});
+  cell.RunFor(seconds(30));
+  CHECK(cell.worker(1).running().empty());
+  owner.ApplyWorkers(cell.now(), Workers(2, Size(4, 32)));
+  cell.RunFor(seconds(10));
+  CHECK(cell.worker(1).running().size() == 2);
+  // A takeover meets both the record of the removed worker and that of the added one.
+  cell.Take(0, kEpoch + 1, cell.now());
+  CHECK(owner.unvisited_workers().size() == 2);
+  cell.RunFor(seconds(30));
+  CHECK_FALSE(owner.is_recovering());
+  CHECK(cell.RunningCount() == 4);
+  CHECK(owner.tasks_of(CustomerId("customer")) == 4);
+}
+
 TEST_CASE("an owner without authority sends nothing") {
   CellHarness cell(Workers(2, Size(8, 32)));
   CellScheduler& owner = cell.AddOwner();
