--- a/packages/placement/src/cell_scheduler_impl.cc
+++ b/packages/placement/src/cell_scheduler_impl.cc
@@ -223,7 +223,11 @@
     all.push_back(&placement);
   }
   for (Placement* placement : all) {
-    StopPlacement(now, *placement);
+    if (placement->phase == PlacementPhase::kRunning && placement->job != nullptr) {
+      Evict(now, *placement, options_.checkpoint_timeout);
+    } else if (placement->phase != PlacementPhase::kCheckpointing) {
+      StopPlacement(now, *placement);
+    }
   }
 }
 
--- a/packages/placement/tests/cell_scheduler_test.cc
+++ b/packages/placement/tests/cell_scheduler_test.cc
@@ -474,7 +474,9 @@
   }
 }
 
-TEST_CASE("work of a removed worker moves, and the worker is used again once it is added again") {
+TEST_CASE(
+    "work of a removed worker moves with its checkpoint, and the worker is used again once it is "
+    "added again") {
   CellHarness cell(Workers(2, Size(4, 32)), 600);
   CellScheduler& owner = cell.AddOwner();
   owner.AdmitJob(cell.now(), MakeJob("job", 4, Size(2, 4)));
@@ -487,6 +489,8 @@
   owner.ApplyWorkers(cell.now(), Workers(2, Size(4, 32)));
   cell.RunFor(seconds(10));
   CHECK(cell.worker(1).running().size() == 2);
+  REQUIRE(cell.starts.size() == 6);
+  CHECK(ProgressOf(cell.starts.back().checkpoint) >= 8);
   // A takeover meets both the record of the removed worker and that of the added one.
   cell.Take(0, kEpoch + 1, cell.now());
   CHECK(owner.unvisited_workers().size() == 2);
