--- a/packages/membership/include/cactusshelf/membership/ownership_tenure.h
+++ b/packages/membership/include/cactusshelf/membership/ownership_tenure.h
@@ -61,8 +61,8 @@
   void OnPeerEpoch(const MemberId& from, Epoch epoch, Time now);
 
   // Start of the current tenure of `key`; it may be in the future. Empty if this member is not the
-  // owner or must first hear from another member. A start before the oldest departure in
-  // `history` may be reported too early.
+  // owner or must first hear from another member. A start that lies further back than `history`
+  // may be reported too late, but not later than that.
   std::optional<Time> TenureStart(std::string_view key) const;
 
   bool MayAct(std::string_view key, Time now) const;
@@ -111,6 +111,8 @@
   // Highest epoch that each other member reported.
   MemberMap<Epoch> peer_epochs_;
   std::vector<Departed> departed_;
+  // Latest start of a tenure due to a departure that is no longer kept.
+  Time forgotten_start_;
 };
 
 }  // namespace cactusshelf
--- a/packages/membership/src/ownership_tenure.cc
+++ b/packages/membership/src/ownership_tenure.cc
@@ -72,7 +72,7 @@
     return std::nullopt;
   }
   const std::uint64_t own_weight = RendezvousWeight(self_.str(), key);
-  Time start = Time::min();
+  Time start = forgotten_start_;
   for (const Departed& departed : departed_) {
     if (departed.knew_self && RendezvousWeight(departed.id.str(), key) < own_weight) {
       continue;
@@ -170,7 +170,11 @@
 
 void OwnershipTenure::ForgetOldDepartures(Time now) {
   std::erase_if(departed_, [&](const Departed& departed) {
-    return departed.awaited.empty() && now - departed.not_before > settings_.history;
+    const bool old = departed.awaited.empty() && now - departed.not_before > settings_.history;
+    if (old) {
+      forgotten_start_ = std::max(forgotten_start_, departed.not_before);
+    }
+    return old;
   });
 }
 
--- a/packages/membership/tests/ownership_test.cc
+++ b/packages/membership/tests/ownership_test.cc
@@ -229,6 +229,21 @@
   CHECK(tenure.SettledEpoch(removed + kTakeoverWait) == 3);
 }
 
+TEST_CASE("a tenure that began before the kept departures still has a start in the past") {
+  const MemberId self("a/1");
+  const Member own{self, DomainId("d"), 1};
+  const Member other{MemberId("b/1"), DomainId("d"), 2};
+  const Time start{seconds(100)};
+  OwnershipTenure tenure(self, {});
+  tenure.OnMapChange({OwnershipMap::Make(1, {own}), {}, true}, start);
+  tenure.OnMapChange({OwnershipMap::Make(2, {own, other}), {}, true},
+                     start + std::chrono::hours(1));
+  tenure.OnMapChange({OwnershipMap::Make(3, {own}), {{other, DepartureKind::kLeft}}, true},
+                     start + std::chrono::hours(2));
+  tenure.OnMapChange({OwnershipMap::Make(4, {own}), {}, true}, start + std::chrono::hours(3));
+  CHECK(tenure.TenureStart("key") == start + std::chrono::hours(2));
+}
+
 TEST_CASE("a member that loaded a snapshot waits for removals it did not read") {
   const MemberId self("a/1");
   const Member own{self, DomainId("d"), 1};
