--- a/packages/membership/tests/ownership_test.cc
+++ b/packages/membership/tests/ownership_test.cc
@@ -230,6 +230,21 @@
   CHECK(tenure.SettledEpoch(removed + kTakeoverWait) == 3);
 }
 
+TEST_CASE("a tenure that began before the kept departures still has a start in the past") {
+  const MemberId self("a/1");
+  const Member own{self, DomainId("d"), 1};
+  const Member other{MemberId("b/1"), DomainId("d"), 2};
+  const Time start{seconds(100)};
+  OwnershipTenure tenure(self, {});
+  tenure.OnMapChange({OwnershipMap::Make(1, {own}), {}, true}, start);
+  tenure.OnMapChange({OwnershipMap::Make(2, {own, other}), {}, true},
+                     start + std::chrono::hours(1));
+  tenure.OnMapChange({OwnershipMap::Make(3, {own}), {{other, DepartureKind::kLeft}}, true},
+                     start + std::chrono::hours(2));
+  tenure.OnMapChange({OwnershipMap::Make(4, {own}), {}, true}, start + std::chrono::hours(3));
+  CHECK(tenure.TenureStart("key") == start + std::chrono::hours(2));
+}
+
 TEST_CASE("a member that loaded a snapshot waits for removals it did not read") {
   const MemberId self("a/1");
   const Member own{self, DomainId("d"), 1};
@@ -299,6 +314,35 @@
   CHECK(cluster.TenureStart(0, key) > before);
 }
 
+// Runs in which an owner with a slow clock is cut off at any time after its last log read, and is
+// removed at once. Returns the number of runs in which its successor, whose clock is fast, acted
+// too early.
+int CountEarlySuccessors(Duration takeover_wait) {
+  int early = 0;
+  for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+    ClusterSimulation::Options options;
+    options.seed = seed;
+    options.members = 2;
+    options.extreme_clocks = true;
+    options.read_delay = milliseconds(15);
+    options.tenure.takeover_wait = takeover_wait;
+    ClusterSimulation cluster(options);
+    cluster.Run(kStarted);
+    cluster.SetLinkCut(0, 1, true);
+    cluster.SetLogCut(0, true);
+    cluster.Remove(0);
+    cluster.Run(seconds(3));
+    early += cluster.max_holders() > 1 ? 1 : 0;
+  }
+  return early;
+}
+
+TEST_CASE("the takeover wait covers clocks that differ by 5%") {
+  CHECK(CountEarlySuccessors(kTakeoverWait) == 0);
+  // Without the allowance for clock rates.
+  CHECK(CountEarlySuccessors(seconds(2)) > 0);
+}
+
 constexpr int kSchedules = 400;
 constexpr Duration kScheduleTime = seconds(60);
 
