--- a/packages/daemon/include/cactusshelf/daemon/shell.h
+++ b/packages/daemon/include/cactusshelf/daemon/shell.h
@@ -42,8 +42,8 @@
   }
 
   // Reports `event` now, or after the event in progress when called while an effect is carried
-  // out.
-  void Post(NodeEvent event) {
+  // out. An exception of the node ends the process, since its state is then unknown.
+  void Post(NodeEvent event) noexcept {
     pending_.push_back(std::move(event));
     if (handling_) return;
     HandlePending();
--- a/packages/daemon/src/http_client.cc
+++ b/packages/daemon/src/http_client.cc
@@ -12,7 +12,9 @@
 constexpr int kMaxConnections = 32768;
 constexpr int kMaxConnectionsPerHost = 1024;
 constexpr auto kUriFlags = static_cast<GUriFlags>(SOUP_HTTP_URI_FLAGS);
-constexpr guint kIdleTimeoutSeconds = 30;
+// Shorter than the time for which servers commonly keep idle connections (5 s and more): a request
+// that meets the server's close on its way is reported as sent, and its outcome is unknown.
+constexpr guint kIdleTimeoutSeconds = 4;
 constexpr std::size_t kMinReadBytes = 4096;
 constexpr std::size_t kMaxReadBytes = 65536;
 
--- a/packages/daemon/src/program.cc
+++ b/packages/daemon/src/program.cc
@@ -94,8 +94,10 @@
 std::uint64_t MakeIncarnation() { return static_cast<std::uint64_t>(g_get_real_time()); }
 
 void RouteLibraryLogs(LogWriter& log) {
+  // GLib accepts one writer for the life of the process.
+  const bool first = library_log == nullptr;
   library_log = &log;
-  g_log_set_writer_func(WriteLibraryLog, nullptr, nullptr);
+  if (first) g_log_set_writer_func(WriteLibraryLog, nullptr, nullptr);
 }
 
 void RaiseFileLimit() {
--- a/packages/daemon/src/program.h
+++ b/packages/daemon/src/program.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_DAEMON_PROGRAM_H_
 #define CACTUSSHELF_DAEMON_PROGRAM_H_
 
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <optional>
@@ -46,6 +47,8 @@
   static LogWriter log(settings.log_level, stderr);
   RouteLibraryLogs(log);
   RaiseFileLimit();
+  // A reader of the log that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     N node(settings.node, seed);
     Daemon<N> daemon(settings, seed, node, log);
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -2,13 +2,10 @@
 
 #include <fmt/format.h>
 
-#include <cerrno>
-#include <fstream>
-#include <iterator>
 #include <limits>
-#include <system_error>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/daemon/gobject_ptr.h"
 #include "table_reader.h"
 
 namespace cactusshelf {
@@ -191,12 +188,15 @@
 }
 
 std::string ReadSettingsFile(const std::string& path) {
-  std::ifstream stream(path, std::ios::binary);
-  std::string text{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-  if (!stream.good() && !stream.eof()) {
-    throw SettingsError("cannot read " + path + ": " + std::generic_category().message(errno));
-  }
-  return text;
+  gchar* text = nullptr;
+  gsize size = 0;
+  GError* error = nullptr;
+  const bool read = g_file_get_contents(path.c_str(), &text, &size, &error);
+  const GErrorPtr owned_error(error);
+  if (!read) throw SettingsError("cannot read " + path + ": " + owned_error->message);
+  std::string copy(text, size);
+  g_free(text);
+  return copy;
 }
 
 }  // namespace cactusshelf
--- /dev/null
+++ b/packages/daemon/tests/program_test.cc
@@ -0,0 +1,92 @@
+#include "program.h"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+
+#include "cactusshelf/daemon/log_writer.h"
+#include "socket_address.h"
+#include "test_support.h"
+
+namespace cactusshelf {
+namespace {
+
+// File with `text` that is removed at the end of the test.
+struct TempFile {
+  explicit TempFile(const std::string& text) {
+    close(mkstemp(path.data()));
+    std::ofstream(path) << text;
+  }
+  ~TempFile() { std::remove(path.c_str()); }
+  TempFile(const TempFile&) = delete;
+  TempFile& operator=(const TempFile&) = delete;
+
+  std::string path = "/tmp/cactusshelf-test-XXXXXX";
+};
+
+std::string SettingsText() {
+  return "host_name = \"h\"\ndomain = \"d\"\nhttp_address = \"" + ClosedAddress() +
+         "\"\npeer_address = \"" + ClosedAddress() +
+         "\"\nlog_level = \"error\"\nlog_service.address = \"127.0.0.1:9\"\n"
+         "host_list.address = \"127.0.0.1:9\"\n";
+}
+
+int ExitCode(std::vector<const char*> arguments) {
+  arguments.insert(arguments.begin(), "cactusshelfd");
+  const StartPlan plan = PlanStart(static_cast<int>(arguments.size()), arguments.data());
+  const int* code = std::get_if<int>(&plan);
+  return code == nullptr ? -1 : *code;
+}
+
+// Asks for the end of the process as soon as it is started.
+struct StoppingNode : FakeNode {
+  StoppingNode(const NodeOptions& options, std::uint64_t /*seed*/) {
+    REQUIRE(options.incarnation > 1'700'000'000'000'000);
+    effects.emplace_back(node_effect::Stop{});
+  }
+};
+
+}  // namespace
+
+TEST_CASE("the command line and the settings file decide whether the process starts") {
+  const TempFile good(SettingsText());
+  const TempFile bad("host_name = 1\n");
+  CHECK(ExitCode({"--help"}) == 0);
+  CHECK(ExitCode({"--version"}) == 0);
+  CHECK(ExitCode({"--config", good.path.c_str(), "--check"}) == 0);
+  CHECK(ExitCode({"--config", good.path.c_str()}) == -1);
+  CHECK(ExitCode({"--config", bad.path.c_str(), "--check"}) == 2);
+  CHECK(ExitCode({"--config", bad.path.c_str()}) == 2);
+  CHECK(ExitCode({"--config", "/tmp"}) == 2);
+  CHECK(ExitCode({"--config", "/nonexistent"}) == 2);
+  CHECK(ExitCode({"--unknown"}) == 2);
+  CHECK(ExitCode({"stray"}) == 2);
+  CHECK(ExitCode({}) == 2);
+}
+
+TEST_CASE("the program runs until its node stops it, and fails if it cannot listen") {
+  const TempFile file(SettingsText());
+  const char* arguments[] = {"cactusshelfd", "--config", file.path.c_str()};
+  CHECK(RunProgram<StoppingNode>(3, arguments) == 0);
+  Findings findings;
+  const Settings settings = ParseSettings(ReadSettingsFile(file.path), file.path, findings);
+  const GObjectPtr<GSocket> taken = Listen(settings.node.http_address);
+  CHECK(RunProgram<StoppingNode>(3, arguments) == 1);
+}
+
+TEST_CASE("log lines carry the time, and events below the level are not written") {
+  char* text = nullptr;
+  std::size_t size = 0;
+  std::FILE* stream = open_memstream(&text, &size);
+  LogWriter log(LogLevel::kInfo, stream);
+  const WallTime time(std::chrono::milliseconds(1'700'000'000'042));
+  log.Write(time, LogEvent(LogLevel::kDebug, "hidden"));
+  log.Write(time, LogEvent(LogLevel::kInfo, "shown").With("n", 1));
+  std::fclose(stream);
+  CHECK(std::string(text, size) == "time=2023-11-14T22:13:20.042Z level=info event=shown n=1\n");
+  std::free(text);
+}
+
+}  // namespace cactusshelf
