--- a/packages/daemon/src/caller_server.cc
+++ b/packages/daemon/src/caller_server.cc
@@ -238,7 +238,6 @@
   soup_server_message_unpause(message);
   metrics_.counters.Add("cactusshelf_shell_callers_gone_total", "closed");
   sink_(node_event::CallerGone{token});
-  CloseIfIdle();
 }
 
 void CallerServer::Respond(const node_effect::RespondToCaller& response) {
@@ -252,7 +251,6 @@
   caller->StopWatch();
   SoupServerMessage* message = caller->message.get();
   tokens_.erase(message);
-  unwritten_.insert(message);
   metrics_.request_time.Add(SystemClock().Read().monotonic - caller->started);
 
   soup_server_message_set_status(message, static_cast<guint>(response.status), nullptr);
@@ -266,11 +264,7 @@
   soup_server_message_unpause(message);
 }
 
-void CallerServer::OnWritten(SoupServerMessage* message) {
-  unwritten_.erase(message);
-  connections_.TakeBack(message);
-  CloseIfIdle();
-}
+void CallerServer::OnWritten(SoupServerMessage* message) { connections_.TakeBack(message); }
 
 // libsoup does not report each message as finished, in particular none whose connection was taken
 // back.
@@ -279,19 +273,13 @@
   auto* message = reinterpret_cast<SoupServerMessage*>(object);
   server->messages_.erase(message);
   server->counted_.erase(message);
-  server->unwritten_.erase(message);
   server->CloseIfIdle();
 }
 
 void CallerServer::OnFinished(SoupServerMessage* message) {
   counted_.erase(message);
-  unwritten_.erase(message);
   const auto token = tokens_.find(message);
-  if (token != tokens_.end()) {
-    OnGone(token->second);
-  } else {
-    CloseIfIdle();
-  }
+  if (token != tokens_.end()) OnGone(token->second);
 }
 
 void CallerServer::Close(std::function<void()> on_closed) {
@@ -301,7 +289,7 @@
 }
 
 void CallerServer::CloseIfIdle() {
-  if (!on_closed_ || !callers_.empty() || !unwritten_.empty()) return;
+  if (!on_closed_ || !messages_.empty()) return;
   std::exchange(on_closed_, nullptr)();
 }
 
--- a/packages/daemon/src/caller_server.h
+++ b/packages/daemon/src/caller_server.h
@@ -44,7 +44,7 @@
   // From now on each response closes its connection, so that callers move to other hosts.
   void BeginDrain() { draining_ = true; }
 
-  // Stops listening and calls `on_closed` once every response has been written.
+  // Stops listening and calls `on_closed` once no request is being read, run or answered.
   void Close(std::function<void()> on_closed);
 
   // Address at which the server listens.
@@ -77,7 +77,6 @@
   std::unordered_map<CallerToken, std::unique_ptr<Caller>> callers_;
   std::unordered_map<SoupServerMessage*, CallerToken> tokens_;  // Of unanswered messages.
   std::unordered_set<SoupServerMessage*> messages_;             // All that exist.
-  std::unordered_set<SoupServerMessage*> unwritten_;            // Answered, not yet written.
   // Messages with a body of unknown length or over the limit, with the bytes received so far.
   std::unordered_map<SoupServerMessage*, std::size_t> counted_;
   bool draining_ = false;
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -74,7 +74,7 @@
   }
 
   void OnStopTimeout() {
-    log_.Write(clock_.Read().wall, LogEvent(LogLevel::kWarning, "responses_not_written"));
+    log_.Write(clock_.Read().wall, LogEvent(LogLevel::kWarning, "requests_not_finished"));
     End();
   }
 
--- a/packages/daemon/tests/daemon_test.cc
+++ b/packages/daemon/tests/daemon_test.cc
@@ -243,6 +243,25 @@
   CHECK(caller.received.find("Connection: close\r\n") != std::string::npos);
 }
 
+TEST_CASE("a request that is still arriving when the node stops is answered before the exit") {
+  Fixture fixture;
+  RawConnection caller(fixture.daemon.http_address());
+  caller.Write("POST /v1/services/a/b HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
+  RunFor(std::chrono::milliseconds(100));
+  fixture.Emit(node_effect::Stop{});
+  RunFor(std::chrono::milliseconds(100));
+  CHECK_FALSE(fixture.daemon.exit_code());
+  fixture.node.on_event = [&](const NodeEvent& event) {
+    const auto* request = std::get_if<CallerRequest>(&event);
+    if (request == nullptr) return;
+    fixture.node.effects.push_back(
+        node_effect::RespondToCaller{request->token, 503, {}, MakeBody("")});
+  };
+  caller.Write("cde");
+  REQUIRE(RunUntil([&] { return fixture.daemon.exit_code().has_value(); }));
+  CHECK(RunUntil([&] { return caller.received.starts_with("HTTP/1.1 503 "); }));
+}
+
 TEST_CASE("a second signal exits with 1 without waiting for requests in flight") {
   Fixture fixture;
   std::raise(SIGTERM);
