--- a/packages/daemon/src/caller_server.cc
+++ b/packages/daemon/src/caller_server.cc
@@ -141,7 +141,8 @@
       Refuse(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "body_too_large");
       return;
     }
-    // libsoup 3.2.3 takes a chunked body as complete when the connection is closed between chunks.
+    // libsoup's client takes a chunked body that is cut between chunks as complete (HttpClient), so
+    // its server is not relied on to notice.
     if (IsAtEnd(CallerConnections::SocketOf(message))) {
       Refuse(message, SOUP_STATUS_BAD_REQUEST, "body_truncated");
       return;
