--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -467,7 +467,7 @@
       }
       break;
     case Phase::kDraining:
-      if (gateway_.router().in_flight() == 0 || !options_.protections.finish_before_stop) {
+      if (IsDrained(now)) {
         FinishDraining(now);
       }
       break;
@@ -482,6 +482,22 @@
   }
 }
 
+// Once nothing is in flight, the slots are handed over for a limited time only: the others get them
+// in any case when the requests of this member would have ended.
+bool EntryNode::Impl::IsDrained(const Now& now) {
+  if (!options_.protections.finish_before_stop) {
+    return true;
+  }
+  const Router& router = gateway_.router();
+  if (router.in_flight() != 0) {
+    return false;
+  }
+  if (!handover_deadline_) {
+    handover_deadline_ = now.monotonic + kHandoverTimeout;
+  }
+  return router.drained() || now.monotonic >= *handover_deadline_;
+}
+
 void EntryNode::Impl::FinishDraining(const Now& now) {
   if (!IsMember()) {
     Stop(node_effect::kExitRemoved);
--- a/packages/node/src/peer_codec.cc
+++ b/packages/node/src/peer_codec.cc
@@ -113,7 +113,8 @@
 }
 
 Json Fields(const Return& message) {
-  return Json::array({message.number, SlotFields(message.slots)});
+  return {message.number, SlotFields(message.slots), message.unusable, message.transfer,
+          message.received};
 }
 
 Json EndpointFields(const std::vector<EndpointId>& endpoints) {
@@ -296,7 +297,9 @@
       return RouterMessage(Lend{ToTime(At(fields, 0)), Duration(At(fields, 1).get<Duration::rep>()),
                                 At(fields, 2).get<LeaseNumber>(), ToSlots(At(fields, 3))});
     case MessageType::kReturn:
-      return RouterMessage(Return{At(fields, 0).get<LeaseNumber>(), ToSlots(At(fields, 1))});
+      return RouterMessage(Return{At(fields, 0).get<LeaseNumber>(), ToSlots(At(fields, 1)),
+                                  At(fields, 2).get<bool>(), At(fields, 3).get<TransferNumber>(),
+                                  At(fields, 4).get<bool>()});
     case MessageType::kDemand:
       return RouterMessage(ToDemand(fields));
     case MessageType::kPing:
