--- a/packages/node/src/cell_manager.cc
+++ b/packages/node/src/cell_manager.cc
@@ -81,8 +81,8 @@
 
 std::string CellKey(const CellId& cell) { return "cell/" + cell.str(); }
 
-CellManager::CellManager(MemberId self, CellOptions options, Random random)
-    : self_(std::move(self)), options_(std::move(options)), random_(random) {}
+CellManager::CellManager(MemberId self, const CellOptions& options, Random random)
+    : self_(std::move(self)), options_(options), random_(random) {}
 
 void CellManager::UpdateOwnership(Now now, const LogState& state, const MembershipView& view) {
   const Configuration& configuration = *state.configuration();
--- a/packages/node/src/cell_manager.h
+++ b/packages/node/src/cell_manager.h
@@ -27,7 +27,7 @@
 // workers. Not thread-safe.
 class CellManager {
  public:
-  CellManager(MemberId self, CellOptions options, Random random);
+  CellManager(MemberId self, const CellOptions& options, Random random);
 
   // Takes or gives up cells according to `view`. Also to be called when tenures may have begun.
   void UpdateOwnership(Now now, const LogState& state, const MembershipView& view);
--- a/packages/node/tests/entry_node_test.cc
+++ b/packages/node/tests/entry_node_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -182,10 +183,8 @@
   deployment.Pause("entry2");
   const auto removed = [&] { return deployment.StatusOf("entry1").at("members").size() == 4; };
   REQUIRE(deployment.RunUntil(removed, seconds(30)));
-  std::vector<std::string> ids;
-  for (int n = 0; n < 20; ++n) {
-    ids.push_back(deployment.NewId());
-  }
+  std::vector<std::string> ids(20);
+  std::ranges::generate(ids, [&] { return deployment.NewId(); });
   deployment.RunFor(seconds(5));
   for (const std::string& id : ids) {
     deployment.Send("entry1", "notices", id, false);
--- a/packages/node/tests/fake_deployment.cc
+++ b/packages/node/tests/fake_deployment.cc
@@ -169,12 +169,14 @@
   const auto carry_out = [&](const auto& it) {
     using Effect = std::decay_t<decltype(it)>;
     if constexpr (std::is_same_v<Effect, node_effect::ReadLog>) {
+      ++traffic_.log_reads;
       if (LogReachable(host)) {
         polls_.push_back({host, process.incarnation, now_, it.from, now_ + it.wait + Latency()});
       } else {
         Schedule(host, Latency(), node_event::LogReadFailed{"unreachable"});
       }
     } else if constexpr (std::is_same_v<Effect, node_effect::AppendToLog>) {
+      ++traffic_.appends;
       if (!LogReachable(host)) {
         Schedule(host, Latency(), node_event::AppendFailed{it.token, "unreachable"});
         return;
@@ -194,6 +196,8 @@
       }
       Schedule(host, Latency(), std::move(read));
     } else if constexpr (std::is_same_v<Effect, node_effect::SendToPeer>) {
+      ++traffic_.peer_messages;
+      traffic_.peer_bytes += it.bytes.size();
       for (const auto& [name, other] : nodes_) {
         const bool connected = !isolated.contains(name) && !isolated.contains(host);
         if (other.address == it.address && (connected || name == host)) {
--- a/packages/node/tests/fake_deployment.h
+++ b/packages/node/tests/fake_deployment.h
@@ -76,6 +76,15 @@
 
   FakeLog log;
 
+  // What all nodes did since the start.
+  struct Traffic {
+    std::uint64_t peer_messages = 0;
+    std::uint64_t peer_bytes = 0;
+    std::uint64_t log_reads = 0;
+    std::uint64_t appends = 0;
+  };
+  const Traffic& traffic() const { return traffic_; }
+
  private:
   struct Process {
     std::unique_ptr<EntryNode> node;
@@ -122,6 +131,7 @@
   std::vector<LongPoll> polls_;
   std::map<std::uint64_t, Answer> answers_;
   std::map<std::string, int> executions_;
+  Traffic traffic_;
   std::uint64_t last_order_ = 0;
   std::uint64_t last_incarnation_ = 0;
   std::uint64_t last_request_ = 0;
