Repeat a refused join; take no cells while leaving

Cause: a join that names an offset before the latest retirement is refused by the fold, and the process then waited for its membership for ever. Found by reading; the new test fails without the repetition. A member that had given up its cells could also take them again on the next tick, without authority.

--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -77,6 +77,9 @@
 }
 
 void EntryNode::Impl::Handle(const Now& now, const NodeEvent& event) {
+  if (phase_ == Phase::kStopped) {
+    return;
+  }
   now_ = now;
   membership_.SetStatus(now.monotonic, state());
   AdvanceAuthority(now);
@@ -208,7 +211,7 @@
     members.push_back({id, member.domain});
   }
   gateway_.router().SetMembers(now, members);
-  cells_.UpdateOwnership(now, state(), membership_);
+  UpdateCells(now);
 }
 
 void EntryNode::Impl::ApplyConfiguration(const Now& now) {
@@ -218,7 +221,7 @@
   }
   gateway_.router().ApplyServices(now, BuildRoutingTable(configuration, options_.links));
   RefreshLeavingEndpoints(now);
-  cells_.UpdateOwnership(now, state(), membership_);
+  UpdateCells(now);
   cells_.OnConfiguration(now, state());
 }
 
@@ -323,7 +326,7 @@
   OfferCatchUp(now, from, message);
   CollectMembership(now, membership_.OnMessage(now.monotonic, message));
   // A peer's epoch can begin a tenure.
-  cells_.UpdateOwnership(now, state(), membership_);
+  UpdateCells(now);
 }
 
 void EntryNode::Impl::OfferCatchUp(const Now& now, const MemberId& from,
@@ -402,6 +405,13 @@
   if (now.monotonic >= next_tick_) {
     next_tick_ = now.monotonic + kTick;
     // A tenure can begin by the passing of time.
+    UpdateCells(now);
+  }
+}
+
+// After it gave up its cells to leave, a member takes none again.
+void EntryNode::Impl::UpdateCells(const Now& now) {
+  if (phase_ == Phase::kServing || phase_ == Phase::kDraining) {
     cells_.UpdateOwnership(now, state(), membership_);
   }
 }
@@ -449,14 +459,15 @@
     case Phase::kLoading:
       if (reader_.loaded()) {
         phase_ = Phase::kJoining;
-        appender_.Add(Join{self_, options_.incarnation, options_.domain, options_.peer_address,
-                           options_.http_address, state().offset()});
+        RequestJoin(now);
       }
       break;
     case Phase::kJoining:
       if (IsMember()) {
         phase_ = Phase::kServing;
         Log(LogEvent(LogLevel::kInfo, "serving").With("member", self_.str()));
+      } else if (now.monotonic >= next_join_ && appender_.idle()) {
+        RequestJoin(now);
       }
       break;
     case Phase::kServing:
@@ -482,6 +493,14 @@
   }
 }
 
+// A join that has not applied the latest retirement is refused, so it is repeated with the offset
+// reached since.
+void EntryNode::Impl::RequestJoin(const Now& now) {
+  next_join_ = now.monotonic + kJoinRepeat;
+  appender_.Add(Join{self_, options_.incarnation, options_.domain, options_.peer_address,
+                     options_.http_address, state().offset()});
+}
+
 // Once nothing is in flight, the slots are handed over for a limited time only: the others get them
 // in any case when the requests of this member would have ended.
 bool EntryNode::Impl::IsDrained(const Now& now) {
--- a/packages/node/src/entry_node_impl.h
+++ b/packages/node/src/entry_node_impl.h
@@ -49,6 +49,7 @@
   // A stop does not wait longer than this for the leave record; the others remove this member then.
   static constexpr Duration kLeaveTimeout = std::chrono::seconds(5);
 
+  static constexpr Duration kJoinRepeat = std::chrono::seconds(2);
   // Handing over slots takes about one lease of 2 s.
   static constexpr Duration kHandoverTimeout = std::chrono::seconds(5);
 
@@ -96,6 +97,8 @@
   void AdvanceReads(const Now& now);
   void CollectMembership(const Now& now, MembershipView::Effects effects);
   void CollectRequests(const Now& now);
+  void RequestJoin(const Now& now);
+  void UpdateCells(const Now& now);
   bool IsDrained(const Now& now);
   void FinishDraining(const Now& now);
   void Stop(int exit_code);
@@ -124,6 +127,7 @@
   Time next_hosts_read_{};
   Time next_tick_{};
   Time next_seed_query_{};
+  Time next_join_{};
   std::optional<Time> handover_deadline_;
   Time leave_deadline_{};
   bool records_skipped_ = false;
--- a/packages/node/tests/entry_node_test.cc
+++ b/packages/node/tests/entry_node_test.cc
@@ -278,6 +278,22 @@
   }
 }
 
+TEST_CASE("a join that a retirement overtakes is refused, and the process joins again") {
+  bool any_refused = false;
+  for (int ms = 1; ms <= 12; ++ms) {
+    Deployment deployment(16, 1);
+    deployment.PublishServices();
+    deployment.StartNode("entry2");
+    deployment.RunFor(std::chrono::milliseconds(ms));
+    deployment.Publish("entry1", "retire",
+                       {{"services.toml", std::nullopt}, {"retirement.toml", kRetirement}});
+    deployment.RunFor(std::chrono::seconds(1));
+    any_refused = any_refused || !deployment.node("entry2").ready();
+    CHECK(deployment.RunUntil([&] { return deployment.AllReady(2); }, seconds(20)));
+  }
+  CHECK(any_refused);
+}
+
 TEST_CASE("a restart of the only member takes over from its earlier process") {
   Deployment deployment(12, 1);
   deployment.PublishServices();
