Send the demand of an idle entry host every 2 s instead of every 250 ms

Cause: each host sent its demand to every other host four times a second, also with no request at all; at 7 hosts this was four fifths of the control traffic, and it grows with the number of hosts. Ruled out: a longer period for all hosts, since leases of 2 s are renewed by these messages.

--- a/packages/connection/src/router.cc
+++ b/packages/connection/src/router.cc
@@ -473,7 +473,7 @@
     service->pool().Tick(now);
   }
   exchange_.SendSurplus(now);
-  exchange_.SendDemand(now);
+  exchange_.SendPeriodicDemand(now);
   for (auto& [id, service] : services_) {
     Dispatch(now, *service);
   }
--- a/packages/connection/src/slot_exchange.cc
+++ b/packages/connection/src/slot_exchange.cc
@@ -11,6 +11,9 @@
 
 constexpr Duration kUrgentPeriod = std::chrono::milliseconds(25);
 
+// A host without demand borrows nothing, so its demand only has to be repeated in case a message
+// was lost. Four messages a second to each member would use most of the budget for control traffic.
+constexpr Duration kIdlePeriod = std::chrono::seconds(2);
 constexpr Duration kResendAfter = std::chrono::milliseconds(500);
 // Well before the new home takes the slots without word of the former one.
 constexpr Duration kGiveUpAfter = std::chrono::seconds(20);
@@ -36,6 +39,21 @@
   std::erase_if(received_, [&](const auto& item) { return !IsOther(item.first); });
 }
 
+void SlotExchange::SendPeriodicDemand(Now now) {
+  const bool idle = !AnyDemand();
+  const bool is_news = !idle || !last_was_idle_;
+  if (is_news || now.monotonic - last_demand_ >= kIdlePeriod) {
+    last_was_idle_ = idle;
+    SendDemand(now);
+  }
+}
+
+bool SlotExchange::AnyDemand() const {
+  return std::ranges::any_of(*services_, [](const auto& item) {
+    return item.second->Demand(ServiceState::Lane::kLendable) > 0;
+  });
+}
+
 void SlotExchange::SendDemand(Now now) {
   if (others_.empty()) {
     return;
--- a/packages/connection/src/slot_exchange.h
+++ b/packages/connection/src/slot_exchange.h
@@ -30,6 +30,8 @@
   // Learns from the services what this member needs.
   void RefreshOwnDemand();
   // Tells the other members what this one needs.
+  // As SendDemand, but seldom while this host has no demand.
+  void SendPeriodicDemand(Now now);
   void SendDemand(Now now);
   // The same, at once but at most every 25 ms: requests wait and there is no slot.
   void SendUrgentDemand(Now now);
@@ -46,6 +48,7 @@
   void OnReturn(Now now, const MemberId& from, const Return& returned);
 
  private:
+  bool AnyDemand() const;
   struct Sent {
     MemberId to;
     Return message;
@@ -68,6 +71,7 @@
   // may have moved on.
   std::unordered_map<MemberId, std::set<TransferNumber>> received_;
   Time last_demand_ = Time::min();
+  bool last_was_idle_ = false;
   Time last_surplus_ = Time::min();
 };
 
