--- a/packages/membership/include/cactusshelf/membership/peer_messages.h
+++ b/packages/membership/include/cactusshelf/membership/peer_messages.h
@@ -25,22 +25,12 @@
   friend bool operator==(const Rumor&, const Rumor&) = default;
 };
 
-// Demand of the sender for the slots of one service.
-struct ServiceDemand {
-  ServiceId service;
-  std::uint32_t queued = 0;
-  std::uint32_t in_flight = 0;
-
-  friend bool operator==(const ServiceDemand&, const ServiceDemand&) = default;
-};
-
 // State of the sender itself. Not passed on by the receiver.
 struct PeerStatus {
   // Next log offset that the sender has not applied.
   std::uint64_t log_offset = 0;
   // OwnershipTenure::SettledEpoch of the sender.
   Epoch epoch = 0;
-  std::vector<ServiceDemand> demand;
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
--- a/packages/node/src/membership_view.cc
+++ b/packages/node/src/membership_view.cc
@@ -66,7 +66,7 @@
 void MembershipView::OnLogRead(Time started) { authority_.OnLogRead(started); }
 
 void MembershipView::SetStatus(Time now, const LogState& state) {
-  detector_.SetStatus({state.offset(), tenure_.SettledEpoch(now), {}});
+  detector_.SetStatus({state.offset(), tenure_.SettledEpoch(now)});
 }
 
 void MembershipView::OnHostList(Time now, std::set<std::string> hosts) {
