--- a/packages/membership/include/cactusshelf/membership/failure_detector.h
+++ b/packages/membership/include/cactusshelf/membership/failure_detector.h
@@ -64,7 +64,7 @@
   void SetMembers(const std::vector<MemberId>& members);
 
   // State of this member that is sent with each message.
-  void SetStatus(PeerStatus status) { status_ = std::move(status); }
+  void SetStatus(const PeerStatus& status) { status_ = status; }
 
   // Tells the other members that `endpoint` is leaving.
   void AnnounceLeaving(const EndpointId& endpoint, Time now);
