--- a/packages/connection/src/claim_desk.cc
+++ b/packages/connection/src/claim_owner.cc
@@ -1,4 +1,4 @@
-#include "claim_desk.h"
+#include "claim_owner.h"
 
 namespace cactusshelf {
 
@@ -31,9 +31,9 @@
 
 }  // namespace
 
-ClaimDesk::ClaimDesk(RouterEnv& env) : env_(&env), table_(TableOptions(env.options)) {}
+ClaimOwner::ClaimOwner(RouterEnv& env) : env_(&env), table_(TableOptions(env.options)) {}
 
-void ClaimDesk::SetMembers(const std::vector<RouterMember>& members) {
+void ClaimOwner::SetMembers(const std::vector<RouterMember>& members) {
   std::vector<MemberId> ids;
   ids.reserve(members.size());
   for (const RouterMember& member : members) {
@@ -42,7 +42,7 @@
   table_.SetMembers(ids);
 }
 
-void ClaimDesk::OnClaim(Now now, const MemberId& from, const Claim& claim) {
+void ClaimOwner::OnClaim(Now now, const MemberId& from, const Claim& claim) {
   const std::optional<Ownership> owner = env_->owner_of(claim.id.ShardKey());
   ClaimReply reply{claim.id, claim.number, ClaimVerdict::kNotOwner, Reason::kNone, MemberId()};
   std::optional<Time> valid_until;
@@ -57,7 +57,7 @@
   env_->Send(from, reply, valid_until);
 }
 
-std::optional<WallTime> ClaimDesk::AuthorityEnd(Now now) const {
+std::optional<WallTime> ClaimOwner::AuthorityEnd(Now now) const {
   if (now.monotonic < authority_until_) {
     return std::nullopt;
   }
--- a/packages/connection/src/claim_desk.h
+++ b/packages/connection/src/claim_owner.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSSHELF_CONNECTION_SRC_CLAIM_DESK_H_
-#define CACTUSSHELF_CONNECTION_SRC_CLAIM_DESK_H_
+#ifndef CACTUSSHELF_CONNECTION_SRC_CLAIM_OWNER_H_
+#define CACTUSSHELF_CONNECTION_SRC_CLAIM_OWNER_H_
 
 #include <vector>
 
@@ -10,9 +10,9 @@
 namespace cactusshelf {
 
 // The part of a router that answers claims on the ids that this member owns. Not thread-safe.
-class ClaimDesk {
+class ClaimOwner {
  public:
-  explicit ClaimDesk(RouterEnv& env);
+  explicit ClaimOwner(RouterEnv& env);
 
   void SetMembers(const std::vector<RouterMember>& members);
   void SetAuthority(Time valid_until) { authority_until_ = valid_until; }
@@ -30,4 +30,4 @@
 
 }  // namespace cactusshelf
 
-#endif  // CACTUSSHELF_CONNECTION_SRC_CLAIM_DESK_H_
+#endif  // CACTUSSHELF_CONNECTION_SRC_CLAIM_OWNER_H_
--- a/packages/connection/src/router.cc
+++ b/packages/connection/src/router.cc
@@ -11,9 +11,9 @@
 #include "cactusshelf/request/rate_limiter.h"
 #include "call.h"
 #include "claim_client.h"
-#include "claim_desk.h"
+#include "claim_owner.h"
 #include "router_env.h"
-#include "run_desk.h"
+#include "run_registry.h"
 #include "slot_exchange.h"
 
 namespace cactusshelf {
@@ -117,8 +117,8 @@
   const RouterProtections& protections() const { return env_.options.protections; }
 
   RouterEnv env_;
-  ClaimDesk claim_desk_;
-  RunDesk run_desk_;
+  ClaimOwner claim_owner_;
+  RunRegistry run_registry_;
   ClaimClient claim_client_;
   Services services_;
   std::unordered_map<std::uint64_t, ServiceState*> services_by_number_;
@@ -148,8 +148,8 @@
 Router::Impl::Impl(RouterOptions options, MemberId self, const DomainId& domain, OwnerOf owner_of,
                    Random random)
     : env_{options, std::move(self), 0, std::move(owner_of), random, {}, {}, {}, {}, {}},
-      claim_desk_(env_),
-      run_desk_(env_),
+      claim_owner_(env_),
+      run_registry_(env_),
       claim_client_(env_, {[this](Now now, RequestToken token, ClaimNumber number) {
                              OnGranted(now, token, number);
                            },
@@ -235,7 +235,7 @@
   const bool founder = alone && !had_members_;
   founder_ = alone && (founder || founder_);
   had_members_ = true;
-  claim_desk_.SetMembers(members);
+  claim_owner_.SetMembers(members);
   exchange_.SetMembers(members);
   for (auto& [id, service] : services_) {
     service->pool().SetMembers(now, members, founder);
@@ -302,7 +302,7 @@
   }
   Call& call = it->second;
   call.caller_gone = true;
-  const bool awaited = call.claim != 0 && run_desk_.HasWaiters(*call.request.id);
+  const bool awaited = call.claim != 0 && run_registry_.HasWaiters(*call.request.id);
   // The answer of a non-idempotent request is kept for a caller that repeats the id.
   const bool keep_running = call.phase == Call::Phase::kRunning && !call.request.idempotent;
   if (!awaited && !keep_running) {
@@ -365,7 +365,7 @@
 }
 
 void Router::Impl::SetAuthority(Now now, Time valid_until) {
-  claim_desk_.SetAuthority(valid_until);
+  claim_owner_.SetAuthority(valid_until);
   Finished(now);
 }
 
@@ -407,10 +407,10 @@
 }
 
 void Router::Impl::HandleMessage(Now now, const MemberId& from, RouterMessage message) {
-  std::visit(Overloaded{[&](Claim& claim) { claim_desk_.OnClaim(now, from, claim); },
+  std::visit(Overloaded{[&](Claim& claim) { claim_owner_.OnClaim(now, from, claim); },
                         [&](ClaimReply& reply) { claim_client_.OnReply(now, from, reply); },
-                        [&](ClaimDone& done) { claim_desk_.OnDone(from, done); },
-                        [&](FetchAnswer& fetch) { run_desk_.OnFetch(from, fetch); },
+                        [&](ClaimDone& done) { claim_owner_.OnDone(from, done); },
+                        [&](FetchAnswer& fetch) { run_registry_.OnFetch(from, fetch); },
                         [&](Answer& answer) { claim_client_.OnAnswer(now, from, answer); },
                         [&](Lend& lend) {
                           exchange_.OnLend(now, from, lend);
@@ -499,7 +499,7 @@
   --claiming_;
   call.claim = number;
   call.claim_owner = claim_client_.GranterOf(number);
-  run_desk_.Begin(*call.request.id, number);
+  run_registry_.Begin(*call.request.id, number);
   Admit(now, call);
 }
 
@@ -874,8 +874,8 @@
   AnswerTo(call, outcome, reason, response);
   if (call.claim != 0) {
     claim_client_.Done(*call.request.id, call.claim, call.claim_owner, outcome);
-    run_desk_.End(now, *call.request.id,
-                  StoredAnswer{call.claim, outcome, reason, std::move(response)});
+    run_registry_.End(now, *call.request.id,
+                      StoredAnswer{call.claim, outcome, reason, std::move(response)});
   }
   if (call.service != nullptr) {
     call.service->OnLeft(call.lane);
--- a/packages/connection/src/run_desk.cc
+++ b/packages/connection/src/run_registry.cc
@@ -1,4 +1,4 @@
-#include "run_desk.h"
+#include "run_registry.h"
 
 #include <algorithm>
 
@@ -11,12 +11,12 @@
 
 }  // namespace
 
-RunDesk::RunDesk(RouterEnv& env)
+RunRegistry::RunRegistry(RouterEnv& env)
     : env_(&env), store_(env.options.max_stored_answer_bytes, env.options.claim_window) {}
 
-void RunDesk::Begin(const RequestId& id, ClaimNumber number) { runs_[id].number = number; }
+void RunRegistry::Begin(const RequestId& id, ClaimNumber number) { runs_[id].number = number; }
 
-void RunDesk::End(Now now, const RequestId& id, StoredAnswer answer) {
+void RunRegistry::End(Now now, const RequestId& id, StoredAnswer answer) {
   const auto it = runs_.find(id);
   if (it == runs_.end()) {
     return;
@@ -29,12 +29,12 @@
   store_.Put(now.monotonic, id, std::move(answer));
 }
 
-bool RunDesk::HasWaiters(const RequestId& id) const {
+bool RunRegistry::HasWaiters(const RequestId& id) const {
   const auto it = runs_.find(id);
   return it != runs_.end() && !it->second.waiters.empty();
 }
 
-void RunDesk::OnFetch(const MemberId& from, const FetchAnswer& fetch) {
+void RunRegistry::OnFetch(const MemberId& from, const FetchAnswer& fetch) {
   const Waiter waiter{from, fetch.number};
   const auto it = runs_.find(fetch.id);
   if (it != runs_.end()) {
@@ -60,7 +60,7 @@
   Reply(waiter, fetch.id, *stored);
 }
 
-void RunDesk::Reply(const Waiter& to, const RequestId& id, const StoredAnswer& answer) {
+void RunRegistry::Reply(const Waiter& to, const RequestId& id, const StoredAnswer& answer) {
   env_->Send(to.member,
              Answer{id, to.number, true, answer.outcome, answer.reason, answer.response});
 }
--- a/packages/connection/src/run_desk.h
+++ b/packages/connection/src/run_registry.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSSHELF_CONNECTION_SRC_RUN_DESK_H_
-#define CACTUSSHELF_CONNECTION_SRC_RUN_DESK_H_
+#ifndef CACTUSSHELF_CONNECTION_SRC_RUN_REGISTRY_H_
+#define CACTUSSHELF_CONNECTION_SRC_RUN_REGISTRY_H_
 
 #include <unordered_map>
 #include <utility>
@@ -13,9 +13,9 @@
 
 // The part of a router that gives the answers of this member's non-idempotent runs to those who
 // repeat an id. Not thread-safe.
-class RunDesk {
+class RunRegistry {
  public:
-  explicit RunDesk(RouterEnv& env);
+  explicit RunRegistry(RouterEnv& env);
 
   void Begin(const RequestId& id, ClaimNumber number);
   // Stores the answer and sends it to those who wait for it.
@@ -46,4 +46,4 @@
 
 }  // namespace cactusshelf
 
-#endif  // CACTUSSHELF_CONNECTION_SRC_RUN_DESK_H_
+#endif  // CACTUSSHELF_CONNECTION_SRC_RUN_REGISTRY_H_
