Use one piece of code where the node and its neighbours had two

HostOf stood in version and in membership and is now in base. A cell's jobs were handed to its scheduler by the same loop on takeover and on a new configuration. The text of a refusal was written twice. Parameters, a count and an accessor that nothing used are gone.

--- a/packages/base/include/cactusshelf/base/strong_id.h
+++ b/packages/base/include/cactusshelf/base/strong_id.h
@@ -27,6 +27,12 @@
 
 // Name of an entry host process, unique over restarts: "<host name>/<incarnation>".
 using MemberId = StrongId<struct MemberTag>;
+
+// Host name part of a member id.
+inline std::string HostOf(const MemberId& member) {
+  return member.str().substr(0, member.str().rfind('/'));
+}
+
 using DomainId = StrongId<struct DomainTag>;
 using RackId = StrongId<struct RackTag>;
 using CustomerId = StrongId<struct CustomerTag>;
--- a/packages/membership/include/cactusshelf/membership/authority.h
+++ b/packages/membership/include/cactusshelf/membership/authority.h
@@ -96,9 +96,6 @@
   Time next_poll_;
 };
 
-// Host name part of a member id.
-std::string HostOf(const MemberId& member);
-
 }  // namespace cactusshelf
 
 #endif  // CACTUSSHELF_MEMBERSHIP_AUTHORITY_H_
--- a/packages/membership/src/authority.cc
+++ b/packages/membership/src/authority.cc
@@ -118,8 +118,4 @@
   });
 }
 
-std::string HostOf(const MemberId& member) {
-  return member.str().substr(0, member.str().rfind('/'));
-}
-
 }  // namespace cactusshelf
--- a/packages/node/src/cell_manager.cc
+++ b/packages/node/src/cell_manager.cc
@@ -100,7 +100,7 @@
       continue;
     }
     it->second.scheduler.LoseOwnership(now.monotonic);
-    CollectEffects(now, it->first, it->second);
+    CollectEffects(it->first, it->second);
     counters_.Merge(it->second.scheduler.counters());
     it = cells_.erase(it);
   }
@@ -114,15 +114,10 @@
   CellScheduler scheduler(options_, Random(random_.Next()));
   OwnedCell& owned = cells_.emplace(cell, OwnedCell{std::move(scheduler), epoch, {}}).first->second;
   LoadConfiguration(now, cell, owned, state);
-  for (const auto& [job, job_state] : state.jobs()) {
-    if (job_state.cell == cell) {
-      ApplyJobState(now, owned, job, state);
-    }
-  }
   // The tenure begins only after the authority of earlier owners ended.
   owned.scheduler.TakeOwnership(now.monotonic, epoch, now.monotonic);
   owned.scheduler.SetAuthority(now.monotonic, authority_until_);
-  CollectEffects(now, cell, owned);
+  CollectEffects(cell, owned);
 }
 
 void CellManager::Stop(Now now) {
@@ -144,17 +139,17 @@
   }
   owned.scheduler.ApplyTeams(now.monotonic, TeamsOf(configuration));
   owned.scheduler.ApplyWorkers(now.monotonic, WorkersOf(cell, configuration));
+  for (const auto& [job, job_state] : state.jobs()) {
+    if (job_state.cell == cell) {
+      ApplyJobState(now, owned, job, state);
+    }
+  }
 }
 
 void CellManager::OnConfiguration(Now now, const LogState& state) {
   for (auto& [cell, owned] : cells_) {
     LoadConfiguration(now, cell, owned, state);
-    for (const auto& [job, job_state] : state.jobs()) {
-      if (job_state.cell == cell) {
-        ApplyJobState(now, owned, job, state);
-      }
-    }
-    CollectEffects(now, cell, owned);
+    CollectEffects(cell, owned);
   }
   AssignNewJobs(state);
 }
@@ -184,7 +179,7 @@
     }
   }
   for (const CellId& it : touched) {
-    CollectEffects(now, it, *FindCell(it));
+    CollectEffects(it, *FindCell(it));
   }
 }
 
@@ -243,7 +238,7 @@
   authority_until_ = valid_until;
   for (auto& [cell, owned] : cells_) {
     owned.scheduler.SetAuthority(now.monotonic, valid_until);
-    CollectEffects(now, cell, owned);
+    CollectEffects(cell, owned);
   }
 }
 
@@ -274,7 +269,7 @@
     counters_.Add("cactusshelf_worker_calls_total", "unreadable_answer");
     owned->scheduler.OnCommandLost(now.monotonic, call.command);
   }
-  CollectEffects(now, call.cell, *owned);
+  CollectEffects(call.cell, *owned);
   return true;
 }
 
@@ -288,7 +283,7 @@
   counters_.Add("cactusshelf_worker_calls_total", "failed");
   if (OwnedCell* owned = FindCell(call.cell)) {
     owned->scheduler.OnCommandLost(now.monotonic, call.command);
-    CollectEffects(now, call.cell, *owned);
+    CollectEffects(call.cell, *owned);
   }
   return true;
 }
@@ -298,12 +293,12 @@
     const auto wakeup = owned.scheduler.NextWakeup();
     if (wakeup && *wakeup <= now.monotonic) {
       owned.scheduler.OnTimer(now.monotonic);
-      CollectEffects(now, cell, owned);
+      CollectEffects(cell, owned);
     }
   }
 }
 
-void CellManager::CollectEffects(Now now, const CellId& cell, OwnedCell& owned) {
+void CellManager::CollectEffects(const CellId& cell, OwnedCell& owned) {
   RecordClosedJobs(cell, owned);
   for (CellEffect& effect : owned.scheduler.TakeEffects()) {
     const auto handle = [&](auto& it) {
@@ -311,18 +306,17 @@
       if constexpr (std::is_same_v<Effect, JobFinished>) {
         updates_.push_back({it.job, JobEvent::kFinished, cell, ""});
       } else if constexpr (std::is_same_v<Effect, JobRefused>) {
-        const std::string detail =
-            "no worker of the cell has enough " + std::string(ToString(it.limiting));
-        updates_.push_back({it.job, JobEvent::kRejected, cell, detail});
+        const JobRefusal refusal{RefusalReason::kTooLargeForWorkers, it.limiting};
+        updates_.push_back({it.job, JobEvent::kRejected, cell, DescribeRefusal(refusal)});
       } else {
-        AddCall(now, cell, WorkerCommand(std::move(it)));
+        AddCall(cell, WorkerCommand(std::move(it)));
       }
     };
     std::visit(handle, effect);
   }
 }
 
-void CellManager::AddCall(Now /*now*/, const CellId& cell, const WorkerCommand& command) {
+void CellManager::AddCall(const CellId& cell, const WorkerCommand& command) {
   const CommandHeader& header = HeaderOf(command);
   const bool reads_state = std::holds_alternative<ReadState>(command);
   const WorkerCallToken token{++last_token_};
@@ -336,7 +330,7 @@
   outgoing_.push_back(std::move(call));
 }
 
-std::vector<node_effect::CallWorker> CellManager::TakeCalls(Now /*now*/) {
+std::vector<node_effect::CallWorker> CellManager::TakeCalls() {
   return std::exchange(outgoing_, {});
 }
 
@@ -354,7 +348,7 @@
     owned->epoch = view.map().epoch();
     owned->scheduler.TakeOwnership(now.monotonic, owned->epoch, now.monotonic);
     owned->scheduler.SetAuthority(now.monotonic, authority_until_);
-    CollectEffects(now, cell, *owned);
+    CollectEffects(cell, *owned);
     return std::nullopt;
   }
   const bool visited =
--- a/packages/node/src/cell_manager.h
+++ b/packages/node/src/cell_manager.h
@@ -45,7 +45,7 @@
   bool OnWorkerFailed(Now now, WorkerCallToken token);
   void OnTimer(Now now);
 
-  std::vector<node_effect::CallWorker> TakeCalls(Now now);
+  std::vector<node_effect::CallWorker> TakeCalls();
 
   // Job events to be recorded in the log since the last call.
   std::vector<JobUpdate> TakeUpdates();
@@ -83,13 +83,14 @@
   };
 
   void Take(Now now, const CellId& cell, const LogState& state, Epoch epoch);
+  // Hands the configuration and the recorded state of its jobs to the scheduler of a cell.
   void LoadConfiguration(Now now, const CellId& cell, OwnedCell& owned, const LogState& state);
   void AssignNewJobs(const LogState& state);
   void Admit(Now now, OwnedCell& owned, const Job& job, const LogState& state);
   void ApplyJobState(Now now, OwnedCell& owned, const JobId& job, const LogState& state);
   void RecordClosedJobs(const CellId& cell, OwnedCell& owned);
-  void CollectEffects(Now now, const CellId& cell, OwnedCell& owned);
-  void AddCall(Now now, const CellId& cell, const WorkerCommand& command);
+  void CollectEffects(const CellId& cell, OwnedCell& owned);
+  void AddCall(const CellId& cell, const WorkerCommand& command);
   OwnedCell* FindCell(const CellId& cell);
 
   MemberId self_;
--- a/packages/node/src/entry_node_impl.cc
+++ b/packages/node/src/entry_node_impl.cc
@@ -206,7 +206,7 @@
   AdvanceAuthority(now);
   AdvanceRecords(now);
   CollectRequests(now);
-  for (auto& it : cells_.TakeCalls(now)) {
+  for (auto& it : cells_.TakeCalls()) {
     effects_.emplace_back(std::move(it));
   }
   AdvanceReads(now);
--- a/packages/node/src/log_reader.cc
+++ b/packages/node/src/log_reader.cc
@@ -75,7 +75,6 @@
     result.skipped = true;
     cache_.Clear();
   }
-  result.applied += applied.size();
   for (const StoredRecord& it : reply.records) {
     if (it.offset + applied.size() >= state().offset() && it.offset < state().offset()) {
       cache_.Add({it.offset, it.time, it.data});
--- a/packages/node/src/log_reader.h
+++ b/packages/node/src/log_reader.h
@@ -1,7 +1,6 @@
 #ifndef CACTUSSHELF_NODE_LOG_READER_H_
 #define CACTUSSHELF_NODE_LOG_READER_H_
 
-#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -30,7 +29,6 @@
   using OnApplied = std::function<void(const LogFollower::Applied&)>;
 
   struct Result {
-    std::size_t applied = 0;
     bool reached_end = false;
     // Records were skipped by loading a snapshot.
     bool skipped = false;
--- a/packages/node/src/membership_view.h
+++ b/packages/node/src/membership_view.h
@@ -66,7 +66,6 @@
   std::vector<Remove> RemovalsDue(Time now);
 
   const OwnershipMap& map() const { return tenure_.map(); }
-  std::vector<MemberId> Suspected() const { return detector_.SuspectedMembers(); }
   Time NextWakeup() const;
 
  private:
--- a/packages/version/src/log_state.cc
+++ b/packages/version/src/log_state.cc
@@ -25,11 +25,6 @@
   return bytes;
 }
 
-// Part of a member id before the incarnation.
-std::string HostOf(const MemberId& member) {
-  return member.str().substr(0, member.str().rfind('/'));
-}
-
 std::string DigestOf(const FileChanges& changes) {
   Sha256 sha;
   for (const auto& [name, text] : changes) {
