--- a/packages/daemon/bench/proxy_bench.cc
+++ b/packages/daemon/bench/proxy_bench.cc
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "acceptor.h"
+#include "cactusshelf/daemon/acceptor.h"
 #include "daemon.h"
 #include "http_headers.h"
 #include "socket_address.h"
--- a/packages/daemon/src/caller_connections.h
+++ b/packages/daemon/include/cactusshelf/daemon/caller_connections.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "acceptor.h"
+#include "cactusshelf/daemon/acceptor.h"
 #include "cactusshelf/daemon/gobject_ptr.h"
 
 namespace cactusshelf {
--- a/packages/daemon/src/caller_server.h
+++ b/packages/daemon/include/cactusshelf/daemon/caller_server.h
@@ -10,20 +10,21 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "cactusshelf/daemon/caller_connections.h"
 #include "cactusshelf/daemon/gobject_ptr.h"
 #include "cactusshelf/daemon/interfaces.h"
 #include "cactusshelf/daemon/shell_metrics.h"
-#include "caller_connections.h"
 
 namespace cactusshelf {
 
-// HTTP server for callers (/v1/services/) and operators (/healthz, /readyz, /v1/status, /metrics).
-// Not thread-safe.
+// HTTP server for callers (by default /v1/services/) and operators (/healthz, /readyz, /v1/status,
+// /metrics). Not thread-safe.
 class CallerServer {
  public:
   struct Options {
     std::string address;  // "IP:port".
     std::size_t max_body_bytes = 0;
+    std::string call_prefix = "/v1/services/";  // Paths of calls; the others are pages.
   };
 
   // What the operators' paths return.
@@ -68,6 +69,7 @@
   void CloseIfIdle();
 
   std::size_t max_body_bytes_;
+  std::string call_prefix_;
   Pages pages_;
   ShellMetrics& metrics_;
   EventSink sink_;
--- /dev/null
+++ b/packages/daemon/include/cactusshelf/daemon/job_daemon.h
@@ -0,0 +1,95 @@
+#ifndef CACTUSSHELF_DAEMON_JOB_DAEMON_H_
+#define CACTUSSHELF_DAEMON_JOB_DAEMON_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "cactusshelf/daemon/caller_server.h"
+#include "cactusshelf/daemon/job_settings.h"
+#include "cactusshelf/daemon/job_shell.h"
+#include "cactusshelf/daemon/stop_signals.h"
+
+namespace cactusshelf {
+
+// One process of the job service: a node, its shell and ports of type `P` on the default main
+// context. Not thread-safe.
+template <typename P>
+class JobDaemon {
+ public:
+  // Listens at once. Throws Error if that is not possible. `log` outlives the daemon.
+  JobDaemon(const JobSettings& settings, std::uint64_t seed, BoundedLog& log)
+      : log_(log),
+        node_(settings.node, seed),
+        ports_(
+            settings, metrics_, [this](jobs::JobEvent event) { shell_.Post(std::move(event)); },
+            [this] { return IsReady(); }),
+        operators_(OperatorOptions(settings), MakePages(), metrics_, [](const NodeEvent&) {}),
+        shell_(node_, clock_, ports_, log, metrics_, [this] { OnStop(); }),
+        stop_timer_([this] { exit_code_ = 0; }),
+        signals_([this] { OnSignal(); }) {}
+
+  void Start(const JobSettings& settings) {
+    Log(LogEvent(LogLevel::kInfo, "started")
+            .With("member", settings.node.member)
+            .With("callers", settings.caller_address)
+            .With("store", settings.store_address));
+    shell_.Start();
+  }
+
+  // Runs the main loop until the process is to end. Returns the exit code.
+  int Run() {
+    while (!exit_code_) g_main_context_iteration(nullptr, TRUE);
+    Log(LogEvent(LogLevel::kInfo, "stopped"));
+    return *exit_code_;
+  }
+
+ private:
+  static CallerServer::Options OperatorOptions(const JobSettings& settings) {
+    CallerServer::Options options;
+    options.address = settings.metrics_address;
+    return options;
+  }
+
+  CallerServer::Pages MakePages() {
+    return {[this] { return IsReady(); }, [] { return std::string("{}"); },
+            [this] { return node_.Metrics() + metrics_.Format(); }};
+  }
+
+  bool IsReady() const { return node_.ready(clock_.Read().monotonic); }
+
+  void Log(const LogEvent& event) {
+    log_.Write(clock_.Read().wall, event);
+    log_.Flush();
+  }
+
+  void OnSignal() {
+    Log(LogEvent(LogLevel::kInfo, "drain_requested"));
+    ports_.BeginDrain();
+    shell_.Post(jobs::job_event::DrainRequested{});
+  }
+
+  void OnStop() {
+    ports_.Close([this] { exit_code_ = 0; });
+    if (!exit_code_) stop_timer_.FireAfter(kCloseTimeout);
+  }
+
+  // Open requests may take so long to be answered after the node has ended.
+  static constexpr Duration kCloseTimeout = std::chrono::milliseconds(300);
+
+  BoundedLog& log_;
+  SystemClock clock_;
+  ShellMetrics metrics_;
+  std::optional<int> exit_code_;
+  jobs::JobNode node_;
+  P ports_;
+  CallerServer operators_;
+  JobShell<SystemClock, P> shell_;
+  WakeupTimer stop_timer_;
+  StopSignals signals_;
+};
+
+}  // namespace cactusshelf
+
+#endif  // CACTUSSHELF_DAEMON_JOB_DAEMON_H_
--- a/packages/daemon/main/main.cc
+++ b/packages/daemon/main/main.cc
@@ -1,6 +1,7 @@
 #include "cactusshelf/node/entry_node.h"
+#include "cactusshelf/platform/ports.h"
 #include "program.h"
 
 int main(int argc, char** argv) {
-  return cactusshelf::RunProgram<cactusshelf::EntryNode>(argc, argv);
+  return cactusshelf::RunProgram<cactusshelf::EntryNode, cactusshelf::platform::Ports>(argc, argv);
 }
--- a/packages/daemon/src/acceptor.cc
+++ b/packages/daemon/src/acceptor.cc
@@ -1,4 +1,4 @@
-#include "acceptor.h"
+#include "cactusshelf/daemon/acceptor.h"
 
 #include <string>
 #include <utility>
--- a/packages/daemon/src/caller_connections.cc
+++ b/packages/daemon/src/caller_connections.cc
@@ -1,4 +1,4 @@
-#include "caller_connections.h"
+#include "cactusshelf/daemon/caller_connections.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/packages/daemon/src/caller_server.cc
+++ b/packages/daemon/src/caller_server.cc
@@ -1,4 +1,4 @@
-#include "caller_server.h"
+#include "cactusshelf/daemon/caller_server.h"
 
 #include <memory>
 #include <utility>
@@ -12,7 +12,6 @@
 
 // Characters that stand for themselves in a path, besides letters, digits and "-._~" (RFC 3986).
 constexpr char kPathCharacters[] = "/:@!$&'()*+,;=";
-constexpr std::string_view kServicesPrefix = "/v1/services/";
 // A body over the limit is read up to this multiple of the limit, so that the caller can read the
 // response; then the connection is closed.
 constexpr std::size_t kMaxDrainFactor = 16;
@@ -68,6 +67,7 @@
 CallerServer::CallerServer(const Options& options, Pages pages, ShellMetrics& metrics,
                            EventSink sink)
     : max_body_bytes_(options.max_body_bytes),
+      call_prefix_(options.call_prefix),
       pages_(std::move(pages)),
       metrics_(metrics),
       sink_(std::move(sink)),
@@ -148,7 +148,7 @@
       return;
     }
   }
-  if (std::string_view(path).starts_with(kServicesPrefix)) {
+  if (std::string_view(path).starts_with(call_prefix_)) {
     AcceptCall(message);
   } else {
     Serve(message, path);
@@ -195,6 +195,9 @@
   node_event::CallerRequest request;
   request.token = caller->token;
   request.method = soup_server_message_get_method(message);
+  const char* host =
+      soup_message_headers_get_one(soup_server_message_get_request_headers(message), "Host");
+  if (host != nullptr) request.host = host;
   request.path = PathAndQuery(soup_server_message_get_uri(message));
   request.headers = CopyEndToEndHeaders(soup_server_message_get_request_headers(message));
   request.body = CopyBody(soup_server_message_get_request_body(message));
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -10,8 +10,8 @@
 #include "cactusshelf/daemon/node_concept.h"
 #include "cactusshelf/daemon/settings.h"
 #include "cactusshelf/daemon/shell.h"
+#include "cactusshelf/daemon/stop_signals.h"
 #include "daemon_ports.h"
-#include "stop_signals.h"
 
 namespace cactusshelf {
 
--- a/packages/daemon/src/daemon_ports.h
+++ b/packages/daemon/src/daemon_ports.h
@@ -3,9 +3,9 @@
 
 #include <cstdint>
 
+#include "cactusshelf/daemon/caller_server.h"
 #include "cactusshelf/daemon/interfaces.h"
 #include "cactusshelf/daemon/settings.h"
-#include "caller_server.h"
 #include "endpoint_client.h"
 #include "host_list_client.h"
 #include "log_client.h"
--- a/packages/daemon/src/endpoint_client.h
+++ b/packages/daemon/src/endpoint_client.h
@@ -3,9 +3,9 @@
 
 #include <unordered_map>
 
+#include "cactusshelf/daemon/http_client.h"
 #include "cactusshelf/daemon/interfaces.h"
 #include "cactusshelf/daemon/shell_metrics.h"
-#include "http_client.h"
 
 namespace cactusshelf {
 
--- a/packages/daemon/src/host_list_client.h
+++ b/packages/daemon/src/host_list_client.h
@@ -4,8 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include "cactusshelf/daemon/http_client.h"
 #include "cactusshelf/daemon/interfaces.h"
-#include "http_client.h"
 
 namespace cactusshelf {
 
--- a/packages/daemon/src/http_client.cc
+++ b/packages/daemon/src/http_client.cc
@@ -1,4 +1,4 @@
-#include "http_client.h"
+#include "cactusshelf/daemon/http_client.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/packages/daemon/src/job_settings.cc
@@ -0,0 +1,106 @@
+#include "cactusshelf/daemon/job_settings.h"
+
+#include "cactusshelf/daemon/table_reader.h"
+#include "log_level_reader.h"
+
+namespace cactusshelf {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t kKiB = 1024;
+constexpr std::size_t kMiB = 1024 * kKiB;
+constexpr std::string_view kJobService = "jobs";
+
+void ReadListen(TableReader reader, JobSettings& settings) {
+  for (const char* key : {"callers", "readiness", "metrics"}) reader.Required(key);
+  reader.Address("callers", settings.caller_address);
+  reader.Address("readiness", settings.readiness_address);
+  reader.Address("metrics", settings.metrics_address);
+  reader.ReportUnknown();
+}
+
+void ReadStore(TableReader reader, JobSettings& settings) {
+  reader.Required("address");
+  reader.Address("address", settings.store_address);
+  reader.Time("timeout", milliseconds(100), minutes(1), settings.store_timeout);
+  reader.Time("patience", milliseconds(200), minutes(1), settings.node.store_patience);
+  reader.Time("follow_period", milliseconds(20), seconds(10), settings.node.follow_period);
+  reader.Time("append_period", milliseconds(1), seconds(1), settings.node.store_period);
+  reader.Time("owner_heartbeat", milliseconds(50), seconds(10), settings.node.heartbeat);
+  reader.Time("owner_silence", milliseconds(200), minutes(1), settings.node.owner_silence);
+  reader.ReportUnknown();
+}
+
+void ReadWorkers(TableReader reader, JobSettings& settings) {
+  jobs::SchedulerOptions& scheduler = settings.node.scheduler;
+  reader.Time("order_timeout", milliseconds(50), minutes(1), settings.order_timeout);
+  reader.Time("lease", milliseconds(500), minutes(10), scheduler.lease);
+  reader.Time("hold_wait", milliseconds(0), seconds(2), scheduler.hold_wait);
+  reader.Time("quarantine", milliseconds(0), minutes(10), scheduler.quarantine);
+  reader.Real("serving_use", 0.0, 1.0, scheduler.serving_use);
+  reader.ReportUnknown();
+}
+
+void ReadLimits(TableReader reader, JobSettings& settings) {
+  reader.Size("request_body", kKiB, 64 * kMiB, settings.max_body_bytes);
+  reader.Size("store_answer", kMiB, 1024 * kMiB, settings.max_answer_bytes);
+  reader.Count("log_lines_per_second", 10, 1'000'000, settings.max_log_lines_per_second);
+  reader.ReportUnknown();
+}
+
+void CheckTogether(const TableReader& reader, const JobSettings& settings, Findings& findings) {
+  const jobs::JobNodeOptions& node = settings.node;
+  if (2 * node.heartbeat > node.owner_silence) {
+    findings.Add(reader.PlaceOf("store"),
+                 "store.owner_heartbeat: must be at most half of store.owner_silence");
+  }
+  if (2 * node.scheduler.hold_wait > node.scheduler.lease) {
+    findings.Add(reader.PlaceOf("workers"),
+                 "workers.hold_wait: must be at most half of workers.lease");
+  }
+}
+
+}  // namespace
+
+bool IsJobSettings(std::string_view text) {
+  try {
+    return toml::parse(text)["service"].value<std::string_view>() == kJobService;
+  } catch (const toml::parse_error&) {
+    // The parser of the entry node reports the fault with its place.
+    return false;
+  }
+}
+
+JobSettings ParseJobSettings(std::string_view text, const std::string& file, Findings& findings) {
+  JobSettings settings;
+  toml::table root;
+  try {
+    root = toml::parse(text, file);
+  } catch (const toml::parse_error& error) {
+    const toml::source_position begin = error.source().begin;
+    findings.Add({file, begin.line, begin.column}, std::string(error.description()));
+    return settings;
+  }
+  TableReader reader(root, file, findings);
+  std::string service;
+  reader.Name("service", service);
+  reader.Required("host_name");
+  reader.Required("domain");
+  reader.Name("host_name", settings.host_name);
+  reader.Name("domain", settings.domain);
+  ReadLogLevel(reader, findings, settings.log_level);
+  reader.Time("drain", milliseconds(0), minutes(10), settings.node.drain);
+  ReadListen(reader.Table("listen"), settings);
+  ReadStore(reader.Table("store"), settings);
+  ReadWorkers(reader.Table("workers"), settings);
+  ReadLimits(reader.Table("limits"), settings);
+  reader.ReportUnknown();
+  CheckTogether(reader, settings, findings);
+  settings.node.host = settings.host_name;
+  return settings;
+}
+
+}  // namespace cactusshelf
--- a/packages/daemon/src/log_client.h
+++ b/packages/daemon/src/log_client.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
+#include "cactusshelf/daemon/http_client.h"
 #include "cactusshelf/daemon/interfaces.h"
-#include "http_client.h"
 
 namespace cactusshelf {
 
--- a/packages/daemon/src/peer_transport.cc
+++ b/packages/daemon/src/peer_transport.cc
@@ -11,8 +11,8 @@
 #include <websocketpp/config/core_client.hpp>
 #include <websocketpp/server.hpp>
 
-#include "acceptor.h"
 #include "cactusshelf/base/random.h"
+#include "cactusshelf/daemon/acceptor.h"
 #include "cactusshelf/daemon/wakeup_timer.h"
 #include "socket_address.h"
 #include "socket_stream.h"
--- a/packages/daemon/src/program.cc
+++ b/packages/daemon/src/program.cc
@@ -45,9 +45,14 @@
   return options;
 }
 
+StartPlan ParseAnySettings(const std::string& text, const std::string& path, Findings& findings) {
+  if (IsJobSettings(text)) return ParseJobSettings(text, path, findings);
+  return ParseSettings(text, path, findings);
+}
+
 StartPlan LoadSettings(const std::string& path, bool check_only) {
   Findings findings;
-  Settings settings = ParseSettings(ReadSettingsFile(path), path, findings);
+  StartPlan plan = ParseAnySettings(ReadSettingsFile(path), path, findings);
   if (!findings.empty()) {
     fmt::print(stderr, "{}", findings.Format());
     return kExitBadSettings;
@@ -56,7 +61,7 @@
     fmt::print("{}: valid\n", path);
     return 0;
   }
-  return settings;
+  return plan;
 }
 
 }  // namespace
--- a/packages/daemon/src/program.h
+++ b/packages/daemon/src/program.h
@@ -1,6 +1,8 @@
 #ifndef CACTUSSHELF_DAEMON_PROGRAM_H_
 #define CACTUSSHELF_DAEMON_PROGRAM_H_
 
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
@@ -9,6 +11,7 @@
 #include <variant>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/daemon/job_daemon.h"
 #include "cactusshelf/daemon/node_concept.h"
 #include "cactusshelf/daemon/settings.h"
 #include "daemon.h"
@@ -19,7 +22,7 @@
 inline constexpr int kExitBadSettings = 2;
 
 // What the command line asks for: an exit code if the process has nothing more to do.
-using StartPlan = std::variant<Settings, int>;
+using StartPlan = std::variant<Settings, JobSettings, int>;
 
 // Reads the command line and the settings file. Prints help, version and findings.
 StartPlan PlanStart(int argc, const char* const* argv);
@@ -36,12 +39,27 @@
 // Raises the limit of open files to what the system allows; each connection needs one.
 void RaiseFileLimit();
 
-// main() of cactusshelfd with node type `N`.
+// Runs one process of the job service with ports of type `P`.
+template <typename P>
+int RunJobService(JobSettings settings) {
+  BoundedLog log(settings.log_level, STDOUT_FILENO, settings.max_log_lines_per_second);
+  RaiseFileLimit();
+  std::signal(SIGPIPE, SIG_IGN);
+  settings.node.member = settings.host_name + "/" + std::to_string(MakeIncarnation());
+  try {
+    JobDaemon<P> daemon(settings, SystemRandom(), log);
+    daemon.Start(settings);
+    return daemon.Run();
+  } catch (const Error& error) {
+    log.Write(SystemClock().Read().wall,
+              LogEvent(LogLevel::kError, "failed").With("reason", std::string(error.what())));
+    return kExitFailure;
+  }
+}
+
+// Runs one entry node of type `N`.
 template <Node N>
-int RunProgram(int argc, const char* const* argv) {
-  StartPlan plan = PlanStart(argc, argv);
-  if (const int* code = std::get_if<int>(&plan)) return *code;
-  auto& settings = std::get<Settings>(plan);
+int RunEntryNode(Settings settings) {
   settings.node.incarnation = MakeIncarnation();
   const std::uint64_t seed = settings.seed ? *settings.seed : SystemRandom();
   static LogWriter log(settings.log_level, stderr);
@@ -61,6 +79,17 @@
   }
 }
 
+// main() of cactusshelfd with entry nodes of type `N` and a job service with ports of type `P`.
+template <Node N, typename P>
+int RunProgram(int argc, const char* const* argv) {
+  StartPlan plan = PlanStart(argc, argv);
+  if (const int* code = std::get_if<int>(&plan)) return *code;
+  if (auto* settings = std::get_if<JobSettings>(&plan)) {
+    return RunJobService<P>(std::move(*settings));
+  }
+  return RunEntryNode<N>(std::move(std::get<Settings>(plan)));
+}
+
 }  // namespace cactusshelf
 
 #endif  // CACTUSSHELF_DAEMON_PROGRAM_H_
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -6,8 +6,9 @@
 
 #include "cactusshelf/base/errors.h"
 #include "cactusshelf/daemon/gobject_ptr.h"
+#include "cactusshelf/daemon/table_reader.h"
 #include "cactusshelf/version/retirement.h"
-#include "table_reader.h"
+#include "log_level_reader.h"
 
 namespace cactusshelf {
 namespace {
@@ -25,19 +26,6 @@
 // Room for the headers and the framing of a stored answer that is passed between peers.
 constexpr std::size_t kAnswerOverheadBytes = 64 * kKiB;
 
-void ReadLogLevel(TableReader& reader, Findings& findings, LogLevel& target) {
-  std::string text(ToString(target));
-  reader.String("log_level", text);
-  for (const LogLevel level :
-       {LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning, LogLevel::kError}) {
-    if (ToString(level) != text) continue;
-    target = level;
-    return;
-  }
-  findings.Add(reader.PlaceOf("log_level"),
-               "log_level: expected \"debug\", \"info\", \"warning\" or \"error\"");
-}
-
 void ReadIdentity(TableReader& reader, Settings& settings) {
   for (const char* key : {"host_name", "domain", "http_address", "peer_address"}) {
     reader.Required(key);
--- a/packages/daemon/src/stop_signals.cc
+++ b/packages/daemon/src/stop_signals.cc
@@ -1,4 +1,4 @@
-#include "stop_signals.h"
+#include "cactusshelf/daemon/stop_signals.h"
 
 #include <glib-unix.h>
 
--- a/packages/daemon/src/successful_body.h
+++ b/packages/daemon/src/successful_body.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "http_client.h"
+#include "cactusshelf/daemon/http_client.h"
 
 namespace cactusshelf {
 
--- a/packages/daemon/src/table_reader.cc
+++ b/packages/daemon/src/table_reader.cc
@@ -1,4 +1,4 @@
-#include "table_reader.h"
+#include "cactusshelf/daemon/table_reader.h"
 
 #include <fmt/format.h>
 
--- a/packages/daemon/src/worker_client.h
+++ b/packages/daemon/src/worker_client.h
@@ -1,9 +1,9 @@
 #ifndef CACTUSSHELF_DAEMON_WORKER_CLIENT_H_
 #define CACTUSSHELF_DAEMON_WORKER_CLIENT_H_
 
+#include "cactusshelf/daemon/http_client.h"
 #include "cactusshelf/daemon/interfaces.h"
 #include "cactusshelf/daemon/shell_metrics.h"
-#include "http_client.h"
 
 namespace cactusshelf {
 
--- a/packages/daemon/tests/program_test.cc
+++ b/packages/daemon/tests/program_test.cc
@@ -48,6 +48,20 @@
   }
 };
 
+// The job service is not started by these tests.
+struct FakeJobPorts {
+  FakeJobPorts(const JobSettings& /*settings*/, ShellMetrics& /*metrics*/,
+               const std::function<void(jobs::JobEvent)>& /*sink*/,
+               const std::function<bool()>& /*ready*/) {}
+  void Reply(const jobs::job_effect::Reply& /*reply*/) {}
+  void Read(const jobs::job_effect::ReadRecords& /*read*/) {}
+  void Read(const jobs::job_effect::ReadNewest& /*read*/) {}
+  void Append(const jobs::job_effect::Append& /*append*/) {}
+  void Send(const jobs::WorkerOrder& /*order*/) {}
+  void BeginDrain() {}
+  void Close(const std::function<void()>& on_closed) { on_closed(); }
+};
+
 }  // namespace
 
 TEST_CASE("the command line and the settings file decide whether the process starts") {
@@ -69,11 +83,11 @@
 TEST_CASE("the program runs until its node stops it, and fails if it cannot listen") {
   const TempFile file(SettingsText());
   const char* arguments[] = {"cactusshelfd", "--config", file.path.c_str()};
-  CHECK(RunProgram<StoppingNode>(3, arguments) == 0);
+  CHECK(RunProgram<StoppingNode, FakeJobPorts>(3, arguments) == 0);
   Findings findings;
   const Settings settings = ParseSettings(ReadSettingsFile(file.path), file.path, findings);
   const GObjectPtr<GSocket> taken = Listen(settings.node.http_address);
-  CHECK(RunProgram<StoppingNode>(3, arguments) == 1);
+  CHECK(RunProgram<StoppingNode, FakeJobPorts>(3, arguments) == 1);
 }
 
 TEST_CASE("log lines carry the time, and events below the level are not written") {
--- a/packages/daemon/tests/test_support.h
+++ b/packages/daemon/tests/test_support.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-#include "acceptor.h"
+#include "cactusshelf/daemon/acceptor.h"
 #include "cactusshelf/daemon/node_concept.h"
 #include "socket_stream.h"
 
--- /dev/null
+++ b/packages/jobs/include/cactusshelf/jobs/job_event.h
@@ -0,0 +1,174 @@
+#ifndef CACTUSSHELF_JOBS_JOB_EVENT_H_
+#define CACTUSSHELF_JOBS_JOB_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cactusshelf/base/log_event.h"
+#include "cactusshelf/jobs/job_record.h"
+#include "cactusshelf/jobs/queue_table.h"
+#include "cactusshelf/jobs/worker_calls.h"
+
+// What happens to a job node and what it asks its shell to do.
+namespace cactusshelf::jobs {
+
+// Streams of the platform's store that keep the newest record of each key.
+enum class Stream : std::uint8_t { kJobs, kConfiguration, kWorkers };
+
+std::string_view ToString(Stream stream);
+
+enum class ReadOutcome : std::uint8_t {
+  kDone,
+  kTrimmed,  // The records asked for are gone; the newest of each key remain.
+  kFailed,
+};
+
+enum class CallerId : std::uint64_t {};
+
+enum class Verb : std::uint8_t { kSubmit, kRead, kCancel };
+
+// A body that is not a job.
+struct MalformedBody {
+  std::string message;  // With the place of the fault.
+};
+
+namespace job_event {
+
+struct CallerRequest {
+  CallerId caller{};
+  Verb verb = Verb::kRead;
+  std::string host;
+  std::string path;
+  Duration patience{};  // The caller waits so long for a response.
+  std::variant<std::monostate, JobSpec, MalformedBody> body;
+};
+
+struct CallerGone {
+  CallerId caller{};
+};
+
+// The end of a ReadRecords or ReadNewest.
+struct StreamRead {
+  Stream stream{};
+  bool newest = false;
+  ReadOutcome outcome = ReadOutcome::kFailed;
+  std::string reason;     // Of a failure.
+  std::int64_t next = 0;  // Offset after the records read; of ReadNewest, the end of the stream.
+  bool has_more = false;  // ReadNewest: continue after last_key.
+  std::string last_key;
+  std::vector<KeyedRecord> jobs;              // Stream::kJobs.
+  std::optional<QueueTable> configuration;    // Stream::kConfiguration, the newest if any.
+  std::vector<WorkerEntry> workers;           // Stream::kWorkers, oldest first.
+  std::vector<std::string> unlisted_workers;  // Names that were dropped and not added again.
+  std::vector<std::string> unreadable;        // Keys of records that were skipped, with the reason.
+};
+
+enum class AppendOutcome : std::uint8_t {
+  kDone,
+  kFenced,      // A higher epoch was seen.
+  kOutOfOrder,  // The sequence number does not follow the last one.
+  kMoved,       // The log does not end at the expected offset.
+  kRefused,     // Nothing was done.
+  kNoAnswer,    // It may have been done, or may be done later.
+};
+
+struct AppendDone {
+  std::uint64_t append = 0;
+  AppendOutcome outcome = AppendOutcome::kNoAnswer;
+  std::int64_t offset = 0;  // Of the first record.
+  std::string reason;
+};
+
+struct HoldDone {
+  HoldAnswer answer;
+};
+struct StartDone {
+  OrderAnswer answer;
+};
+struct StopDone {
+  OrderAnswer answer;
+};
+struct PaceDone {
+  OrderAnswer answer;
+};
+
+struct Timer {};
+
+// The process is to end after a graceful shutdown.
+struct DrainRequested {};
+
+}  // namespace job_event
+
+using JobEvent = std::variant<job_event::CallerRequest, job_event::CallerGone,
+                              job_event::StreamRead, job_event::AppendDone, job_event::HoldDone,
+                              job_event::StartDone, job_event::StopDone, job_event::PaceDone,
+                              job_event::Timer, job_event::DrainRequested>;
+
+enum class ReplyKind : std::uint8_t {
+  kAccepted,
+  kCancelled,
+  kState,
+  kPending,
+  kMalformed,  // Nothing was stored.
+  kNoQueue,
+  kNoJob,
+  kNotAccepted,  // The job does not run on account of this request.
+  kUnknown,      // The request may have taken effect.
+};
+
+std::string_view ToString(ReplyKind kind);
+
+namespace job_effect {
+
+struct Reply {
+  CallerId caller{};
+  ReplyKind kind{};
+  JobState state{};        // kState.
+  int pending = 0;         // kPending.
+  Duration retry_after{};  // kNotAccepted.
+  std::string message;     // kMalformed, kNotAccepted.
+};
+
+struct ReadRecords {
+  Stream stream{};
+  std::int64_t from = 0;
+  Duration wait{};  // For a record, if there is none yet.
+};
+
+// One page of the newest record of each key.
+struct ReadNewest {
+  Stream stream{};
+  std::string after_key;
+};
+
+struct Append {
+  std::uint64_t append = 0;
+  std::vector<KeyedRecord> records;
+  std::string producer;  // Empty: epoch and sequence have no meaning.
+  std::int64_t epoch = 0;
+  std::int64_t sequence = 0;
+  std::optional<std::int64_t> expected_end;
+};
+
+struct Order {
+  WorkerOrder order;
+};
+
+struct WriteLogEvent {
+  LogEvent event;
+};
+
+struct Stop {};
+
+}  // namespace job_effect
+
+using JobEffect = std::variant<job_effect::Reply, job_effect::ReadRecords, job_effect::ReadNewest,
+                               job_effect::Append, job_effect::Order, job_effect::WriteLogEvent,
+                               job_effect::Stop>;
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_JOB_EVENT_H_
--- /dev/null
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -0,0 +1,67 @@
+#ifndef CACTUSSHELF_JOBS_JOB_RECORD_H_
+#define CACTUSSHELF_JOBS_JOB_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cactusshelf/jobs/job.h"
+
+// Records of the job log. The log keeps the newest record of each key forever and drops a key
+// whose newest record has no value, so the newest records of all keys are the whole state.
+namespace cactusshelf::jobs {
+
+struct KeyedRecord {
+  std::string key;
+  std::string value;  // Empty: the key is dropped.
+};
+
+// The owner of the jobs and workers of this log. The epoch is the fencing token of its orders.
+struct OwnerRecord {
+  std::int64_t epoch = 0;
+  std::int64_t generation = 0;  // Owners so far, this one included.
+  std::string member;
+  std::string host;
+  bool released = false;  // The owner has stopped acting and another may follow at once.
+};
+
+// Workers that may run something on orders of the owner.
+struct RosterRecord {
+  std::vector<std::string> workers;
+};
+
+struct CancelRecord {
+  JobKey key;
+};
+
+struct ProgressRecord {
+  JobKey key;
+  JobProgress progress;
+};
+
+// The job is forgotten.
+struct DropRecord {
+  JobKey key;
+};
+
+using JobLogRecord =
+    std::variant<OwnerRecord, RosterRecord, SubmittedJob, CancelRecord, ProgressRecord, DropRecord>;
+
+// Thread-safe.
+KeyedRecord Encode(const OwnerRecord& record);
+KeyedRecord Encode(const RosterRecord& record);
+KeyedRecord Encode(const SubmittedJob& record);
+KeyedRecord Encode(const CancelRecord& record);
+KeyedRecord Encode(const ProgressRecord& record);
+
+// The records that drop all keys of a job. Thread-safe.
+std::vector<KeyedRecord> EncodeDrop(const JobKey& key);
+
+// Throws DecodeError for anything that Encode does not produce. Thread-safe.
+JobLogRecord DecodeJobLogRecord(const KeyedRecord& record);
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_JOB_RECORD_H_
--- /dev/null
+++ b/packages/jobs/src/entry_desk.cc
@@ -0,0 +1,264 @@
+#include "entry_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactusshelf::jobs {
+namespace {
+
+constexpr std::size_t kKeyDigits = 16;
+
+bool IsJobKey(std::string_view text) {
+  return text.size() == kKeyDigits && std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+         });
+}
+
+}  // namespace
+
+void EntryDesk::OnRequest(job_event::CallerRequest request, const QueueTable& queues, bool loaded,
+                          bool store_usable, const Now& now) {
+  store_usable_ = store_usable;
+  request.patience = std::min(request.patience, options_.longest_wait);
+  const Time arrived = now.monotonic;
+  if (!loaded) {
+    Reply(request.caller, {}, ReplyKind::kNotAccepted, arrived, arrived, "no_configuration");
+    return;
+  }
+  const QueueTable::Match match = queues.Find(request.host, request.path);
+  if (match.route == nullptr) {
+    Reply(request.caller, {}, ReplyKind::kNoQueue, arrived, arrived, request.path);
+    return;
+  }
+  if (match.rest.empty() && request.verb == Verb::kRead) {
+    Reply(request.caller, {}, ReplyKind::kPending, arrived, arrived, "", JobState::kQueued,
+          ledger_.PendingJobs(match.route->policy.name));
+    return;
+  }
+  const JobKey key{std::string(match.rest)};
+  if (!IsJobKey(match.rest)) {
+    Reply(request.caller, key, ReplyKind::kMalformed, arrived, arrived,
+          "path: expected 16 hexadecimal digits after the queue");
+    return;
+  }
+  if (request.verb == Verb::kSubmit) {
+    Submit(request, *match.route, key, store_usable, now);
+  } else {
+    Read(request, key, now);
+  }
+}
+
+void EntryDesk::Submit(const job_event::CallerRequest& request, const QueueRoute& route,
+                       const JobKey& key, bool store_usable, const Now& now) {
+  const Time arrived = now.monotonic;
+  if (const auto* malformed = std::get_if<MalformedBody>(&request.body)) {
+    Reply(request.caller, key, ReplyKind::kMalformed, arrived, arrived, malformed->message);
+    return;
+  }
+  const auto* spec = std::get_if<JobSpec>(&request.body);
+  if (spec == nullptr) {
+    Reply(request.caller, key, ReplyKind::kMalformed, arrived, arrived, "body: expected a job");
+    return;
+  }
+  if (ledger_.Find(key) != nullptr) {
+    Reply(request.caller, key, ReplyKind::kAccepted, arrived, arrived, "known");
+    return;
+  }
+  if (!store_usable) {
+    Reply(request.caller, key, ReplyKind::kNotAccepted, arrived, arrived, "store_unreachable");
+    return;
+  }
+  SubmittedJob job;
+  job.key = key;
+  job.queue = route.policy;
+  job.spec = *spec;
+  job.accepted = now.wall;
+  Waiter waiter;
+  waiter.caller = request.caller;
+  waiter.key = key;
+  waiter.verb = Verb::kSubmit;
+  waiter.arrived = arrived;
+  waiter.deadline = arrived + request.patience - options_.answer_margin;
+  waiter.record = Encode(job);
+  Store(std::move(waiter), now);
+}
+
+void EntryDesk::Read(const job_event::CallerRequest& request, const JobKey& key, const Now& now) {
+  const Reader reader{request.caller, key, request.verb, now.monotonic,
+                      now.monotonic + request.patience - options_.answer_margin};
+  const JobLedger::Entry* entry = ledger_.Find(key);
+  const bool over = entry != nullptr && IsFinal(JobLedger::StateOf(*entry));
+  const bool known = entry != nullptr && (request.verb == Verb::kCancel || over);
+  if (known || !store_usable_) {
+    AnswerReader(reader, now);
+  } else {
+    readers_.push_back(reader);
+  }
+}
+
+void EntryDesk::AnswerReader(const Reader& reader, const Now& now) {
+  const JobLedger::Entry* entry = ledger_.Find(reader.key);
+  if (entry == nullptr) {
+    // Without a fresh ledger the job may well be known elsewhere.
+    const bool fresh = store_usable_;
+    Reply(reader.caller, reader.key, fresh ? ReplyKind::kNoJob : ReplyKind::kNotAccepted,
+          reader.arrived, now.monotonic, fresh ? "" : "store_unreachable");
+    return;
+  }
+  const JobState state = JobLedger::StateOf(*entry);
+  if (reader.verb == Verb::kRead) {
+    Reply(reader.caller, reader.key, ReplyKind::kState, reader.arrived, now.monotonic, "", state);
+    return;
+  }
+  if (IsFinal(state)) {
+    Reply(reader.caller, reader.key, ReplyKind::kCancelled, reader.arrived, now.monotonic, "over");
+    return;
+  }
+  Cancel(reader, now);
+}
+
+void EntryDesk::Cancel(const Reader& reader, const Now& now) {
+  if (!store_usable_) {
+    Reply(reader.caller, reader.key, ReplyKind::kNotAccepted, reader.arrived, now.monotonic,
+          "store_unreachable");
+    return;
+  }
+  Waiter waiter;
+  waiter.caller = reader.caller;
+  waiter.key = reader.key;
+  waiter.verb = Verb::kCancel;
+  waiter.arrived = reader.arrived;
+  waiter.deadline = reader.deadline;
+  waiter.record = Encode(CancelRecord{reader.key});
+  Store(std::move(waiter), now);
+}
+
+bool EntryDesk::StoreBlocked(Time now) const {
+  return writer_.unanswered() && now - writer_.started() > options_.store_patience;
+}
+
+void EntryDesk::Store(Waiter waiter, const Now& now) {
+  if (StoreBlocked(now.monotonic)) {
+    Reply(waiter.caller, waiter.key, ReplyKind::kNotAccepted, waiter.arrived, now.monotonic,
+          "store_blocked");
+    return;
+  }
+  if (waiting_.size() >= options_.max_waiting) {
+    Reply(waiter.caller, waiter.key, ReplyKind::kNotAccepted, waiter.arrived, now.monotonic,
+          "too_many_waiting");
+    return;
+  }
+  waiting_.push_back(std::move(waiter));
+}
+
+void EntryDesk::OnCallerGone(CallerId caller) {
+  const auto of_caller = [caller](const auto& it) { return it.caller == caller; };
+  std::erase_if(waiting_, of_caller);
+  std::erase_if(readers_, of_caller);
+  std::erase_if(stored_, of_caller);
+}
+
+void EntryDesk::OnLedgerFresh(Time fresh_at, Time now) {
+  store_usable_ = true;
+  std::vector<Reader> ready;
+  std::erase_if(readers_, [&](const Reader& reader) {
+    if (reader.arrived > fresh_at) return false;
+    ready.push_back(reader);
+    return true;
+  });
+  for (const Reader& reader : ready) AnswerReader(reader, {now, {}});
+}
+
+void EntryDesk::OnLedgerStale(Time now) {
+  store_usable_ = false;
+  for (const Reader& reader : std::exchange(readers_, {})) AnswerReader(reader, {now, {}});
+}
+
+void EntryDesk::BeginBatch(const Now& now) {
+  std::vector<KeyedRecord> records;
+  std::size_t bytes = 0;
+  std::size_t n = 0;
+  while (n < waiting_.size() && bytes < options_.max_batch_bytes) {
+    bytes += waiting_[n].record.value.size();
+    records.push_back(std::move(waiting_[n].record));
+    stored_.push_back(std::move(waiting_[n]));
+    ++n;
+  }
+  waiting_.erase(waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t>(n));
+  writer_.Begin(std::move(records), now.monotonic);
+}
+
+void EntryDesk::OnAppendDone(const job_event::AppendDone& done, const Now& now) {
+  const BatchWriter::Result result = writer_.OnDone(done, now.monotonic);
+  if (result == BatchWriter::Result::kRetry) {
+    counters_.Add("cactusshelf_append_retries_total", done.reason);
+    effects_.emplace_back(job_effect::WriteLogEvent{LogEvent(LogLevel::kWarning, "append_retry")
+                                                        .With("reason", done.reason)
+                                                        .With("requests", stored_.size())});
+    return;
+  }
+  for (const Waiter& waiter : std::exchange(stored_, {})) {
+    if (result == BatchWriter::Result::kStored) {
+      const bool submitted = waiter.verb == Verb::kSubmit;
+      Reply(waiter.caller, waiter.key, submitted ? ReplyKind::kAccepted : ReplyKind::kCancelled,
+            waiter.arrived, now.monotonic, "offset " + std::to_string(done.offset));
+    } else {
+      Reply(waiter.caller, waiter.key, ReplyKind::kNotAccepted, waiter.arrived, now.monotonic,
+            "store_refused");
+    }
+  }
+}
+
+void EntryDesk::Decide(const Now& now) {
+  const Time time = now.monotonic;
+  const auto answer_late = [&](std::vector<Waiter>& waiters, ReplyKind kind) {
+    std::vector<Waiter> late;
+    std::erase_if(waiters, [&](const Waiter& it) {
+      if (time < it.deadline) return false;
+      late.push_back(it);
+      return true;
+    });
+    for (const Waiter& it : late) Reply(it.caller, it.key, kind, it.arrived, time, "timeout");
+  };
+  answer_late(waiting_, ReplyKind::kNotAccepted);
+  answer_late(stored_, ReplyKind::kUnknown);
+  if (StoreBlocked(time)) {
+    for (const Waiter& it : std::exchange(waiting_, {})) {
+      Reply(it.caller, it.key, ReplyKind::kNotAccepted, it.arrived, time, "store_blocked");
+    }
+  }
+  std::vector<Reader> late;
+  std::erase_if(readers_, [&](const Reader& it) {
+    if (time < it.deadline) return false;
+    late.push_back(it);
+    return true;
+  });
+  for (const Reader& it : late) {
+    Reply(it.caller, it.key, ReplyKind::kNotAccepted, it.arrived, time, "timeout");
+  }
+  if (!writer_.busy() && !waiting_.empty()) BeginBatch(now);
+  if (auto append = writer_.Next(time)) effects_.emplace_back(std::move(*append));
+}
+
+void EntryDesk::Reply(CallerId caller, const JobKey& key, ReplyKind kind, Time arrived, Time now,
+                      std::string message, JobState state, int pending) {
+  counters_.Add("cactusshelf_replies_total", ToString(kind));
+  if (kind == ReplyKind::kNotAccepted) counters_.Add("cactusshelf_refusals_total", message);
+  reply_time_.Add(now - arrived);
+  LogEvent event(LogLevel::kInfo, "reply");
+  event.With("job", key.str()).With("outcome", std::string(ToString(kind)));
+  event.With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrived).count());
+  if (kind == ReplyKind::kState) event.With("state", std::string(ToString(state)));
+  if (!message.empty()) event.With("detail", message);
+  effects_.emplace_back(job_effect::WriteLogEvent{std::move(event)});
+  effects_.emplace_back(
+      job_effect::Reply{caller, kind, state, pending, options_.retry_after, std::move(message)});
+}
+
+std::vector<JobEffect> EntryDesk::TakeEffects() { return std::exchange(effects_, {}); }
+
+std::string EntryDesk::FormatMetrics() const {
+  return counters_.Format() + reply_time_.Format("cactusshelf_reply_seconds");
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/entry_desk.h
@@ -0,0 +1,111 @@
+#ifndef CACTUSSHELF_JOBS_SRC_ENTRY_DESK_H_
+#define CACTUSSHELF_JOBS_SRC_ENTRY_DESK_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "batch_writer.h"
+#include "cactusshelf/base/counters.h"
+#include "cactusshelf/base/distribution.h"
+#include "cactusshelf/jobs/job_ledger.h"
+#include "stream_follower.h"
+
+namespace cactusshelf::jobs {
+
+struct EntryOptions {
+  // A request is answered so long before its caller gives up.
+  Duration answer_margin = std::chrono::milliseconds(100);
+  // Longest patience that is assumed of a caller.
+  Duration longest_wait = std::chrono::seconds(10);
+  // While an append has not been answered for so long, further requests that would have to be
+  // stored are refused at once.
+  Duration store_patience = std::chrono::milliseconds(700);
+  // When to come back after a refusal.
+  Duration retry_after = std::chrono::seconds(1);
+  std::size_t max_waiting = 4096;  // Requests.
+  std::size_t max_batch_bytes = 1U << 20;
+};
+
+// Answers callers of one entry host: accepts and cancels jobs by storing that, and tells their
+// state from the ledger.
+//
+// "Not accepted" is said only of a request that was never handed to the store, or that the store
+// has certainly not stored. Not thread-safe.
+class EntryDesk {
+ public:
+  EntryDesk(const EntryOptions& options, const std::string& member, const JobLedger& ledger)
+      : options_(options),
+        ledger_(ledger),
+        writer_(member, 1, 0, 1, BatchWriter::Persistence::kMayRefuse) {}
+
+  // `store_usable` is false while reads of the store fail.
+  void OnRequest(job_event::CallerRequest request, const QueueTable& queues, bool loaded,
+                 bool store_usable, const Now& now);
+  void OnCallerGone(CallerId caller);
+
+  // The job log was read; everything stored before `fresh_at` is in the ledger.
+  void OnLedgerFresh(Time fresh_at, Time now);
+  // The job log cannot be read now.
+  void OnLedgerStale(Time now);
+
+  bool Owns(std::uint64_t append) const { return writer_.Owns(append); }
+  void OnAppendDone(const job_event::AppendDone& done, const Now& now);
+
+  // Sends what is due and answers those whose time is up.
+  void Decide(const Now& now);
+
+  std::vector<JobEffect> TakeEffects();
+
+  // True if a caller waits for records that are not in the ledger yet.
+  bool wants_fresh_ledger() const { return !readers_.empty(); }
+  bool idle() const { return readers_.empty() && waiting_.empty() && stored_.empty(); }
+  const Counters& counters() const { return counters_; }
+  std::string FormatMetrics() const;
+
+ private:
+  // A request that is stored before it is answered.
+  struct Waiter {
+    CallerId caller{};
+    JobKey key;
+    Verb verb{};
+    Time arrived;
+    Time deadline;
+    KeyedRecord record;
+  };
+  // A request for a job that the ledger did not know or whose state may have changed.
+  struct Reader {
+    CallerId caller{};
+    JobKey key;
+    Verb verb{};
+    Time arrived;
+    Time deadline;
+  };
+
+  void Submit(const job_event::CallerRequest& request, const QueueRoute& route, const JobKey& key,
+              bool store_usable, const Now& now);
+  void Read(const job_event::CallerRequest& request, const JobKey& key, const Now& now);
+  void Cancel(const Reader& reader, const Now& now);
+  void Store(Waiter waiter, const Now& now);
+  bool StoreBlocked(Time now) const;
+  void AnswerReader(const Reader& reader, const Now& now);
+  void Reply(CallerId caller, const JobKey& key, ReplyKind kind, Time arrived, Time now,
+             std::string message = "", JobState state = JobState::kQueued, int pending = 0);
+  void BeginBatch(const Now& now);
+
+  EntryOptions options_;
+  const JobLedger& ledger_;
+  BatchWriter writer_;
+  std::vector<Waiter> waiting_;  // Not handed to the store.
+  std::vector<Waiter> stored_;   // In the batch in flight.
+  std::vector<Reader> readers_;
+  bool store_usable_ = true;
+  std::vector<JobEffect> effects_;
+  Counters counters_;
+  Distribution reply_time_;
+};
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_ENTRY_DESK_H_
--- /dev/null
+++ b/packages/jobs/src/job_record.cc
@@ -0,0 +1,203 @@
+#include "cactusshelf/jobs/job_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cactusshelf/base/cbor.h"
+
+namespace cactusshelf::jobs {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kOwnerKey[] = "owner";
+constexpr char kRosterKey[] = "roster";
+// First character of the keys of a job, before the job's own key.
+constexpr char kSubmitPrefix = 'j';
+constexpr char kCancelPrefix = 'c';
+constexpr char kProgressPrefix = 'p';
+constexpr char kSeparator = '/';
+constexpr int kMaxDepth = 8;
+
+constexpr unsigned kCheckpointing = 1U << 0;
+constexpr unsigned kGang = 1U << 1;
+constexpr unsigned kSameRack = 1U << 2;
+constexpr unsigned kSpeculative = 1U << 3;
+constexpr unsigned kLongRunning = 1U << 4;
+constexpr unsigned kBestEffort = 1U << 5;
+
+std::string KeyOf(char prefix, const JobKey& key) {
+  std::string text(1, prefix);
+  text += kSeparator;
+  text += key.str();
+  return text;
+}
+
+std::string ToBytes(const json& value) {
+  std::string bytes;
+  json::to_cbor(value, bytes);
+  return bytes;
+}
+
+unsigned FlagsOf(const StepSpec& step) {
+  return (step.checkpointing ? kCheckpointing : 0) | (step.gang ? kGang : 0) |
+         (step.same_rack ? kSameRack : 0) | (step.speculative ? kSpeculative : 0) |
+         (step.long_running ? kLongRunning : 0) | (step.best_effort ? kBestEffort : 0);
+}
+
+json ToJson(const StepSpec& step) {
+  return json::array({step.count, step.need.milliprocessors, step.need.memory_bytes,
+                      step.need.accelerators, step.estimate.count(), step.depends_on, FlagsOf(step),
+                      step.required_label, step.preferred_rack, step.max_per_worker, step.image,
+                      step.latency_target.count(), step.max_unavailable});
+}
+
+StepSpec StepFromJson(const json& value) {
+  StepSpec step;
+  step.count = value.at(0);
+  step.need = {value.at(1), value.at(2), value.at(3)};
+  step.estimate = Duration(value.at(4).get<std::int64_t>());
+  step.depends_on = value.at(5).get<std::vector<int>>();
+  const unsigned flags = value.at(6);
+  step.checkpointing = (flags & kCheckpointing) != 0;
+  step.gang = (flags & kGang) != 0;
+  step.same_rack = (flags & kSameRack) != 0;
+  step.speculative = (flags & kSpeculative) != 0;
+  step.long_running = (flags & kLongRunning) != 0;
+  step.best_effort = (flags & kBestEffort) != 0;
+  step.required_label = value.at(7);
+  step.preferred_rack = value.at(8);
+  step.max_per_worker = value.at(9);
+  step.image = value.at(10);
+  step.latency_target = Duration(value.at(11).get<std::int64_t>());
+  step.max_unavailable = value.at(12);
+  return step;
+}
+
+json ToJson(const QueuePolicy& queue) {
+  return json::array({queue.name, queue.service, queue.priority, queue.attempts, queue.stretch,
+                      queue.latency_target.count()});
+}
+
+QueuePolicy QueueFromJson(const json& value) {
+  QueuePolicy queue;
+  queue.name = value.at(0);
+  queue.service = value.at(1);
+  queue.priority = value.at(2);
+  queue.attempts = value.at(3);
+  queue.stretch = value.at(4);
+  queue.latency_target = Duration(value.at(5).get<std::int64_t>());
+  return queue;
+}
+
+SubmittedJob DecodeSubmitted(const JobKey& key, const json& value) {
+  SubmittedJob job;
+  job.key = key;
+  job.queue = QueueFromJson(value.at(0));
+  job.spec.payload = value.at(1);
+  job.spec.occurrences = value.at(2);
+  job.spec.first_due = WallTime(std::chrono::milliseconds(value.at(3).get<std::int64_t>()));
+  job.spec.period = Duration(value.at(4).get<std::int64_t>());
+  job.accepted = WallTime(std::chrono::milliseconds(value.at(5).get<std::int64_t>()));
+  for (const json& step : value.at(6)) job.spec.steps.push_back(StepFromJson(step));
+  return job;
+}
+
+ProgressRecord DecodeProgress(const JobKey& key, const json& value) {
+  ProgressRecord record{key, {}};
+  record.progress.state = static_cast<JobState>(value.at(0).get<int>());
+  if (record.progress.state > JobState::kCancelled) throw DecodeError("unknown job state");
+  for (const json& row : value.at(1)) {
+    TaskProgress task;
+    task.id = {row.at(0), row.at(1), row.at(2)};
+    task.done = row.at(3).get<int>() != 0;
+    task.failures = row.at(4);
+    task.last_run = row.at(5);
+    record.progress.tasks.push_back(task);
+  }
+  return record;
+}
+
+OwnerRecord DecodeOwner(const json& value) {
+  OwnerRecord owner;
+  owner.epoch = value.at(0);
+  owner.generation = value.at(1);
+  owner.member = value.at(2);
+  owner.host = value.at(3);
+  owner.released = value.at(4);
+  return owner;
+}
+
+JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
+  if (record_key == kOwnerKey) return DecodeOwner(value);
+  if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
+  const JobKey key(record_key.substr(2));
+  switch (record_key.front()) {
+    case kSubmitPrefix:
+      return DecodeSubmitted(key, value);
+    case kCancelPrefix:
+      return CancelRecord{key};
+    case kProgressPrefix:
+      return DecodeProgress(key, value);
+    default:
+      throw DecodeError("job log record with an unknown key");
+  }
+}
+
+}  // namespace
+
+KeyedRecord Encode(const OwnerRecord& record) {
+  return {kOwnerKey, ToBytes(json::array({record.epoch, record.generation, record.member,
+                                          record.host, record.released}))};
+}
+
+KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
+
+KeyedRecord Encode(const SubmittedJob& record) {
+  json steps = json::array();
+  for (const StepSpec& step : record.spec.steps) steps.push_back(ToJson(step));
+  return {KeyOf(kSubmitPrefix, record.key),
+          ToBytes(json::array({ToJson(record.queue), record.spec.payload, record.spec.occurrences,
+                               record.spec.first_due.time_since_epoch().count(),
+                               record.spec.period.count(),
+                               record.accepted.time_since_epoch().count(), steps}))};
+}
+
+KeyedRecord Encode(const CancelRecord& record) {
+  return {KeyOf(kCancelPrefix, record.key), ToBytes(json::array())};
+}
+
+KeyedRecord Encode(const ProgressRecord& record) {
+  json tasks = json::array();
+  for (const TaskProgress& task : record.progress.tasks) {
+    tasks.push_back(json::array({task.id.occurrence, task.id.step, task.id.index, task.done ? 1 : 0,
+                                 task.failures, task.last_run}));
+  }
+  return {KeyOf(kProgressPrefix, record.key),
+          ToBytes(json::array({static_cast<int>(record.progress.state), tasks}))};
+}
+
+std::vector<KeyedRecord> EncodeDrop(const JobKey& key) {
+  // The submission goes last, since a reader may stop between two records.
+  return {{KeyOf(kProgressPrefix, key), ""},
+          {KeyOf(kCancelPrefix, key), ""},
+          {KeyOf(kSubmitPrefix, key), ""}};
+}
+
+JobLogRecord DecodeJobLogRecord(const KeyedRecord& record) {
+  const std::string& key = record.key;
+  const bool of_job = key.size() > 2 && key[1] == kSeparator;
+  if (!of_job && key != kOwnerKey && key != kRosterKey) {
+    throw DecodeError("job log record with an unknown key");
+  }
+  if (record.value.empty()) {
+    if (!of_job) throw DecodeError("job log record without a value");
+    return DropRecord{JobKey(key.substr(2))};
+  }
+  try {
+    return DecodeValue(key, DecodeCbor(record.value, kMaxDepth));
+  } catch (const nlohmann::json::exception& error) {
+    throw DecodeError(std::string("malformed job log record: ") + error.what());
+  }
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/job_tracker.cc
@@ -0,0 +1,279 @@
+#include "job_tracker.h"
+
+#include <algorithm>
+
+namespace cactusshelf::jobs {
+namespace {
+
+// A failed task waits before its next attempt, so that a worker that fails everything at once does
+// not use up all attempts.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration kLongRunningRetryDelay = std::chrono::milliseconds(100);
+
+std::size_t Index(int n) { return static_cast<std::size_t>(n); }
+
+OccurrenceStatus MakeOccurrence(const JobSpec& spec, Time now) {
+  OccurrenceStatus occurrence;
+  for (const StepSpec& step : spec.steps) {
+    StepStatus status;
+    status.tasks.resize(Index(step.count));
+    status.not_done = step.count;
+    status.ready_since = now;
+    occurrence.not_done += step.count;
+    occurrence.steps.push_back(std::move(status));
+  }
+  return occurrence;
+}
+
+bool IsKnown(const TrackedJob& job, const TaskId& task) {
+  if (task.occurrence < 0 || task.step < 0 || task.index < 0) return false;
+  if (Index(task.occurrence) >= job.occurrences.size()) return false;
+  if (Index(task.step) >= job.job->spec.steps.size()) return false;
+  return task.index < job.SpecOf(task).count;
+}
+
+// Longest chain of steps, by their estimates.
+Duration LongestChain(const JobSpec& spec) {
+  std::vector<Duration> finish;
+  Duration longest{};
+  for (const StepSpec& step : spec.steps) {
+    Duration start{};
+    for (const int it : step.depends_on) start = std::max(start, finish[Index(it)]);
+    finish.push_back(start + step.estimate);
+    longest = std::max(longest, finish.back());
+  }
+  return longest;
+}
+
+Duration Objective(const SubmittedJob& job) {
+  const auto chain = std::chrono::duration<double, Duration::period>(LongestChain(job.spec));
+  return std::chrono::duration_cast<Duration>(chain * job.queue.stretch) + job.queue.latency_target;
+}
+
+WallTime DueTime(const JobSpec& spec, int occurrence) {
+  return spec.first_due +
+         std::chrono::duration_cast<std::chrono::milliseconds>(spec.period * occurrence);
+}
+
+}  // namespace
+
+void JobTracker::Add(const std::shared_ptr<const SubmittedJob>& job, const JobProgress& progress,
+                     bool may_run_unseen, Time now) {
+  if (IsFinal(progress.state) || jobs_.contains(job->key)) return;
+  TrackedJob tracked;
+  tracked.job = job;
+  tracked.seen = now;
+  tracked.state = progress.state;
+  tracked.may_run_unseen = may_run_unseen;
+  tracked.objective = Objective(*job);
+  for (const StepSpec& step : job->spec.steps) {
+    tracked.long_running = tracked.long_running || step.long_running;
+  }
+  const int n = OccurrenceCount(job->spec);
+  for (int i = 0; i < n; ++i) tracked.occurrences.push_back(MakeOccurrence(job->spec, now));
+  Restore(tracked, progress);
+  jobs_.emplace(job->key, std::move(tracked));
+}
+
+void JobTracker::Restore(TrackedJob& job, const JobProgress& progress) {
+  for (const TaskProgress& stored : progress.tasks) {
+    if (!IsKnown(job, stored.id)) continue;
+    StepStatus& step = job.StepOf(stored.id);
+    TaskStatus& task = step.tasks[Index(stored.id.index)];
+    task.failures = stored.failures;
+    task.last_ended_run = stored.last_run;
+    task.last_run = stored.last_run;
+    if (!stored.done) continue;
+    task.phase = TaskPhase::kDone;
+    --step.not_done;
+    --job.occurrences[Index(stored.id.occurrence)].not_done;
+  }
+}
+
+void JobTracker::Cancel(const JobKey& key) {
+  TrackedJob* job = Find(key);
+  if (job != nullptr) End(*job, JobState::kCancelled);
+}
+
+TrackedJob* JobTracker::Find(const JobKey& key) {
+  const auto it = jobs_.find(key);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+TaskStatus* JobTracker::Find(const TaskRef& ref) {
+  TrackedJob* job = Find(ref.job);
+  if (job == nullptr || !IsKnown(*job, ref.task)) return nullptr;
+  return &job->StepOf(ref.task).tasks[Index(ref.task.index)];
+}
+
+std::int64_t JobTracker::NextRun(TrackedJob& job, const TaskId& task) const {
+  StepStatus& step = job.StepOf(task);
+  std::int64_t last = run_base_;
+  if (!job.SpecOf(task).gang) {
+    last = std::max(last, step.tasks[Index(task.index)].last_run);
+    return last + 1;
+  }
+  for (const TaskStatus& member : step.tasks) last = std::max(last, member.last_run);
+  return last + 1;
+}
+
+void JobTracker::OnPlaced(const TaskRef& ref, std::int64_t run) {
+  TaskStatus* task = Find(ref);
+  task->phase = TaskPhase::kPlaced;
+  task->last_run = std::max(task->last_run, run);
+  ++Find(ref.job)->placed;
+}
+
+void JobTracker::OnBegun(const JobKey& key) {
+  TrackedJob* job = Find(key);
+  if (job == nullptr || job->state != JobState::kQueued) return;
+  job->state = JobState::kRunning;
+  changed_.insert(key);
+}
+
+void JobTracker::OnLost(const TaskRef& ref, const std::string& checkpoint, Time now) {
+  TaskStatus* task = Find(ref);
+  if (task == nullptr || task->phase != TaskPhase::kPlaced) return;
+  task->phase = TaskPhase::kWaiting;
+  task->retry_at = now;
+  if (!checkpoint.empty()) task->checkpoint = checkpoint;
+  --Find(ref.job)->placed;
+}
+
+void JobTracker::OnEnd(const TaskRef& ref, std::int64_t run, RunEnd end,
+                       const std::string& checkpoint, Time now) {
+  TaskStatus* task = Find(ref);
+  if (task == nullptr || run <= task->last_ended_run || task->phase == TaskPhase::kDone) return;
+  TrackedJob& job = *Find(ref.job);
+  const StepSpec& spec = job.SpecOf(ref.task);
+  task->last_ended_run = run;
+  task->last_run = std::max(task->last_run, run);
+  if (!checkpoint.empty()) task->checkpoint = checkpoint;
+  changed_.insert(ref.job);
+  if (end == RunEnd::kDone && !spec.long_running) {
+    if (spec.gang) {
+      FinishGang(job, ref.task, now);
+    } else {
+      FinishTask(job, ref.task, now);
+    }
+    return;
+  }
+  if (task->phase == TaskPhase::kPlaced) {
+    task->phase = TaskPhase::kWaiting;
+    --job.placed;
+  }
+  task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
+  if (end != RunEnd::kFailed || spec.long_running) return;
+  ++task->failures;
+  if (FailuresOf(job, ref.task) >= job.job->queue.attempts) End(job, JobState::kFailed);
+}
+
+int JobTracker::FailuresOf(TrackedJob& job, const TaskId& task) const {
+  StepStatus& step = job.StepOf(task);
+  if (!job.SpecOf(task).gang) return step.tasks[Index(task.index)].failures;
+  int n = 0;
+  for (const TaskStatus& member : step.tasks) n += member.failures;
+  return n;
+}
+
+void JobTracker::FinishGang(TrackedJob& job, const TaskId& task, Time now) {
+  const JobKey key = job.job->key;
+  const int count = job.SpecOf(task).count;
+  for (int i = 0; i < count; ++i) {
+    if (Find(key) == nullptr) return;
+    if (job.StepOf(task).tasks[Index(i)].phase == TaskPhase::kDone) continue;
+    FinishTask(job, {task.occurrence, task.step, i}, now);
+  }
+}
+
+void JobTracker::FinishTask(TrackedJob& job, const TaskId& id, Time now) {
+  StepStatus& step = job.StepOf(id);
+  TaskStatus& task = step.tasks[Index(id.index)];
+  if (task.phase == TaskPhase::kPlaced) --job.placed;
+  task.phase = TaskPhase::kDone;
+  --step.not_done;
+  OccurrenceStatus& occurrence = job.occurrences[Index(id.occurrence)];
+  --occurrence.not_done;
+  if (step.not_done == 0) {
+    for (StepStatus& other : occurrence.steps) {
+      if (other.not_done > 0) other.ready_since = now;
+    }
+  }
+  const bool complete = std::all_of(job.occurrences.begin(), job.occurrences.end(),
+                                    [](const OccurrenceStatus& it) { return it.not_done == 0; });
+  if (complete) End(job, JobState::kCompleted);
+}
+
+void JobTracker::End(TrackedJob& job, JobState state) {
+  const JobKey key = job.job->key;
+  job.state = state;
+  final_changes_.push_back({key, {state, {}}});
+  changed_.erase(key);
+  jobs_.erase(key);
+}
+
+void JobTracker::CollectReady(const Now& now, std::vector<ReadyStep>& ready) {
+  for (auto& [key, job] : jobs_) {
+    const JobSpec& spec = job.job->spec;
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+      OccurrenceStatus& occurrence = job.occurrences[k];
+      if (occurrence.not_done == 0) continue;
+      if (spec.occurrences > 0 && now.wall < DueTime(spec, static_cast<int>(k))) break;
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (occurrence.steps[s].not_done == 0) continue;
+        const std::vector<int>& before = spec.steps[s].depends_on;
+        const bool free = std::all_of(before.begin(), before.end(), [&](int it) {
+          return occurrence.steps[Index(it)].not_done == 0;
+        });
+        if (free) ready.push_back({&job, static_cast<int>(k), static_cast<int>(s)});
+      }
+    }
+  }
+}
+
+std::optional<WallTime> JobTracker::NextDue(WallTime now) const {
+  std::optional<WallTime> next;
+  for (const auto& [key, job] : jobs_) {
+    const JobSpec& spec = job.job->spec;
+    if (spec.occurrences == 0) continue;
+    for (int k = 0; k < spec.occurrences; ++k) {
+      const WallTime due = DueTime(spec, k);
+      if (due <= now) continue;
+      if (!next || due < *next) next = due;
+      break;
+    }
+  }
+  return next;
+}
+
+std::vector<ProgressRecord> JobTracker::TakeChanges() {
+  std::vector<ProgressRecord> changes = std::move(final_changes_);
+  final_changes_.clear();
+  for (const JobKey& key : changed_) changes.push_back({key, ProgressOf(jobs_.at(key))});
+  changed_.clear();
+  return changes;
+}
+
+JobProgress JobTracker::ProgressOf(const TrackedJob& job) const {
+  JobProgress progress;
+  progress.state = job.state;
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    const std::vector<StepStatus>& steps = job.occurrences[k].steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
+        const TaskStatus& task = steps[s].tasks[i];
+        if (task.last_ended_run == 0 && task.phase != TaskPhase::kDone) continue;
+        const TaskId id{static_cast<int>(k), static_cast<int>(s), static_cast<int>(i)};
+        progress.tasks.push_back(
+            {id, task.phase == TaskPhase::kDone, task.failures, task.last_ended_run});
+      }
+    }
+  }
+  return progress;
+}
+
+void JobTracker::AllRunsSeen() {
+  for (auto& [key, job] : jobs_) job.may_run_unseen = false;
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -0,0 +1,160 @@
+#include <algorithm>
+
+#include "scheduler.h"
+
+// Holds, stops and paces that are due.
+namespace cactusshelf::jobs {
+namespace {
+
+// Orders, besides holds, that a worker is given at a time. They share as many connections.
+constexpr int kOrdersInFlight = 2;
+
+}  // namespace
+
+void Scheduler::AddRun(WorkerState& worker, Run run) {
+  TaskStatus* task = tracker_.Find(run.task);
+  if (task != nullptr && worker.FindRun(run.task) == nullptr) ++task->runs_present;
+  worker.AddRun(std::move(run));
+}
+
+void Scheduler::RemoveRun(WorkerState& worker, const TaskRef& ref) {
+  TaskStatus* task = tracker_.Find(ref);
+  if (task != nullptr && worker.FindRun(ref) != nullptr) --task->runs_present;
+  worker.RemoveRun(ref);
+}
+
+void Scheduler::Enqueue(WorkerState& worker, WorkerOrder order) {
+  if (std::holds_alternative<HoldOrder>(order)) {
+    orders_.push_back(std::move(order));
+    return;
+  }
+  worker.waiting_orders.push_back(std::move(order));
+  SendWaiting(worker);
+}
+
+void Scheduler::SendWaiting(WorkerState& worker) {
+  while (worker.orders_in_flight < kOrdersInFlight && !worker.waiting_orders.empty()) {
+    orders_.push_back(std::move(worker.waiting_orders.front()));
+    worker.waiting_orders.pop_front();
+    ++worker.orders_in_flight;
+  }
+}
+
+Scheduler::PendingOrder Scheduler::TakeOrder(CallId call) {
+  PendingOrder order = TakePending(call);
+  WorkerState* worker = FindWorker(order.worker);
+  if (worker == nullptr) return order;
+  --worker->orders_in_flight;
+  SendWaiting(*worker);
+  return order;
+}
+
+// Starts that were not sent to a worker that does not answer go elsewhere.
+void Scheduler::DropWaitingStarts(WorkerState& worker, const Now& now) {
+  std::vector<StartOrder> starts;
+  std::erase_if(worker.waiting_orders, [&](const WorkerOrder& it) {
+    const auto* start = std::get_if<StartOrder>(&it);
+    if (start == nullptr) return false;
+    starts.push_back(*start);
+    return true;
+  });
+  for (const StartOrder& start : starts) {
+    pending_.erase(static_cast<std::uint64_t>(start.call));
+    const Run* run = worker.FindRun(start.task);
+    if (run != nullptr && run->number == start.run) LoseRun(worker, start.task, "not_sent", now);
+  }
+}
+
+void Scheduler::SendHolds(const Now& now) {
+  for (auto& [id, worker] : workers_) {
+    if (worker.hold_in_flight) continue;
+    const bool unstored_ends = worker.end_stored != worker.end_seen;
+    const bool idle = worker.runs().empty() && worker.visited && worker.reachable;
+    Time due = worker.next_hold;
+    // A worker answers at once while it lists ends that are not acknowledged.
+    if (unstored_ends) due += options_.retry_period;
+    if (idle && !unstored_ends) due += options_.idle_hold_period;
+    if (worker.look_now && worker.reachable) due = now.monotonic;
+    if (now.monotonic >= due) SendHold(worker, now);
+  }
+}
+
+void Scheduler::SendHold(WorkerState& worker, const Now& now) {
+  HoldOrder order;
+  order.call = NextCall();
+  order.worker = {worker.entry().id, worker.entry().address};
+  order.token = token_;
+  order.acknowledged_end = worker.end_stored;
+  // A worker that does not answer is not granted more time, so that its work is free soon.
+  if (worker.visited && worker.reachable && worker.has_clock()) {
+    order.lease_end = worker.LeaseEnd(now.monotonic);
+    worker.Granted(*order.lease_end, now.monotonic);
+    const bool wait =
+        !worker.runs().empty() && !worker.look_now && worker.end_stored == worker.end_seen;
+    if (wait) order.wait = options_.hold_wait;
+  }
+  worker.hold_in_flight = true;
+  worker.hold_sent_at = worker.orders_answered;
+  pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, {}, 0, 0};
+  Enqueue(worker, std::move(order));
+}
+
+void Scheduler::SendStops(const Now& now) {
+  for (auto& [id, worker] : workers_) {
+    for (auto& [ref, run] : worker.runs()) {
+      const bool due = now.monotonic >= run.stop_sent + options_.stop_retry_period;
+      if (run.phase != RunPhase::kStopping || run.stop_in_flight || run.stop_answered) continue;
+      if (due) SendStop(worker, run, now);
+    }
+  }
+}
+
+void Scheduler::SendStop(WorkerState& worker, Run& run, const Now& now) {
+  StopOrder order;
+  order.call = NextCall();
+  order.worker = {worker.entry().id, worker.entry().address};
+  order.token = token_;
+  order.task = run.task;
+  order.run = run.number;
+  run.stop_in_flight = true;
+  run.stop_sent = now.monotonic;
+  pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, run.task, run.number, 0};
+  Log(LogEvent(LogLevel::kInfo, "run_stop")
+          .With("task", jobs::ToString(run.task))
+          .With("run", run.number)
+          .With("worker", worker.entry().id));
+  Enqueue(worker, std::move(order));
+}
+
+void Scheduler::StopRunsOfEndedJobs() {
+  for (auto& [id, worker] : workers_) {
+    for (auto& [ref, run] : worker.runs()) {
+      if (run.phase == RunPhase::kStopping) continue;
+      const TaskStatus* task = tracker_.Find(ref);
+      const bool wanted = task != nullptr && task->phase == TaskPhase::kPlaced;
+      if (!wanted) run.phase = RunPhase::kStopping;
+    }
+  }
+}
+
+void Scheduler::SendPaces(const Now& /*now*/) {
+  for (auto& [id, worker] : workers_) {
+    if (!worker.reachable) continue;
+    for (auto& [ref, run] : worker.runs()) {
+      if (!run.best_effort || run.phase != RunPhase::kRunning) continue;
+      if (run.pace == run.pace_confirmed || run.pace_in_flight) continue;
+      PaceOrder order;
+      order.call = NextCall();
+      order.worker = {worker.entry().id, worker.entry().address};
+      order.token = token_;
+      order.task = ref;
+      order.run = run.number;
+      order.percent = run.pace;
+      run.pace_in_flight = true;
+      pending_[static_cast<std::uint64_t>(order.call)] = {id, ref, run.number, run.pace};
+      Enqueue(worker, std::move(order));
+    }
+  }
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+#include "scheduler.h"
+
+// Which waiting task starts where.
+namespace cactusshelf::jobs {
+namespace {
+
+// A job that took so many times its objective earns its caller nothing any more.
+constexpr double kWorthlessAfter = 3.0;
+// A pass is made so often even if nothing is known to have changed: delays pass and jobs come due.
+constexpr Duration kForcedPlacementPeriod = std::chrono::milliseconds(100);
+
+struct Rank {
+  bool worthless = false;
+  int priority = 0;
+  Time due;
+  auto operator<=>(const Rank&) const = default;
+};
+
+Rank RankOf(const TrackedJob& job, Time now) {
+  const auto limit =
+      std::chrono::duration<double, Duration::period>(job.objective) * kWorthlessAfter;
+  const bool late = now > job.seen + std::chrono::duration_cast<Duration>(limit);
+  return {late && !job.long_running, job.job->queue.priority, job.seen + job.objective};
+}
+
+struct RankedStep {
+  Rank rank;
+  ReadyStep step;
+
+  bool operator<(const RankedStep& other) const {
+    return std::tie(rank, step.job->job->key, step.occurrence, step.step) <
+           std::tie(other.rank, other.step.job->job->key, other.step.occurrence, other.step.step);
+  }
+};
+
+bool HasWaitingTask(const ReadyStep& ready) {
+  const auto& tasks = ready.job->occurrences[static_cast<std::size_t>(ready.occurrence)]
+                          .steps[static_cast<std::size_t>(ready.step)]
+                          .tasks;
+  return std::any_of(tasks.begin(), tasks.end(), [](const TaskStatus& task) {
+    return task.phase == TaskPhase::kWaiting && task.runs_present == 0;
+  });
+}
+
+}  // namespace
+
+void Scheduler::Place(const Now& now) {
+  next_placement_ = now.monotonic + options_.placement_period;
+  if (!placement_wanted_ && now.monotonic < forced_placement_) return;
+  placement_wanted_ = false;
+  forced_placement_ = now.monotonic + kForcedPlacementPeriod;
+  const std::vector<WorkerState*> workers = PlaceableWorkers();
+  if (workers.empty()) return;
+  std::vector<ReadyStep> ready;
+  tracker_.CollectReady(now, ready);
+  std::vector<RankedStep> ranked;
+  for (const ReadyStep& it : ready) {
+    if (it.job->may_run_unseen || !HasWaitingTask(it)) continue;
+    ranked.push_back({RankOf(*it.job, now.monotonic), it});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  placer_.BeginPass();
+  for (const RankedStep& it : ranked) {
+    const bool gang = it.step.job->job->spec.steps[static_cast<std::size_t>(it.step.step)].gang;
+    if (gang) {
+      PlaceGang(it.step, workers, now);
+    } else {
+      PlaceStep(it.step, workers, now);
+    }
+  }
+}
+
+std::vector<WorkerState*> Scheduler::PlaceableWorkers() {
+  std::vector<WorkerState*> workers;
+  for (auto& [id, worker] : workers_) {
+    const bool usable = worker.listed && worker.visited && worker.reachable && worker.rostered;
+    if (usable && !worker.entry().draining) workers.push_back(&worker);
+  }
+  return workers;
+}
+
+void Scheduler::PlaceStep(const ReadyStep& ready, const std::vector<WorkerState*>& workers,
+                          const Now& now) {
+  TrackedJob& job = *ready.job;
+  TaskId id{ready.occurrence, ready.step, 0};
+  StepStatus& step = job.StepOf(id);
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskStatus& task = step.tasks[i];
+    if (task.phase != TaskPhase::kWaiting || now.monotonic < task.retry_at) continue;
+    id.index = static_cast<int>(i);
+    // A run of the task that is being stopped is still in the way.
+    if (task.runs_present > 0) continue;
+    WorkerState* worker =
+        placer_.Choose(workers, *job.job, id, ServiceOf(*job.job), "", now.monotonic);
+    if (worker == nullptr) return;
+    StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
+  }
+}
+
+void Scheduler::PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers,
+                          const Now& now) {
+  TrackedJob& job = *ready.job;
+  TaskId id{ready.occurrence, ready.step, 0};
+  const StepStatus& step = job.StepOf(id);
+  const int count = job.SpecOf(id).count;
+  for (int i = 0; i < count; ++i) {
+    const TaskStatus& task = step.tasks[static_cast<std::size_t>(i)];
+    const bool startable = task.phase == TaskPhase::kWaiting && task.runs_present == 0;
+    if (!startable || now.monotonic < task.retry_at) return;
+  }
+  std::set<std::string> racks{""};
+  if (job.SpecOf(id).same_rack) {
+    for (const WorkerState* worker : workers) racks.insert(worker->entry().rack);
+  }
+  const std::int64_t number = tracker_.NextRun(job, id);
+  // Racks by name, then anywhere: all members fit, or none is started.
+  for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+    std::vector<WorkerState*> chosen;
+    for (int i = 0; i < count; ++i) {
+      id.index = i;
+      WorkerState* worker =
+          placer_.Choose(workers, *job.job, id, ServiceOf(*job.job), *rack, now.monotonic);
+      if (worker == nullptr) break;
+      worker->AddRun(MakeRun(job, id, number, now.monotonic));
+      chosen.push_back(worker);
+    }
+    const bool complete = static_cast<int>(chosen.size()) == count;
+    for (int i = 0; i < static_cast<int>(chosen.size()); ++i) {
+      id.index = i;
+      chosen[static_cast<std::size_t>(i)]->RemoveRun({job.job->key, id});
+    }
+    if (!complete) continue;
+    for (int i = 0; i < count; ++i) {
+      id.index = i;
+      StartTask(*chosen[static_cast<std::size_t>(i)], job, id, number, now);
+    }
+    return;
+  }
+}
+
+Run Scheduler::MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number,
+                       Time now) const {
+  const StepSpec& step = job.SpecOf(task);
+  Run run;
+  run.task = {job.job->key, task};
+  run.number = number;
+  run.need = CountedNeed(step);
+  run.milliprocessors = step.need.milliprocessors;
+  run.long_running = step.long_running;
+  run.best_effort = step.best_effort;
+  run.image = step.image;
+  run.latency_target = step.latency_target;
+  run.started = now;
+  run.progressed = now;
+  return run;
+}
+
+void Scheduler::StartTask(WorkerState& worker, TrackedJob& job, const TaskId& task,
+                          std::int64_t number, const Now& now) {
+  const TaskRef ref{job.job->key, task};
+  StartOrder order;
+  order.call = NextCall();
+  order.worker = {worker.entry().id, worker.entry().address};
+  order.token = token_;
+  order.task = ref;
+  order.run = number;
+  order.payload = job.job->spec.payload;
+  order.checkpoint = job.StepOf(task).tasks[static_cast<std::size_t>(task.index)].checkpoint;
+  order.lease_end = worker.LeaseEnd(now.monotonic);
+  worker.Granted(order.lease_end, now.monotonic);
+  Run run = MakeRun(job, task, number, now.monotonic);
+  run.checkpoint = order.checkpoint;
+  if (run.best_effort) {
+    for (const auto& [other_ref, other] : worker.runs()) {
+      if (other.best_effort) run.pace = std::min(run.pace, other.pace);
+    }
+  }
+  AddRun(worker, std::move(run));
+  tracker_.OnPlaced(ref, number);
+  pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, number, 0};
+  const auto waited = now.monotonic - job.StepOf(task).ready_since;
+  Log(LogEvent(LogLevel::kInfo, "run_start")
+          .With("task", jobs::ToString(ref))
+          .With("run", number)
+          .With("worker", worker.entry().id)
+          .With("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
+          .With("free_milliprocessors", worker.Free().milliprocessors));
+  Enqueue(worker, std::move(order));
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/worker_state.cc
@@ -0,0 +1,78 @@
+#include "worker_state.h"
+
+#include <algorithm>
+
+namespace cactusshelf::jobs {
+
+using std::chrono::duration_cast;
+
+void WorkerState::Reset(std::int64_t new_incarnation) {
+  incarnation = new_incarnation;
+  visited = false;
+  end_seen = 0;
+  end_stored = 0;
+  end_batch = 0;
+  runs_.clear();
+  used_ = {};
+  expected_use_ = 0;
+  serving_runs_ = 0;
+  clock_known_ = false;
+  failures_in_row = 0;
+}
+
+Run* WorkerState::FindRun(const TaskRef& task) {
+  const auto it = runs_.find(task);
+  return it == runs_.end() ? nullptr : &it->second;
+}
+
+void WorkerState::Count(const Run& run, int sign) {
+  used_ += run.need * sign;
+  const auto wanted = static_cast<double>(run.milliprocessors);
+  const bool serving = run.latency_target > Duration::zero();
+  expected_use_ +=
+      sign * static_cast<std::int64_t>(serving ? wanted * options_->serving_use : wanted);
+  if (serving) serving_runs_ += sign;
+}
+
+Run& WorkerState::AddRun(Run run) {
+  RemoveRun(run.task);
+  Count(run, 1);
+  const TaskRef task = run.task;
+  return runs_.insert_or_assign(task, std::move(run)).first->second;
+}
+
+void WorkerState::RemoveRun(const TaskRef& task) {
+  const auto it = runs_.find(task);
+  if (it == runs_.end()) return;
+  Count(it->second, -1);
+  runs_.erase(it);
+}
+
+int WorkerState::RunsOfStep(const JobKey& job, int occurrence, int step) const {
+  int n = 0;
+  for (auto it = runs_.lower_bound({job, {occurrence, step, 0}}); it != runs_.end(); ++it) {
+    const TaskRef& ref = it->first;
+    if (ref.job != job || ref.task.occurrence != occurrence || ref.task.step != step) break;
+    ++n;
+  }
+  return n;
+}
+
+void WorkerState::SetClock(WorkerClock clock, Time now) {
+  clock_known_ = true;
+  clock_ = clock;
+  clock_read_ = now;
+}
+
+WorkerClock WorkerState::LeaseEnd(Time now) const {
+  return clock_ + duration_cast<WorkerClock>(now - clock_read_ + options_->lease);
+}
+
+void WorkerState::Granted(WorkerClock end, Time now) {
+  const auto left = duration_cast<Duration>(end - clock_);
+  const auto slow =
+      std::chrono::duration<double, Duration::period>(left) / (1.0 - options_->clock_slowness);
+  lapse_ = std::max({lapse_, now, clock_read_ + duration_cast<Duration>(slow)});
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/worker_state.h
@@ -0,0 +1,132 @@
+#ifndef CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
+#define CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactusshelf/jobs/scheduler_options.h"
+#include "cactusshelf/jobs/worker_calls.h"
+
+namespace cactusshelf::jobs {
+
+enum class RunPhase : std::uint8_t {
+  kStarting,   // The start is not answered yet.
+  kUnsettled,  // The start was not answered in time: it may have begun, or begin later.
+  kRunning,
+  kStopping,
+};
+
+// One run of a task on one worker, from the decision to start it until it is known to be gone.
+struct Run {
+  TaskRef task;
+  std::int64_t number = 0;
+  RunPhase phase = RunPhase::kStarting;
+  Resources need;                    // Counted against the worker's capacity.
+  std::int64_t milliprocessors = 0;  // Wanted, whether counted or not.
+  bool long_running = false;
+  bool best_effort = false;
+  std::string image;
+  Duration latency_target{};
+  std::string checkpoint;
+  std::int64_t load = 0;  // RunningTask::load.
+  int progress_percent = 0;
+  Time started;
+  Time progressed;  // When progress_percent last changed.
+  int pace = 100;   // Percent, as last ordered.
+  int pace_confirmed = 100;
+  bool pace_in_flight = false;
+  // Orders answered by the worker before this run's last order; a hold that was sent later reports
+  // on the run.
+  std::uint64_t settled_at = 0;
+  bool stop_in_flight = false;
+  bool stop_answered = false;
+  Time stop_sent;
+};
+
+// What the owner knows of one worker: what runs there, when the lease of that ends, and which of
+// its ends are stored. Not thread-safe.
+class WorkerState {
+ public:
+  // `options` outlive the worker.
+  WorkerState(WorkerEntry entry, const SchedulerOptions& options)
+      : entry_(std::move(entry)), options_(&options) {}
+
+  const WorkerEntry& entry() const { return entry_; }
+  void Update(WorkerEntry entry) { entry_ = std::move(entry); }
+
+  // Forgets what ran there and the positions in its list of ends: another incarnation answers.
+  void Reset(std::int64_t incarnation);
+
+  Run* FindRun(const TaskRef& task);
+  Run& AddRun(Run run);
+  void RemoveRun(const TaskRef& task);
+  std::map<TaskRef, Run>& runs() { return runs_; }
+  const std::map<TaskRef, Run>& runs() const { return runs_; }
+
+  // Capacity that no run is counted against.
+  Resources Free() const { return entry_.capacity - used_; }
+
+  // Processors that reserved tasks are expected to leave idle, less those that best-effort tasks
+  // want.
+  std::int64_t IdleMilliprocessors() const {
+    return entry_.capacity.milliprocessors - expected_use_;
+  }
+  // Tasks with a latency target.
+  int serving_runs() const { return serving_runs_; }
+
+  // Runs of a step on this worker.
+  int RunsOfStep(const JobKey& job, int occurrence, int step) const;
+
+  // The worker's clock was `clock` at a moment not after `now`.
+  void SetClock(WorkerClock clock, Time now);
+  bool has_clock() const { return clock_known_; }
+
+  // End of a lease granted at `now`. Precondition: has_clock().
+  WorkerClock LeaseEnd(Time now) const;
+  // A lease that ends at `end` was sent at `now`.
+  void Granted(WorkerClock end, Time now);
+  // True if nothing that was started there before can still run.
+  bool HasLapsed(Time now) const { return now >= lapse_; }
+  Time lapse() const { return lapse_; }
+
+  std::int64_t incarnation = 0;
+  bool listed = true;
+  bool visited = false;         // It has accepted this owner's token.
+  bool reachable = false;       // The last order was answered.
+  bool rostered = false;        // Its name is stored in the roster.
+  std::int64_t end_seen = 0;    // Last end that was processed.
+  std::int64_t end_stored = 0;  // Last end whose effect is stored.
+  std::uint64_t end_batch = 0;  // Batch that stores the effect of end_seen.
+  std::uint64_t orders_answered = 0;
+  bool hold_in_flight = false;
+  std::uint64_t hold_sent_at = 0;  // orders_answered when the hold in flight was sent.
+  Time next_hold;
+  int orders_in_flight = 0;  // Besides holds.
+  std::deque<WorkerOrder> waiting_orders;
+  bool look_now = false;  // A run is unsettled: a report is wanted without waiting for an end.
+  Time no_starts_before;
+  std::string failed_job;   // Of the last failure.
+  int failures_in_row = 0;  // Of different jobs.
+
+ private:
+  void Count(const Run& run, int sign);
+
+  WorkerEntry entry_;
+  const SchedulerOptions* options_;
+  std::map<TaskRef, Run> runs_;
+  Resources used_;
+  std::int64_t expected_use_ = 0;  // Milliprocessors.
+  int serving_runs_ = 0;
+  bool clock_known_ = false;
+  WorkerClock clock_{};
+  Time clock_read_;
+  Time lapse_;
+};
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
--- a/packages/node/include/cactusshelf/node/node_event.h
+++ b/packages/node/include/cactusshelf/node/node_event.h
@@ -28,6 +28,7 @@
 struct CallerRequest {
   CallerToken token{};
   std::string method;
+  std::string host;  // Value of the Host header.
   std::string path;  // Path and query as received.
   std::vector<HttpHeader> headers;
   Body body;
