Place best-effort tasks beside serving images that they do not disturb

Reports show that a pair of images either disturbs strongly (0.04 to 0.09 of pressure a processor) or not at all, and that the tail follows 1/(1 - pressure). NeighbourModel learns the pairs from changes between reports; the placer keeps each serving task under its target, and pace slows only those that press on an endangered neighbour.

--- /dev/null
+++ b/packages/jobs/src/neighbour_model.h
@@ -0,0 +1,58 @@
+#ifndef CACTUSSHELF_JOBS_SRC_NEIGHBOUR_MODEL_H_
+#define CACTUSSHELF_JOBS_SRC_NEIGHBOUR_MODEL_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cactusshelf/base/time.h"
+
+namespace cactusshelf::jobs {
+
+// How busy a serving task is, from its tail latency: 0 when idle, 1 when saturated. The tail of a
+// queue grows as 1 / (1 - pressure), so pressures of neighbours add up where latencies do not.
+double PressureOf(Duration tail, Duration target);
+
+// Pressure at which a task just meets its latency target.
+inline constexpr double kPressureAtTarget = 0.8;
+
+// Processors that best-effort tasks use on one worker, by image.
+using FillUse = std::map<int, double>;
+
+// Learns by how much a processor used by one best-effort image raises the pressure of one serving
+// image on the same worker. Only changes between two reports are compared, since the load of a
+// serving task differs between jobs and moves slowly. Not thread-safe.
+class NeighbourModel {
+ public:
+  // Number of an image, the same for each use of its name.
+  int ImageIndex(const std::string& image);
+
+  // Between two reports the use by best-effort tasks changed from `before` to `after`, and the
+  // pressure of a serving task of image `serving` by `change`.
+  void Learn(int serving, const FillUse& before, const FillUse& after, double change);
+
+  // Expected rise of pressure by one processor.
+  double Effect(int serving, int fill) const;
+
+  // Sum of the effects of `use`.
+  double Predict(int serving, const FillUse& use) const;
+
+ private:
+  // Linear estimate with its covariance (Kalman filter), by position in `images`.
+  struct Estimate {
+    std::vector<int> images;
+    std::vector<double> mean;
+    std::vector<double> covariance;  // Rows of images.size() values.
+
+    std::size_t PositionOf(int image);
+  };
+
+  std::unordered_map<std::string, int> indexes_;
+  std::vector<Estimate> estimates_;  // By serving image.
+};
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_NEIGHBOUR_MODEL_H_
--- a/packages/jobs/src/pace_control.cc
+++ b/packages/jobs/src/pace_control.cc
@@ -1,43 +1,121 @@
 #include "pace_control.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cactusshelf::jobs {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
-constexpr int kFullPace = 100;           // Percent.
-constexpr int kRaise = 15;               // Percent of full pace, a report.
-constexpr int kLowestPace = 10;          // Below this the run is paused.
-constexpr double kNearTarget = 0.85;     // Of the target: the pace is lowered.
-constexpr double kFarFromTarget = 0.65;  // Of the target: the pace may rise.
+constexpr double kMilli = 1000.0;
+constexpr double kFullPace = 100.0;  // Percent.
+constexpr int kPaceStep = 10;        // Percent; smaller changes are not worth an order.
+constexpr int kLowestPace = 10;      // Percent; below this the run is paused.
+// Pressure that best-effort neighbours may bring a serving task to.
+constexpr double kPressureGoal = 0.72;
+// Effects below this are taken for noise.
+constexpr double kLeastEffect = 0.012;
+// A pressure that was seen is expected to return within this time, as loads go up and down.
+constexpr Duration kPeakMemory = seconds(15);
+// Tails far above the target come from a backlog, whose length says nothing of the present load.
+constexpr double kBacklogFactor = 3.0;
 
-// Highest tail latency of the serving runs, relative to its target.
-double WorstLatency(const WorkerState& worker) {
-  double worst = 0;
+int RoundPace(double percent) {
+  const int pace = static_cast<int>(percent) / kPaceStep * kPaceStep;
+  return pace < kLowestPace ? 0 : pace;
+}
+
+FillUse ReportedUse(const WorkerState& worker) {
+  FillUse use;
   for (const auto& [ref, run] : worker.runs()) {
-    if (run.latency_target <= Duration::zero() || run.phase != RunPhase::kRunning) continue;
-    const double target = std::chrono::duration<double, std::milli>(run.latency_target).count();
-    worst = std::max(worst, static_cast<double>(run.load) / target);
+    if (run.best_effort) use[run.image_index] += static_cast<double>(run.load) / kMilli;
   }
-  return worst;
+  return use;
 }
 
-int NextPace(int pace, double worst) {
-  if (worst >= 1.0) return pace / 3 < kLowestPace ? 0 : pace / 3;
-  if (worst >= kNearTarget) return std::max(pace * 2 / 3, kLowestPace);
-  if (worst <= kFarFromTarget) return std::min(pace + kRaise, kFullPace);
-  return pace;
+double WantedProcessors(const Run& run) {
+  return static_cast<double>(run.milliprocessors) / kMilli;
 }
 
 }  // namespace
 
-void PaceControl::Update(WorkerState& worker, Time /*now*/) const {
-  const double worst = WorstLatency(worker);
+FillUse ExpectedUse(const WorkerState& worker) {
+  FillUse use;
+  for (const auto& [ref, run] : worker.runs()) {
+    if (!run.best_effort) continue;
+    use[run.image_index] += WantedProcessors(run) * run.pace / kFullPace;
+  }
+  return use;
+}
+
+void PaceControl::Observe(WorkerState& worker, NeighbourModel& model, const FillUse& use,
+                          Time now) const {
+  std::map<int, ServingState> seen;
+  for (const auto& [ref, run] : worker.runs()) {
+    const bool serves = run.latency_target > Duration::zero();
+    if (!serves || run.phase != RunPhase::kRunning || run.load <= 0) continue;
+    const Duration tail = milliseconds(run.load);
+    ServingState& state = seen[run.image_index];
+    state.pressure = std::max(state.pressure, PressureOf(tail, run.latency_target));
+    state.backlog = state.backlog || tail > run.latency_target * kBacklogFactor;
+  }
+  for (auto& [image, state] : seen) {
+    const auto before = worker.serving.find(image);
+    const bool known = before != worker.serving.end();
+    if (known && !state.backlog && !before->second.backlog) {
+      model.Learn(image, worker.fill_use, use, state.pressure - before->second.pressure);
+    }
+    state.own_pressure = state.pressure - model.Predict(image, use);
+    state.over_since = now;
+    state.peak = state.own_pressure;
+    if (!known) continue;
+    const ServingState& last = before->second;
+    const double fade = std::chrono::duration<double>(now - worker.reported_at) /
+                        std::chrono::duration<double>(kPeakMemory);
+    if (state.backlog) state.own_pressure = last.own_pressure;
+    state.peak = std::max(state.own_pressure, last.peak + fade * (state.own_pressure - last.peak));
+    if (state.pressure >= kPressureAtTarget && last.pressure >= kPressureAtTarget) {
+      state.over_since = last.over_since;
+    }
+  }
+  worker.serving = std::move(seen);
+  worker.fill_use = use;
+  worker.reported_at = now;
+}
+
+// Percent at which `run` may go so that each serving neighbour stays below the goal.
+double PaceControl::AllowedPace(const WorkerState& worker, const NeighbourModel& model,
+                                const Run& run) const {
+  double pace = kFullPace;
+  for (const auto& [image, state] : worker.serving) {
+    const double effect = model.Effect(image, run.image_index);
+    const bool over = state.pressure >= kPressureAtTarget;
+    if (effect < kLeastEffect) {
+      // The model may be wrong: after a while above the target every neighbour is suspect.
+      const bool persistent = over && worker.reported_at - state.over_since > seconds(1);
+      if (persistent) pace = std::min(pace, run.pace / 2.0);
+      continue;
+    }
+    double wanted = 0;
+    for (const auto& [ref, other] : worker.runs()) {
+      if (!other.best_effort) continue;
+      const double other_effect = model.Effect(image, other.image_index);
+      if (other_effect >= kLeastEffect) wanted += other_effect * WantedProcessors(other);
+    }
+    const double room = std::max(0.0, kPressureGoal - state.own_pressure);
+    if (wanted > room) pace = std::min(pace, kFullPace * room / wanted);
+    if (over) pace = std::min(pace, state.backlog ? 0.0 : run.pace / 2.0);
+  }
+  return pace;
+}
+
+void PaceControl::Update(WorkerState& worker, NeighbourModel& model, Time now) const {
+  Observe(worker, model, ReportedUse(worker), now);
   for (auto& [ref, run] : worker.runs()) {
     if (!run.best_effort || run.phase != RunPhase::kRunning) continue;
-    run.pace = NextPace(run.pace, worst);
+    run.pace = RoundPace(AllowedPace(worker, model, run));
   }
 }
 
--- a/packages/jobs/src/pace_control.h
+++ b/packages/jobs/src/pace_control.h
@@ -1,19 +1,27 @@
 #ifndef CACTUSSHELF_JOBS_SRC_PACE_CONTROL_H_
 #define CACTUSSHELF_JOBS_SRC_PACE_CONTROL_H_
 
+#include "neighbour_model.h"
 #include "worker_state.h"
 
 namespace cactusshelf::jobs {
 
 // Decides at which share of their speed the best-effort tasks of a worker run, so that the serving
-// tasks beside them meet their latency targets. Lowers it at once when a target is near and raises
-// it in small steps. Not thread-safe.
+// tasks beside them meet their latency targets. Only tasks that press on an endangered neighbour
+// are slowed, as far as needed. Not thread-safe.
 class PaceControl {
  public:
-  // Sets Run::pace of the best-effort runs of `worker` from the loads of its latest report.
-  void Update(WorkerState& worker, Time now) const;
+  // Learns from the latest report of `worker`, and sets WorkerState::serving and Run::pace.
+  void Update(WorkerState& worker, NeighbourModel& model, Time now) const;
+
+ private:
+  void Observe(WorkerState& worker, NeighbourModel& model, const FillUse& use, Time now) const;
+  double AllowedPace(const WorkerState& worker, const NeighbourModel& model, const Run& run) const;
 };
 
+// Processors that the best-effort runs of `worker` are expected to use at their ordered pace.
+FillUse ExpectedUse(const WorkerState& worker);
+
 }  // namespace cactusshelf::jobs
 
 #endif  // CACTUSSHELF_JOBS_SRC_PACE_CONTROL_H_
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -2,15 +2,27 @@
 
 #include <algorithm>
 
+#include "pace_control.h"
+
 namespace cactusshelf::jobs {
 namespace {
 
+constexpr double kMilli = 1000.0;
 // Preference for the rack of the task's data, in units of a whole worker's free processors.
 constexpr double kRackBonus = 4.0;
+// Aversion to mixing serving images on a worker, in the same units.
+constexpr double kMixedImagesCost = 1.5;
 // A best-effort task starts only where it can expect this share of the processors that it wants.
-constexpr double kMinIdleShare = 0.7;
-// Cost of a serving task beside a best-effort one, as a share of a worker's processors.
-constexpr double kServingNeighbourCost = 0.04;
+constexpr double kMinIdleShare = 0.8;
+// Pressure that a best-effort task may bring a serving neighbour to.
+constexpr double kPressureLimit = 0.70;
+// Effects below this are taken for noise.
+constexpr double kLeastEffect = 0.012;
+constexpr double kHarmCost = 1.0;
+
+double Share(std::int64_t part, std::int64_t whole) {
+  return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(whole, 1));
+}
 
 }  // namespace
 
@@ -20,69 +32,120 @@
   return need;
 }
 
-bool Placer::MayRun(const WorkerState& worker, const SubmittedJob& job, const TaskId& task,
-                    const std::string& service, Time now) const {
+void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
+  workers_ = workers;
+  misfits_.clear();
+  fill_use_.clear();
+  free_.clear();
+  capacity_.clear();
+  for (const WorkerState* worker : workers_) {
+    const WorkerEntry& entry = worker->entry();
+    free_[entry.pool] += worker->Free();
+    capacity_[entry.pool] += entry.capacity;
+    fill_use_[worker] = ExpectedUse(*worker);
+  }
+}
+
+void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step, int image_index) {
+  free_[worker.entry().pool] -= CountedNeed(step);
+  if (!step.best_effort) return;
+  fill_use_[&worker][image_index] += static_cast<double>(step.need.milliprocessors) / kMilli;
+}
+
+bool Placer::IsMisfit(const PlacementRequest& request) const {
+  const StepSpec& step = request.step();
+  return std::any_of(misfits_.begin(), misfits_.end(), [&](const Misfit& it) {
+    const bool same_kind = it.best_effort == step.best_effort &&
+                           it.long_running == step.long_running &&
+                           (!step.best_effort || it.image_index == request.image_index);
+    return same_kind && it.service == request.service && it.rack == request.rack &&
+           it.label == step.required_label && Fits(it.need, step.need);
+  });
+}
+
+bool Placer::KeepsReserve(const PlacementRequest& request) const {
+  const StepSpec& step = request.step();
+  if (!step.long_running || step.best_effort) return true;
+  const auto free = free_.find(request.service);
+  if (free == free_.end()) return false;
+  const std::int64_t left = free->second.milliprocessors - step.need.milliprocessors;
+  return Share(left, capacity_.at(request.service).milliprocessors) >= options_.short_task_reserve;
+}
+
+bool Placer::MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const {
   const WorkerEntry& entry = worker.entry();
-  const StepSpec& step = job.spec.steps[static_cast<std::size_t>(task.step)];
-  if (entry.pool != service || entry.draining || !worker.listed) return false;
-  if (!worker.visited || !worker.reachable || !worker.rostered) return false;
-  if (now < worker.no_starts_before) return false;
+  const StepSpec& step = request.step();
+  if (entry.pool != request.service || now < worker.no_starts_before) return false;
+  if (!request.rack.empty() && entry.rack != request.rack) return false;
   if (!Fits(CountedNeed(step), worker.Free())) return false;
   if (!step.required_label.empty()) {
     const auto& labels = entry.labels;
     if (std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) return false;
   }
+  const TaskId& task = request.task;
   if (step.max_per_worker > 0 &&
-      worker.RunsOfStep(job.key, task.occurrence, task.step) >= step.max_per_worker) {
+      worker.RunsOfStep(request.job->key, task.occurrence, task.step) >= step.max_per_worker) {
     return false;
   }
-  if (!step.best_effort) return true;
+  return !step.best_effort || SparesNeighbours(worker, request);
+}
+
+bool Placer::SparesNeighbours(const WorkerState& worker, const PlacementRequest& request) const {
+  const StepSpec& step = request.step();
   const double wanted = static_cast<double>(step.need.milliprocessors) * kMinIdleShare;
-  return static_cast<double>(worker.IdleMilliprocessors()) >= wanted;
+  if (static_cast<double>(worker.IdleMilliprocessors()) < wanted) return false;
+  return Harm(worker, request) < 1.0;
+}
+
+double Placer::Harm(const WorkerState& worker, const PlacementRequest& request) const {
+  const double processors = static_cast<double>(request.step().need.milliprocessors) / kMilli;
+  double worst = 0;
+  for (const auto& [image, state] : worker.serving) {
+    const double effect = neighbours_.Effect(image, request.image_index);
+    if (effect < kLeastEffect) continue;
+    const double pressure = state.peak + neighbours_.Predict(image, fill_use_.at(&worker));
+    const double room = kPressureLimit - pressure;
+    const double taken = effect * processors;
+    worst = std::max(worst, room > 0 ? taken / room : 1.0);
+  }
+  return worst;
 }
 
-double Placer::Score(const WorkerState& worker, const StepSpec& step) const {
+double Placer::Score(const WorkerState& worker, const PlacementRequest& request) const {
   const WorkerEntry& entry = worker.entry();
-  const auto capacity =
-      static_cast<double>(std::max<std::int64_t>(entry.capacity.milliprocessors, 1));
+  const StepSpec& step = request.step();
+  const std::int64_t capacity = entry.capacity.milliprocessors;
   double score = 0;
   if (!step.preferred_rack.empty() && entry.rack == step.preferred_rack) score += kRackBonus;
-  if (!step.best_effort) {
-    return score - static_cast<double>(worker.Free().milliprocessors) / capacity;
+  if (step.best_effort) {
+    return score + Share(worker.IdleMilliprocessors(), capacity) -
+           kHarmCost * Harm(worker, request);
+  }
+  score -= Share(worker.Free().milliprocessors, capacity);
+  if (step.long_running && !step.image.empty()) {
+    score -= kMixedImagesCost * worker.OtherServingImages(request.image_index);
   }
-  score += static_cast<double>(worker.IdleMilliprocessors()) / capacity;
-  score -= worker.serving_runs() * kServingNeighbourCost;
   return score;
 }
 
-WorkerState* Placer::Choose(const std::vector<WorkerState*>& workers, const SubmittedJob& job,
-                            const TaskId& task, const std::string& service, const std::string& rack,
-                            Time now) {
-  const StepSpec& step = job.spec.steps[static_cast<std::size_t>(task.step)];
-  if (IsMisfit(step, service, rack)) return nullptr;
+WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
+  if (IsMisfit(request) || !KeepsReserve(request)) return nullptr;
   WorkerState* best = nullptr;
   double best_score = 0;
-  for (WorkerState* worker : workers) {
-    if (!rack.empty() && worker->entry().rack != rack) continue;
-    if (!MayRun(*worker, job, task, service, now)) continue;
-    const double score = Score(*worker, step);
+  for (WorkerState* worker : workers_) {
+    if (!MayRun(*worker, request, now)) continue;
+    const double score = Score(*worker, request);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
     best_score = score;
   }
+  const StepSpec& step = request.step();
   // A limit on tasks of one step says nothing of other steps.
   if (best == nullptr && step.max_per_worker == 0) {
-    misfits_.push_back({service, rack, step.required_label, step.best_effort, step.need});
+    misfits_.push_back({request.service, request.rack, step.required_label, request.image_index,
+                        step.best_effort, step.long_running, step.need});
   }
   return best;
 }
 
-bool Placer::IsMisfit(const StepSpec& step, const std::string& service,
-                      const std::string& rack) const {
-  return std::any_of(misfits_.begin(), misfits_.end(), [&](const Misfit& it) {
-    return it.service == service && it.rack == rack && it.label == step.required_label &&
-           it.best_effort == step.best_effort && Fits(it.need, step.need);
-  });
-}
-
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -2,26 +2,46 @@
 #define CACTUSSHELF_JOBS_SRC_PLACER_H_
 
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "job_tracker.h"
+#include "neighbour_model.h"
 #include "worker_state.h"
 
 namespace cactusshelf::jobs {
 
-// Chooses the worker on which a task starts. Tasks whose processors are reserved are packed, so
-// that some workers stay free of serving tasks; best-effort tasks go where most processors are
-// idle. Not thread-safe.
+// A task that waits for a worker.
+struct PlacementRequest {
+  const SubmittedJob* job = nullptr;
+  TaskId task;
+  std::string service;  // Pool.
+  std::string rack;     // Empty: any.
+  int image_index = 0;
+
+  const StepSpec& step() const { return job->spec.steps[static_cast<std::size_t>(task.step)]; }
+};
+
+// Chooses the worker on which a task starts.
+//
+// Serving tasks are packed on workers with tasks of the same image, so that as few pairs of images
+// as possible meet. They leave a reserve for short tasks, whose callers wait. Best-effort tasks go
+// where processors are idle and where they do not bring a serving task near its latency target.
+// Not thread-safe.
 class Placer {
  public:
-  // Starts a placement pass, in which workers only become fuller.
-  void BeginPass() { misfits_.clear(); }
+  // The arguments outlive the placer.
+  Placer(const SchedulerOptions& options, const NeighbourModel& neighbours)
+      : options_(options), neighbours_(neighbours) {}
+
+  // Starts a pass over `workers`, which outlive it. Workers become only fuller in a pass.
+  void BeginPass(const std::vector<WorkerState*>& workers);
+
+  // The best worker for one task, or null if it fits nowhere now.
+  WorkerState* Choose(const PlacementRequest& request, Time now);
 
-  // The best of `workers` for one task of `step`, or null if it fits nowhere now. `service` is the
-  // pool. With a non-empty `rack`, only workers of that rack.
-  WorkerState* Choose(const std::vector<WorkerState*>& workers, const SubmittedJob& job,
-                      const TaskId& task, const std::string& service, const std::string& rack,
-                      Time now);
+  // A task was placed on `worker` in this pass.
+  void OnPlaced(const WorkerState& worker, const StepSpec& step, int image_index);
 
  private:
   // What did not fit on any worker in this pass.
@@ -29,15 +49,26 @@
     std::string service;
     std::string rack;
     std::string label;
+    int image_index = 0;
     bool best_effort = false;
+    bool long_running = false;
     Resources need;
   };
 
-  bool IsMisfit(const StepSpec& step, const std::string& service, const std::string& rack) const;
-  bool MayRun(const WorkerState& worker, const SubmittedJob& job, const TaskId& task,
-              const std::string& service, Time now) const;
-  double Score(const WorkerState& worker, const StepSpec& step) const;
+  bool IsMisfit(const PlacementRequest& request) const;
+  bool KeepsReserve(const PlacementRequest& request) const;
+  bool MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const;
+  bool SparesNeighbours(const WorkerState& worker, const PlacementRequest& request) const;
+  // Share of its room to the latency target that the task would take from its closest neighbour.
+  double Harm(const WorkerState& worker, const PlacementRequest& request) const;
+  double Score(const WorkerState& worker, const PlacementRequest& request) const;
 
+  const SchedulerOptions& options_;
+  const NeighbourModel& neighbours_;
+  std::vector<WorkerState*> workers_;
+  std::unordered_map<const WorkerState*, FillUse> fill_use_;
+  std::unordered_map<std::string, Resources> free_;      // By pool.
+  std::unordered_map<std::string, Resources> capacity_;  // By pool.
   std::vector<Misfit> misfits_;
 };
 
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -18,6 +18,7 @@
                      const JobLedger& ledger, const Now& now)
     : options_(options),
       token_(token),
+      placer_(options_, neighbours_),
       tracker_((generation - 1) * kRunsPerOwner),
       next_call_(static_cast<std::uint64_t>(token) << kCallNumberBits),
       taking_over_(generation > 1) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -105,11 +105,12 @@
 
   void Place(const Now& now);
   std::vector<WorkerState*> PlaceableWorkers();
-  void PlaceStep(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
+  void PlaceStep(const ReadyStep& ready, const Now& now);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
+  PlacementRequest RequestFor(const TrackedJob& job, const TaskId& task);
   void StartTask(WorkerState& worker, TrackedJob& job, const TaskId& task, std::int64_t run,
                  const Now& now);
-  Run MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number, Time now) const;
+  Run MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number, Time now);
   const std::string& ServiceOf(const SubmittedJob& job) const;
   // Adds and removes runs, which also block their tasks from starting elsewhere.
   void AddRun(WorkerState& worker, Run run);
@@ -126,8 +127,9 @@
 
   SchedulerOptions options_;
   std::int64_t token_;
-  JobTracker tracker_;
+  NeighbourModel neighbours_;
   Placer placer_;
+  JobTracker tracker_;
   PaceControl pace_;
   std::map<std::string, WorkerState> workers_;
   std::map<std::string, std::string> queue_services_;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -63,13 +63,13 @@
     ranked.push_back({RankOf(*it.job, now.monotonic), it});
   }
   std::sort(ranked.begin(), ranked.end());
-  placer_.BeginPass();
+  placer_.BeginPass(workers);
   for (const RankedStep& it : ranked) {
     const bool gang = it.step.job->job->spec.steps[static_cast<std::size_t>(it.step.step)].gang;
     if (gang) {
       PlaceGang(it.step, workers, now);
     } else {
-      PlaceStep(it.step, workers, now);
+      PlaceStep(it.step, now);
     }
   }
 }
@@ -83,8 +83,7 @@
   return workers;
 }
 
-void Scheduler::PlaceStep(const ReadyStep& ready, const std::vector<WorkerState*>& workers,
-                          const Now& now) {
+void Scheduler::PlaceStep(const ReadyStep& ready, const Now& now) {
   TrackedJob& job = *ready.job;
   TaskId id{ready.occurrence, ready.step, 0};
   StepStatus& step = job.StepOf(id);
@@ -94,8 +93,7 @@
     id.index = static_cast<int>(i);
     // A run of the task that is being stopped is still in the way.
     if (task.runs_present > 0) continue;
-    WorkerState* worker =
-        placer_.Choose(workers, *job.job, id, ServiceOf(*job.job), "", now.monotonic);
+    WorkerState* worker = placer_.Choose(RequestFor(job, id), now.monotonic);
     if (worker == nullptr) return;
     StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
   }
@@ -122,8 +120,9 @@
     std::vector<WorkerState*> chosen;
     for (int i = 0; i < count; ++i) {
       id.index = i;
-      WorkerState* worker =
-          placer_.Choose(workers, *job.job, id, ServiceOf(*job.job), *rack, now.monotonic);
+      PlacementRequest request = RequestFor(job, id);
+      request.rack = *rack;
+      WorkerState* worker = placer_.Choose(request, now.monotonic);
       if (worker == nullptr) break;
       worker->AddRun(MakeRun(job, id, number, now.monotonic));
       chosen.push_back(worker);
@@ -142,8 +141,16 @@
   }
 }
 
-Run Scheduler::MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number,
-                       Time now) const {
+PlacementRequest Scheduler::RequestFor(const TrackedJob& job, const TaskId& task) {
+  PlacementRequest request;
+  request.job = job.job.get();
+  request.task = task;
+  request.service = ServiceOf(*job.job);
+  request.image_index = neighbours_.ImageIndex(job.SpecOf(task).image);
+  return request;
+}
+
+Run Scheduler::MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number, Time now) {
   const StepSpec& step = job.SpecOf(task);
   Run run;
   run.task = {job.job->key, task};
@@ -153,6 +160,7 @@
   run.long_running = step.long_running;
   run.best_effort = step.best_effort;
   run.image = step.image;
+  run.image_index = neighbours_.ImageIndex(step.image);
   run.latency_target = step.latency_target;
   run.started = now;
   run.progressed = now;
@@ -174,11 +182,7 @@
   worker.Granted(order.lease_end, now.monotonic);
   Run run = MakeRun(job, task, number, now.monotonic);
   run.checkpoint = order.checkpoint;
-  if (run.best_effort) {
-    for (const auto& [other_ref, other] : worker.runs()) {
-      if (other.best_effort) run.pace = std::min(run.pace, other.pace);
-    }
-  }
+  placer_.OnPlaced(worker, job.SpecOf(task), run.image_index);
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
   pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, number, 0};
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -73,7 +73,7 @@
   for (const RunningTask& running : report.running) ApplyRunning(worker, running, now);
   SettleMissing(worker, report, now);
   worker.look_now = false;
-  pace_.Update(worker, now.monotonic);
+  pace_.Update(worker, neighbours_, now.monotonic);
 }
 
 void Scheduler::ApplyEnd(WorkerState& worker, const EndedRun& end, const Now& now) {
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -15,9 +15,11 @@
   runs_.clear();
   used_ = {};
   expected_use_ = 0;
-  serving_runs_ = 0;
+  serving_runs_.clear();
   clock_known_ = false;
   failures_in_row = 0;
+  serving.clear();
+  fill_use.clear();
 }
 
 Run* WorkerState::FindRun(const TaskRef& task) {
@@ -31,7 +33,14 @@
   const bool serving = run.latency_target > Duration::zero();
   expected_use_ +=
       sign * static_cast<std::int64_t>(serving ? wanted * options_->serving_use : wanted);
-  if (serving) serving_runs_ += sign;
+  if (!serving) return;
+  const int n = serving_runs_[run.image_index] += sign;
+  if (n == 0) serving_runs_.erase(run.image_index);
+}
+
+int WorkerState::OtherServingImages(int image_index) const {
+  const auto n = static_cast<int>(serving_runs_.size());
+  return serving_runs_.contains(image_index) ? n - 1 : n;
 }
 
 Run& WorkerState::AddRun(Run run) {
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -10,6 +10,7 @@
 
 #include "cactusshelf/jobs/scheduler_options.h"
 #include "cactusshelf/jobs/worker_calls.h"
+#include "neighbour_model.h"
 
 namespace cactusshelf::jobs {
 
@@ -30,6 +31,7 @@
   bool long_running = false;
   bool best_effort = false;
   std::string image;
+  int image_index = 0;  // NeighbourModel::ImageIndex.
   Duration latency_target{};
   std::string checkpoint;
   std::int64_t load = 0;  // RunningTask::load.
@@ -47,6 +49,15 @@
   Time stop_sent;
 };
 
+// The tasks of one serving image on one worker, as last reported.
+struct ServingState {
+  double pressure = 0;      // Highest of the tasks.
+  double own_pressure = 0;  // Without what best-effort neighbours are taken to add.
+  double peak = 0;          // Of own_pressure, fading.
+  bool backlog = false;     // Too far above the target to compare.
+  Time over_since;          // Start of the present time above the target.
+};
+
 // What the owner knows of one worker: what runs there, when the lease of that ends, and which of
 // its ends are stored. Not thread-safe.
 class WorkerState {
@@ -75,8 +86,8 @@
   std::int64_t IdleMilliprocessors() const {
     return entry_.capacity.milliprocessors - expected_use_;
   }
-  // Tasks with a latency target.
-  int serving_runs() const { return serving_runs_; }
+  // Images of tasks with a latency target, besides `image_index`.
+  int OtherServingImages(int image_index) const;
 
   // Runs of a step on this worker.
   int RunsOfStep(const JobKey& job, int occurrence, int step) const;
@@ -109,6 +120,9 @@
   std::deque<WorkerOrder> waiting_orders;
   bool look_now = false;  // A run is unsettled: a report is wanted without waiting for an end.
   Time no_starts_before;
+  std::map<int, ServingState> serving;  // By image index.
+  FillUse fill_use;                     // As last reported.
+  Time reported_at;
   std::string failed_job;   // Of the last failure.
   int failures_in_row = 0;  // Of different jobs.
 
@@ -119,8 +133,8 @@
   const SchedulerOptions* options_;
   std::map<TaskRef, Run> runs_;
   Resources used_;
-  std::int64_t expected_use_ = 0;  // Milliprocessors.
-  int serving_runs_ = 0;
+  std::int64_t expected_use_ = 0;    // Milliprocessors.
+  std::map<int, int> serving_runs_;  // By image index.
   bool clock_known_ = false;
   WorkerClock clock_{};
   Time clock_read_;
