Count failed runs one by one, give foreign runs their room, evacuate leaving workers

Failed runs are now kept by number. - a run of a job that was over took up no room at a new owner, which started a task beside it. - the reserve for short tasks kept long-running ones waiting although there was room; it now holds for one second only. Work on workers that leave was lost until its lease ended; it is now stopped and moved.

--- a/packages/jobs/include/cactusshelf/jobs/job.h
+++ b/packages/jobs/include/cactusshelf/jobs/job.h
@@ -92,8 +92,8 @@
 struct TaskProgress {
   TaskId id;
   bool done = false;
-  int failures = 0;
-  std::int64_t last_run = 0;  // Highest run whose end is included.
+  std::int64_t last_run = 0;              // Highest run that ended.
+  std::vector<std::int64_t> failed_runs;  // Ends may be listed again, and in any order.
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
--- a/packages/jobs/include/cactusshelf/jobs/scheduler_options.h
+++ b/packages/jobs/include/cactusshelf/jobs/scheduler_options.h
@@ -9,7 +9,7 @@
 struct SchedulerOptions {
   // What runs on a worker ends so long after the last renewal. Longer leases let work outlive the
   // time without an owner after a power loss; shorter ones free the work of a lost worker sooner.
-  Duration lease = std::chrono::seconds(5);
+  Duration lease = std::chrono::seconds(4);
   // Share by which a worker's clock may be slower than ours.
   double clock_slowness = 0.02;
   // A hold of a worker that runs something waits so long for an end.
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -312,6 +312,8 @@
 
 void JobNode::Impl::Claim(const Now& /*now*/) {
   const std::int64_t end = jobs_.next();
+  const OwnerRecord& last = ledger_.owner();
+  predecessor_ended_ = last.released || last.host == options_.host;
   claim_ = {};
   claim_.epoch = end + 1;
   claim_.generation = ledger_.owner().generation + 1;
@@ -382,7 +384,7 @@
   candidacy_ = Candidacy::kNone;
   releasing_ = false;
   scheduler_ = std::make_unique<Scheduler>(options_.scheduler, ownership_.epoch,
-                                           ownership_.generation, ledger_, now);
+                                           ownership_.generation, predecessor_ended_, ledger_, now);
   SetQueueServices();
   workers_.Restart(now.monotonic);
   counters_.Add("cactusshelf_ownership_changes_total", "gained");
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -85,6 +85,7 @@
   OwnerRecord claim_;
   std::uint64_t claim_append_ = 0;
   std::int64_t fence_offset_ = 0;
+  bool predecessor_ended_ = false;  // The last owner has released, or was a process of this host.
 
   // While this process is the owner, and while it becomes it.
   std::unique_ptr<BatchWriter> owner_writer_;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -110,9 +110,9 @@
     TaskProgress task;
     task.id = {row.at(0), row.at(1), row.at(2)};
     task.done = row.at(3).get<int>() != 0;
-    task.failures = row.at(4);
-    task.last_run = row.at(5);
-    record.progress.tasks.push_back(task);
+    task.last_run = row.at(4);
+    task.failed_runs = row.at(5).get<std::vector<std::int64_t>>();
+    record.progress.tasks.push_back(std::move(task));
   }
   return record;
 }
@@ -170,7 +170,7 @@
   json tasks = json::array();
   for (const TaskProgress& task : record.progress.tasks) {
     tasks.push_back(json::array({task.id.occurrence, task.id.step, task.id.index, task.done ? 1 : 0,
-                                 task.failures, task.last_run}));
+                                 task.last_run, task.failed_runs}));
   }
   return {KeyOf(kProgressPrefix, record.key),
           ToBytes(json::array({static_cast<int>(record.progress.state), tasks}))};
--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -80,7 +80,7 @@
     if (!IsKnown(job, stored.id)) continue;
     StepStatus& step = job.StepOf(stored.id);
     TaskStatus& task = step.tasks[Index(stored.id.index)];
-    task.failures = stored.failures;
+    task.failed_runs = stored.failed_runs;
     task.last_ended_run = stored.last_run;
     task.last_run = stored.last_run;
     if (!stored.done) continue;
@@ -143,14 +143,15 @@
 void JobTracker::OnEnd(const TaskRef& ref, std::int64_t run, RunEnd end,
                        const std::string& checkpoint, Time now) {
   TaskStatus* task = Find(ref);
-  if (task == nullptr || run <= task->last_ended_run || task->phase == TaskPhase::kDone) return;
+  if (task == nullptr || task->phase == TaskPhase::kDone) return;
   TrackedJob& job = *Find(ref.job);
   const StepSpec& spec = job.SpecOf(ref.task);
-  task->last_ended_run = run;
+  const bool newest = run >= task->last_run;
+  task->last_ended_run = std::max(task->last_ended_run, run);
   task->last_run = std::max(task->last_run, run);
-  if (!checkpoint.empty()) task->checkpoint = checkpoint;
-  changed_.insert(ref.job);
+  if (!checkpoint.empty() && newest) task->checkpoint = checkpoint;
   if (end == RunEnd::kDone && !spec.long_running) {
+    changed_.insert(ref.job);
     if (spec.gang) {
       FinishGang(job, ref.task, now);
     } else {
@@ -158,21 +159,28 @@
     }
     return;
   }
-  if (task->phase == TaskPhase::kPlaced) {
+  if (task->phase == TaskPhase::kPlaced && newest) {
     task->phase = TaskPhase::kWaiting;
     --job.placed;
+    task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
   }
-  task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
-  if (end != RunEnd::kFailed || spec.long_running) return;
-  ++task->failures;
+  if (end == RunEnd::kFailed && !spec.long_running) CountFailure(job, ref, run);
+}
+
+void JobTracker::CountFailure(TrackedJob& job, const TaskRef& ref, std::int64_t run) {
+  std::vector<std::int64_t>& failed = Find(ref)->failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) return;
+  failed.push_back(run);
+  changed_.insert(ref.job);
   if (FailuresOf(job, ref.task) >= job.job->queue.attempts) End(job, JobState::kFailed);
 }
 
 int JobTracker::FailuresOf(TrackedJob& job, const TaskId& task) const {
   StepStatus& step = job.StepOf(task);
-  if (!job.SpecOf(task).gang) return step.tasks[Index(task.index)].failures;
+  if (!job.SpecOf(task).gang)
+    return static_cast<int>(step.tasks[Index(task.index)].failed_runs.size());
   int n = 0;
-  for (const TaskStatus& member : step.tasks) n += member.failures;
+  for (const TaskStatus& member : step.tasks) n += static_cast<int>(member.failed_runs.size());
   return n;
 }
 
@@ -262,10 +270,10 @@
     for (std::size_t s = 0; s < steps.size(); ++s) {
       for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
         const TaskStatus& task = steps[s].tasks[i];
-        if (task.last_ended_run == 0 && task.phase != TaskPhase::kDone) continue;
+        if (task.failed_runs.empty() && task.phase != TaskPhase::kDone) continue;
         const TaskId id{static_cast<int>(k), static_cast<int>(s), static_cast<int>(i)};
         progress.tasks.push_back(
-            {id, task.phase == TaskPhase::kDone, task.failures, task.last_ended_run});
+            {id, task.phase == TaskPhase::kDone, task.last_ended_run, task.failed_runs});
       }
     }
   }
--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -16,7 +16,7 @@
 
 struct TaskStatus {
   TaskPhase phase = TaskPhase::kWaiting;
-  int failures = 0;
+  std::vector<std::int64_t> failed_runs;
   std::int64_t last_ended_run = 0;
   std::int64_t last_run = 0;  // Highest run known of.
   int runs_present = 0;       // On workers, including those that are being stopped.
@@ -115,6 +115,7 @@
 
  private:
   void FinishTask(TrackedJob& job, const TaskId& task, Time now);
+  void CountFailure(TrackedJob& job, const TaskRef& ref, std::int64_t run);
   void FinishGang(TrackedJob& job, const TaskId& task, Time now);
   int FailuresOf(TrackedJob& job, const TaskId& task) const;
   void End(TrackedJob& job, JobState state);
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -19,6 +19,8 @@
 // Effects below this are taken for noise.
 constexpr double kLeastEffect = 0.012;
 constexpr double kHarmCost = 1.0;
+// A long-running task that has waited so long takes the reserve of short tasks rather than none.
+constexpr Duration kReservePatience = std::chrono::seconds(1);
 
 double Share(std::int64_t part, std::int64_t whole) {
   return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(whole, 1));
@@ -66,6 +68,7 @@
 bool Placer::KeepsReserve(const PlacementRequest& request) const {
   const StepSpec& step = request.step();
   if (!step.long_running || step.best_effort) return true;
+  if (request.waited >= kReservePatience) return true;
   const auto free = free_.find(request.service);
   if (free == free_.end()) return false;
   const std::int64_t left = free->second.milliprocessors - step.need.milliprocessors;
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -18,6 +18,7 @@
   std::string service;  // Pool.
   std::string rack;     // Empty: any.
   int image_index = 0;
+  Duration waited{};
 
   const StepSpec& step() const { return job->spec.steps[static_cast<std::size_t>(task.step)]; }
 };
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -15,8 +15,9 @@
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
-                     const JobLedger& ledger, const Now& now)
+                     bool predecessor_ended, const JobLedger& ledger, const Now& now)
     : options_(options),
+      ledger_(ledger),
       token_(token),
       placer_(options_, neighbours_),
       tracker_((generation - 1) * kRunsPerOwner),
@@ -24,8 +25,8 @@
       taking_over_(generation > 1) {
   const auto slow = std::chrono::duration<double, Duration::period>(options.lease) /
                     (1.0 - options.clock_slowness);
-  takeover_end_ =
-      now.monotonic + options.predecessor_notice + std::chrono::duration_cast<Duration>(slow);
+  const Duration notice = predecessor_ended ? Duration::zero() : options.predecessor_notice;
+  takeover_end_ = now.monotonic + notice + std::chrono::duration_cast<Duration>(slow);
   for (const auto& [key, entry] : ledger.entries()) {
     if (entry.job == nullptr) continue;
     if (IsFinal(JobLedger::StateOf(entry)) && !IsFinal(entry.progress.state)) {
@@ -99,6 +100,7 @@
   next_review_ = now.monotonic + kReviewPeriod;
   ForgetLapsed(now);
   CheckTakeover(now);
+  StopRunsOnLeavingWorkers();
   SendStops(now);
   if (now.monotonic >= next_placement_ && !fenced_) Place(now);
   SendPaces(now);
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -34,9 +34,11 @@
 // An end is acknowledged to the worker only after its effect is stored. Not thread-safe.
 class Scheduler {
  public:
-  // `ledger` is what the log says up to the record that made this process the owner.
+  // `ledger` is what the log says, at least up to the record that made this process the owner. It
+  // outlives the scheduler. `predecessor_ended` if the earlier owner certainly gives no more
+  // orders.
   Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
-            const JobLedger& ledger, const Now& now);
+            bool predecessor_ended, const JobLedger& ledger, const Now& now);
 
   void OnJob(const std::shared_ptr<const SubmittedJob>& job, const Now& now);
   void OnCancel(const JobKey& key, const Now& now);
@@ -107,10 +109,11 @@
   std::vector<WorkerState*> PlaceableWorkers();
   void PlaceStep(const ReadyStep& ready, const Now& now);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
-  PlacementRequest RequestFor(const TrackedJob& job, const TaskId& task);
+  PlacementRequest RequestFor(TrackedJob& job, const TaskId& task, Time now);
   void StartTask(WorkerState& worker, TrackedJob& job, const TaskId& task, std::int64_t run,
                  const Now& now);
-  Run MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number, Time now);
+  Run MakeForeignRun(const WorkerState& worker, const TaskRef& ref, Time now);
+  Run MakeRun(const SubmittedJob& job, const TaskId& task, std::int64_t number, Time now);
   const std::string& ServiceOf(const SubmittedJob& job) const;
   // Adds and removes runs, which also block their tasks from starting elsewhere.
   void AddRun(WorkerState& worker, Run run);
@@ -125,7 +128,11 @@
 
   void Log(LogEvent event) { log_.push_back(std::move(event)); }
 
+  // Evacuates workers that are leaving.
+  void StopRunsOnLeavingWorkers();
+
   SchedulerOptions options_;
+  const JobLedger& ledger_;
   std::int64_t token_;
   NeighbourModel neighbours_;
   Placer placer_;
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -8,6 +8,10 @@
 
 // Orders, besides holds, that a worker is given at a time. They share as many connections.
 constexpr int kOrdersInFlight = 2;
+// A worker that is leaving runs on for at least about this time; a task that needs longer is
+// started again elsewhere.
+constexpr Duration kLeavingTime = std::chrono::milliseconds(1500);
+constexpr double kAllPercent = 100.0;
 
 }  // namespace
 
@@ -137,6 +141,18 @@
   }
 }
 
+void Scheduler::StopRunsOnLeavingWorkers() {
+  for (auto& [id, worker] : workers_) {
+    if (!worker.entry().draining) continue;
+    for (auto& [ref, run] : worker.runs()) {
+      if (run.phase != RunPhase::kRunning) continue;
+      const double left = 1.0 - run.progress_percent / kAllPercent;
+      const auto remaining = std::chrono::duration<double, Duration::period>(run.estimate) * left;
+      if (run.long_running || remaining > kLeavingTime) run.phase = RunPhase::kStopping;
+    }
+  }
+}
+
 void Scheduler::SendPaces(const Now& /*now*/) {
   for (auto& [id, worker] : workers_) {
     if (!worker.reachable) continue;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -93,7 +93,7 @@
     id.index = static_cast<int>(i);
     // A run of the task that is being stopped is still in the way.
     if (task.runs_present > 0) continue;
-    WorkerState* worker = placer_.Choose(RequestFor(job, id), now.monotonic);
+    WorkerState* worker = placer_.Choose(RequestFor(job, id, now.monotonic), now.monotonic);
     if (worker == nullptr) return;
     StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
   }
@@ -120,11 +120,11 @@
     std::vector<WorkerState*> chosen;
     for (int i = 0; i < count; ++i) {
       id.index = i;
-      PlacementRequest request = RequestFor(job, id);
+      PlacementRequest request = RequestFor(job, id, now.monotonic);
       request.rack = *rack;
       WorkerState* worker = placer_.Choose(request, now.monotonic);
       if (worker == nullptr) break;
-      worker->AddRun(MakeRun(job, id, number, now.monotonic));
+      worker->AddRun(MakeRun(*job.job, id, number, now.monotonic));
       chosen.push_back(worker);
     }
     const bool complete = static_cast<int>(chosen.size()) == count;
@@ -141,22 +141,25 @@
   }
 }
 
-PlacementRequest Scheduler::RequestFor(const TrackedJob& job, const TaskId& task) {
+PlacementRequest Scheduler::RequestFor(TrackedJob& job, const TaskId& task, Time now) {
   PlacementRequest request;
   request.job = job.job.get();
   request.task = task;
   request.service = ServiceOf(*job.job);
+  request.waited = now - job.StepOf(task).ready_since;
   request.image_index = neighbours_.ImageIndex(job.SpecOf(task).image);
   return request;
 }
 
-Run Scheduler::MakeRun(const TrackedJob& job, const TaskId& task, std::int64_t number, Time now) {
-  const StepSpec& step = job.SpecOf(task);
+Run Scheduler::MakeRun(const SubmittedJob& job, const TaskId& task, std::int64_t number, Time now) {
+  const StepSpec& step = job.spec.steps[static_cast<std::size_t>(task.step)];
   Run run;
-  run.task = {job.job->key, task};
+  run.task = {job.key, task};
   run.number = number;
   run.need = CountedNeed(step);
   run.milliprocessors = step.need.milliprocessors;
+  run.estimate = step.estimate;
+  run.checkpointing = step.checkpointing;
   run.long_running = step.long_running;
   run.best_effort = step.best_effort;
   run.image = step.image;
@@ -180,7 +183,7 @@
   order.checkpoint = job.StepOf(task).tasks[static_cast<std::size_t>(task.index)].checkpoint;
   order.lease_end = worker.LeaseEnd(now.monotonic);
   worker.Granted(order.lease_end, now.monotonic);
-  Run run = MakeRun(job, task, number, now.monotonic);
+  Run run = MakeRun(*job.job, task, number, now.monotonic);
   run.checkpoint = order.checkpoint;
   placer_.OnPlaced(worker, job.SpecOf(task), run.image_index);
   AddRun(worker, std::move(run));
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -71,6 +71,10 @@
     if (end.number > worker.end_seen) ApplyEnd(worker, end, now);
   }
   for (const RunningTask& running : report.running) ApplyRunning(worker, running, now);
+  // Ends that change nothing that is stored, and nothing stored is under way.
+  if (!tracker_.has_changes() && stored_batch_ + 1 == next_batch_) {
+    worker.end_stored = worker.end_seen;
+  }
   SettleMissing(worker, report, now);
   worker.look_now = false;
   pace_.Update(worker, neighbours_, now.monotonic);
@@ -139,14 +143,10 @@
 
 // A run that this owner did not start: of an earlier owner, or begun long after its start was sent.
 void Scheduler::Adopt(WorkerState& worker, const RunningTask& running, const Now& now) {
-  TrackedJob* job = tracker_.Find(running.task.job);
-  TaskStatus* task = tracker_.Find(running.task);
+  const TaskStatus* task = tracker_.Find(running.task);
   const bool wanted =
       task != nullptr && task->phase == TaskPhase::kWaiting && running.run > task->last_ended_run;
-  Run run;
-  if (job != nullptr && task != nullptr) {
-    run = MakeRun(*job, running.task.task, running.run, now.monotonic);
-  }
+  Run run = MakeForeignRun(worker, running.task, now.monotonic);
   run.task = running.task;
   run.number = running.run;
   run.phase = wanted ? RunPhase::kRunning : RunPhase::kStopping;
@@ -163,6 +163,20 @@
   tracker_.OnBegun(running.task.job);
 }
 
+// A run takes up room also if its job is over. If even its job is not known any more, it may take
+// up all that is free.
+Run Scheduler::MakeForeignRun(const WorkerState& worker, const TaskRef& ref, Time now) {
+  const JobLedger::Entry* entry = ledger_.Find(ref.job);
+  const bool known = entry != nullptr && ref.task.step >= 0 &&
+                     static_cast<std::size_t>(ref.task.step) < entry->job->spec.steps.size();
+  if (known) return MakeRun(*entry->job, ref.task, 0, now);
+  Run run;
+  run.need = worker.Free();
+  run.started = now;
+  run.progressed = now;
+  return run;
+}
+
 // A run that a report should name and does not is gone, or never began.
 void Scheduler::SettleMissing(WorkerState& worker, const HoldReport& report, const Now& now) {
   std::vector<TaskRef> missing;
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -28,6 +28,8 @@
   RunPhase phase = RunPhase::kStarting;
   Resources need;                    // Counted against the worker's capacity.
   std::int64_t milliprocessors = 0;  // Wanted, whether counted or not.
+  Duration estimate{};
+  bool checkpointing = false;
   bool long_running = false;
   bool best_effort = false;
   std::string image;
