--- a/packages/daemon/include/cactusshelf/daemon/bounded_log.h
+++ b/packages/daemon/include/cactusshelf/daemon/bounded_log.h
@@ -22,6 +22,8 @@
 
   void Write(WallTime time, const LogEvent& event);
 
+  void SetLowest(LogLevel lowest) { lowest_ = lowest; }
+
   // Writes what the reader takes now.
   void Flush();
 
--- a/packages/daemon/include/cactusshelf/daemon/job_daemon.h
+++ b/packages/daemon/include/cactusshelf/daemon/job_daemon.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_DAEMON_JOB_DAEMON_H_
 #define CACTUSSHELF_DAEMON_JOB_DAEMON_H_
 
+#include <csignal>
 #include <functional>
 #include <optional>
 #include <string>
@@ -9,7 +10,7 @@
 #include "cactusshelf/daemon/caller_server.h"
 #include "cactusshelf/daemon/job_settings.h"
 #include "cactusshelf/daemon/job_shell.h"
-#include "cactusshelf/daemon/stop_signals.h"
+#include "cactusshelf/daemon/unix_signals.h"
 
 namespace cactusshelf {
 
@@ -18,8 +19,10 @@
 template <typename P>
 class JobDaemon {
  public:
-  // Listens at once. Throws Error if that is not possible. `log` outlives the daemon.
-  JobDaemon(const JobSettings& settings, std::uint64_t seed, BoundedLog& log)
+  // Listens at once. Throws Error if that is not possible. `log` outlives the daemon. `on_reload`
+  // runs on SIGHUP.
+  JobDaemon(const JobSettings& settings, std::uint64_t seed, BoundedLog& log,
+            std::function<void()> on_reload)
       : log_(log),
         node_(settings.node, seed),
         ports_(
@@ -28,7 +31,8 @@
         operators_(OperatorOptions(settings), MakePages(), metrics_, [](const NodeEvent&) {}),
         shell_(node_, clock_, ports_, log, metrics_, [this] { OnStop(); }),
         stop_timer_([this] { exit_code_ = 0; }),
-        signals_([this] { OnSignal(); }) {}
+        stop_signals_({SIGTERM, SIGINT}, [this] { OnSignal(); }),
+        reload_signals_({SIGHUP}, std::move(on_reload)) {}
 
   void Start(const JobSettings& settings) {
     Log(LogEvent(LogLevel::kInfo, "started")
@@ -87,7 +91,8 @@
   CallerServer operators_;
   JobShell<SystemClock, P> shell_;
   WakeupTimer stop_timer_;
-  StopSignals signals_;
+  UnixSignals stop_signals_;
+  UnixSignals reload_signals_;
 };
 
 }  // namespace cactusshelf
--- a/packages/daemon/include/cactusshelf/daemon/job_settings.h
+++ b/packages/daemon/include/cactusshelf/daemon/job_settings.h
@@ -13,6 +13,7 @@
 // Settings of one process of the job service. docs/operations.md lists the keys with their defaults
 // and ranges.
 struct JobSettings {
+  std::string file;  // Where they were read from.
   std::string host_name;
   std::string domain;
   LogLevel log_level = LogLevel::kInfo;
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_DAEMON_DAEMON_H_
 #define CACTUSSHELF_DAEMON_DAEMON_H_
 
+#include <csignal>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -10,7 +11,7 @@
 #include "cactusshelf/daemon/node_concept.h"
 #include "cactusshelf/daemon/settings.h"
 #include "cactusshelf/daemon/shell.h"
-#include "cactusshelf/daemon/stop_signals.h"
+#include "cactusshelf/daemon/unix_signals.h"
 #include "daemon_ports.h"
 
 namespace cactusshelf {
@@ -29,7 +30,7 @@
                [this](NodeEvent event) { shell_.Post(std::move(event)); }),
         shell_(node, clock_, ports_, log, metrics_, [this](int code) { OnStop(code); }),
         stop_timer_([this] { OnStopTimeout(); }),
-        signals_([this] { OnSignal(); }) {}
+        signals_({SIGTERM, SIGINT}, [this] { OnSignal(); }) {}
 
   void Start() {
     log_.Write(clock_.Read().wall, LogEvent(LogLevel::kInfo, "started")
@@ -96,7 +97,7 @@
   DaemonPorts ports_;
   Shell<N, SystemClock, DaemonPorts> shell_;
   WakeupTimer stop_timer_;
-  StopSignals signals_;
+  UnixSignals signals_;
 };
 
 }  // namespace cactusshelf
--- a/packages/daemon/src/job_settings.cc
+++ b/packages/daemon/src/job_settings.cc
@@ -76,6 +76,7 @@
 
 JobSettings ParseJobSettings(std::string_view text, const std::string& file, Findings& findings) {
   JobSettings settings;
+  settings.file = file;
   toml::table root;
   try {
     root = toml::parse(text, file);
--- a/packages/daemon/src/program.cc
+++ b/packages/daemon/src/program.cc
@@ -91,6 +91,26 @@
   return kExitBadSettings;
 }
 
+void ReloadJobSettings(const std::string& file, BoundedLog& log) {
+  const WallTime now = SystemClock().Read().wall;
+  Findings findings;
+  try {
+    const JobSettings settings = ParseJobSettings(ReadSettingsFile(file), file, findings);
+    if (findings.empty()) log.SetLowest(settings.log_level);
+  } catch (const SettingsError& error) {
+    findings.Add({file, 0, 0}, error.what());
+  }
+  for (const Finding& it : findings.items()) {
+    log.Write(now, LogEvent(LogLevel::kError, "settings_fault")
+                       .With("file", it.place.file)
+                       .With("line", it.place.line)
+                       .With("message", it.message));
+  }
+  log.Write(now, LogEvent(LogLevel::kInfo, "settings_reloaded")
+                     .With("file", file)
+                     .With("findings", findings.items().size()));
+}
+
 std::uint64_t SystemRandom() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
--- a/packages/daemon/src/program.h
+++ b/packages/daemon/src/program.h
@@ -39,6 +39,10 @@
 // Raises the limit of open files to what the system allows; each connection needs one.
 void RaiseFileLimit();
 
+// Reads the settings file again after SIGHUP. The log level takes effect at once; the other
+// settings hold from the next start on. Faulty settings are reported and change nothing.
+void ReloadJobSettings(const std::string& file, BoundedLog& log);
+
 // Runs one process of the job service with ports of type `P`.
 template <typename P>
 int RunJobService(JobSettings settings) {
@@ -47,7 +51,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   settings.node.member = settings.host_name + "/" + std::to_string(MakeIncarnation());
   try {
-    JobDaemon<P> daemon(settings, SystemRandom(), log);
+    JobDaemon<P> daemon(settings, SystemRandom(), log,
+                        [&] { ReloadJobSettings(settings.file, log); });
     daemon.Start(settings);
     return daemon.Run();
   } catch (const Error& error) {
--- a/packages/jobs/include/cactusshelf/jobs/job_event.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_event.h
@@ -70,7 +70,6 @@
   kDone,
   kFenced,      // A higher epoch was seen.
   kOutOfOrder,  // The sequence number does not follow the last one.
-  kMoved,       // The log does not end at the expected offset.
   kRefused,     // Nothing was done.
   kNoAnswer,    // It may have been done, or may be done later.
 };
@@ -150,7 +149,6 @@
   std::string producer;  // Empty: epoch and sequence have no meaning.
   std::int64_t epoch = 0;
   std::int64_t sequence = 0;
-  std::optional<std::int64_t> expected_end;
 };
 
 struct Order {
--- a/packages/jobs/include/cactusshelf/jobs/job_ledger.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_ledger.h
@@ -1,6 +1,8 @@
 #ifndef CACTUSSHELF_JOBS_JOB_LEDGER_H_
 #define CACTUSSHELF_JOBS_JOB_LEDGER_H_
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -20,7 +22,8 @@
     JobProgress progress;
   };
 
-  void Apply(JobLogRecord record);
+  // `offset` is that of the record.
+  void Apply(JobLogRecord record, std::int64_t offset);
 
   // Null if the job was not accepted, or is forgotten.
   const Entry* Find(const JobKey& key) const;
@@ -32,18 +35,24 @@
   int PendingJobs(const std::string& queue) const;
 
   const std::unordered_map<JobKey, Entry>& entries() const { return entries_; }
+  // The present owner, with its epoch; of generation 0 if there was none.
   const OwnerRecord& owner() const { return owner_; }
   const std::vector<std::string>& roster() const { return roster_; }
 
  private:
-  void ApplyRecord(OwnerRecord record);
-  void ApplyRecord(RosterRecord record);
-  void ApplyRecord(SubmittedJob record);
-  void ApplyRecord(const CancelRecord& record);
-  void ApplyRecord(ProgressRecord record);
-  void ApplyRecord(const DropRecord& record);
+  void ApplyRecord(OwnerRecord record, std::int64_t offset);
+  void ApplyRecord(RosterRecord record, std::int64_t offset);
+  void ApplyRecord(SubmittedJob record, std::int64_t offset);
+  void ApplyRecord(const CancelRecord& record, std::int64_t offset);
+  void ApplyRecord(ProgressRecord record, std::int64_t offset);
+  void ApplyRecord(const DropRecord& record, std::int64_t offset);
 
   std::unordered_map<JobKey, Entry> entries_;
+  struct Claim {
+    OwnerRecord record;
+    std::int64_t offset = 0;
+  };
+  std::map<std::string, Claim> claims_;  // The newest of each host.
   OwnerRecord owner_;
   std::vector<std::string> roster_;
 };
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -15,12 +15,15 @@
 
 struct KeyedRecord {
   std::string key;
-  std::string value;  // Empty: the key is dropped.
+  std::string value;        // Empty: the key is dropped.
+  std::int64_t offset = 0;  // Of a record that was read.
 };
 
-// The owner of the jobs and workers of this log. The epoch is the fencing token of its orders.
+// A process that owns the jobs and workers of this log, or claims to. Of the claims of one
+// generation the first in the log holds. The epoch, the offset of that claim plus one, is the
+// fencing token of the owner's orders.
 struct OwnerRecord {
-  std::int64_t epoch = 0;
+  std::int64_t epoch = 0;       // 0 in a claim.
   std::int64_t generation = 0;  // Owners so far, this one included.
   std::string member;
   std::string host;
--- a/packages/jobs/src/batch_writer.cc
+++ b/packages/jobs/src/batch_writer.cc
@@ -21,7 +21,7 @@
   if (!busy_ || in_flight_ || now < next_try_) return std::nullopt;
   in_flight_ = true;
   append_ = next_append_++;
-  return job_effect::Append{append_, records_, producer_, epoch_, sequence_, std::nullopt};
+  return job_effect::Append{append_, records_, producer_, epoch_, sequence_};
 }
 
 BatchWriter::Result BatchWriter::OnDone(const job_event::AppendDone& done, Time now) {
@@ -51,7 +51,6 @@
       sequence_ = 0;
       next_try_ = now + kRetryDelay;
       return Result::kRetry;
-    case AppendOutcome::kMoved:
     case AppendOutcome::kNoAnswer:
       unanswered_ = true;
       next_try_ = now + kRetryDelay;
--- a/packages/jobs/src/job_ledger.cc
+++ b/packages/jobs/src/job_ledger.cc
@@ -1,33 +1,53 @@
 #include "cactusshelf/jobs/job_ledger.h"
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cactusshelf::jobs {
 
-void JobLedger::Apply(JobLogRecord record) {
-  std::visit([this](auto& value) { this->ApplyRecord(std::move(value)); }, record);
+void JobLedger::Apply(JobLogRecord record, std::int64_t offset) {
+  std::visit([&](auto& value) { this->ApplyRecord(std::move(value), offset); }, record);
 }
 
-void JobLedger::ApplyRecord(OwnerRecord record) {
-  if (record.epoch >= owner_.epoch) owner_ = std::move(record);
+// The newest record of each host is enough: a host claims again only after its last generation, and
+// the owner's own records carry its epoch.
+void JobLedger::ApplyRecord(OwnerRecord record, std::int64_t offset) {
+  const std::string host = record.host;
+  claims_[host] = {std::move(record), offset};
+  const auto holds_less = [](const auto& left, const auto& right) {
+    const OwnerRecord& a = left.second.record;
+    const OwnerRecord& b = right.second.record;
+    return std::tuple(a.generation, a.epoch != 0, -left.second.offset) <
+           std::tuple(b.generation, b.epoch != 0, -right.second.offset);
+  };
+  const auto& [name, holder] = *std::max_element(claims_.begin(), claims_.end(), holds_less);
+  owner_ = holder.record;
+  if (owner_.epoch == 0) owner_.epoch = holder.offset + 1;
 }
 
-void JobLedger::ApplyRecord(RosterRecord record) { roster_ = std::move(record.workers); }
+void JobLedger::ApplyRecord(RosterRecord record, std::int64_t /*offset*/) {
+  roster_ = std::move(record.workers);
+}
 
-void JobLedger::ApplyRecord(SubmittedJob record) {
+void JobLedger::ApplyRecord(SubmittedJob record, std::int64_t /*offset*/) {
   Entry& entry = entries_[record.key];
   // A repeated submission of the same job changes nothing.
   if (entry.job != nullptr) return;
   entry.job = std::make_shared<const SubmittedJob>(std::move(record));
 }
 
-void JobLedger::ApplyRecord(const CancelRecord& record) { entries_[record.key].cancelled = true; }
+void JobLedger::ApplyRecord(const CancelRecord& record, std::int64_t /*offset*/) {
+  entries_[record.key].cancelled = true;
+}
 
-void JobLedger::ApplyRecord(ProgressRecord record) {
+void JobLedger::ApplyRecord(ProgressRecord record, std::int64_t /*offset*/) {
   entries_[record.key].progress = std::move(record.progress);
 }
 
-void JobLedger::ApplyRecord(const DropRecord& record) { entries_.erase(record.key); }
+void JobLedger::ApplyRecord(const DropRecord& record, std::int64_t /*offset*/) {
+  entries_.erase(record.key);
+}
 
 const JobLedger::Entry* JobLedger::Find(const JobKey& key) const {
   const auto it = entries_.find(key);
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -12,6 +12,8 @@
 // Appends of the owner are numbered apart from those of the entry desk, and from each other by
 // epoch.
 constexpr int kAppendNumberBits = 24;
+// Numbers of the appends of claims; those of the entry desk start at 1 and stay far below.
+constexpr std::uint64_t kClaimAppends = std::uint64_t{1} << 62;
 constexpr Duration kOwnerTick = std::chrono::milliseconds(15);
 constexpr Duration kBusyTick = std::chrono::milliseconds(20);
 constexpr Duration kIdleTick = std::chrono::milliseconds(100);
@@ -161,7 +163,7 @@
     const std::optional<JobKey> cancelled_key =
         cancelled ? std::optional(cancelled->key) : std::nullopt;
     const bool of_owner = !submitted && !cancelled;
-    ledger_.Apply(std::move(decoded));
+    ledger_.Apply(std::move(decoded), record.offset);
     if (scheduler_ && submitted_key) {
       const JobLedger::Entry* entry = ledger_.Find(*submitted_key);
       if (entry != nullptr && !IsFinal(JobLedger::StateOf(*entry)))
@@ -222,7 +224,7 @@
     case BatchWriter::Result::kStored:
       last_owner_write_ = now.monotonic;
       if (candidacy_ == Candidacy::kFencing) {
-        fence_offset_ = done.offset;
+        awaited_offset_ = done.offset;
         candidacy_ = Candidacy::kReading;
         jobs_.Hurry(now.monotonic);
       } else if (releasing_) {
@@ -311,58 +313,67 @@
 }
 
 void JobNode::Impl::Claim(const Now& /*now*/) {
-  const std::int64_t end = jobs_.next();
   const OwnerRecord& last = ledger_.owner();
   predecessor_ended_ = last.released || last.host == options_.host;
   claim_ = {};
-  claim_.epoch = end + 1;
-  claim_.generation = ledger_.owner().generation + 1;
+  claim_.generation = last.generation + 1;
   claim_.member = options_.member;
   claim_.host = options_.host;
-  claim_append_ = static_cast<std::uint64_t>(claim_.epoch) << kAppendNumberBits;
+  claim_append_ = kClaimAppends + next_claim_append_++;
   candidacy_ = Candidacy::kClaiming;
   Log(LogEvent(LogLevel::kInfo, "owner_claim")
-          .With("epoch", claim_.epoch)
-          .With("previous", ledger_.owner().member));
-  Emit(job_effect::Append{claim_append_, {Encode(claim_)}, "", 0, 0, end});
+          .With("generation", claim_.generation)
+          .With("previous", last.member));
+  Emit(job_effect::Append{claim_append_, {Encode(claim_)}, "", 0, 0});
 }
 
 void JobNode::Impl::OnClaimDone(const job_event::AppendDone& done, const Now& now) {
   claim_append_ = 0;
   if (candidacy_ != Candidacy::kClaiming) return;
   jobs_.Hurry(now.monotonic);
-  switch (done.outcome) {
-    case job_event::AppendOutcome::kDone:
-      ledger_.Apply(claim_);
-      AdvanceCandidacy(now);
-      return;
-    case job_event::AppendOutcome::kNoAnswer:
-      // The log will tell.
-      candidacy_ = Candidacy::kClaimUnanswered;
-      return;
-    default:
-      GiveUpCandidacy(done.reason, now);
+  if (done.outcome == job_event::AppendOutcome::kDone) {
+    awaited_offset_ = done.offset;
+    candidacy_ = Candidacy::kClaimStored;
+    AdvanceCandidacy(now);
+  } else {
+    // If it was or will be stored without an answer, the log tells.
+    GiveUpCandidacy(done.reason, now);
   }
 }
 
 void JobNode::Impl::AdvanceCandidacy(const Now& now) {
-  if (candidacy_ == Candidacy::kNone) return;
+  if (scheduler_ || drain_started_) return;
   const OwnerRecord& owner = ledger_.owner();
-  const bool claimed = owner.epoch == claim_.epoch && owner.member == claim_.member;
-  if (candidacy_ == Candidacy::kReading) {
-    if (!claimed) {
-      GiveUpCandidacy("replaced", now);
-    } else if (jobs_.next() > fence_offset_) {
-      BecomeOwner(now);
-    }
-    return;
-  }
-  if (candidacy_ == Candidacy::kFencing) return;
-  if (!claimed) {
-    if (candidacy_ == Candidacy::kClaimUnanswered) GiveUpCandidacy("not_stored", now);
-    return;
+  const bool own = owner.member == options_.member && !owner.released;
+  const bool read = jobs_.next() > awaited_offset_;
+  switch (candidacy_) {
+    case Candidacy::kNone:
+      if (own) BeginFencing(now);
+      return;
+    case Candidacy::kClaimStored:
+      if (!read) return;
+      if (own) {
+        BeginFencing(now);
+      } else {
+        GiveUpCandidacy("another_was_first", now);
+      }
+      return;
+    case Candidacy::kReading:
+      if (!own || owner.epoch != claim_.epoch) {
+        GiveUpCandidacy("replaced", now);
+      } else if (read) {
+        BecomeOwner(now);
+      }
+      return;
+    case Candidacy::kClaiming:
+    case Candidacy::kFencing:
+      return;
   }
-  const auto first_append = (static_cast<std::uint64_t>(claim_.epoch) << kAppendNumberBits) + 1;
+}
+
+void JobNode::Impl::BeginFencing(const Now& now) {
+  claim_ = ledger_.owner();
+  const auto first_append = static_cast<std::uint64_t>(claim_.epoch) << kAppendNumberBits;
   owner_writer_ = std::make_unique<BatchWriter>(kOwnerProducer, claim_.epoch, 0, first_append,
                                                 BatchWriter::Persistence::kUntilStored);
   owner_writer_->Begin({Encode(claim_)}, now.monotonic);
@@ -371,7 +382,7 @@
 
 void JobNode::Impl::GiveUpCandidacy(std::string_view reason, const Now& now) {
   Log(LogEvent(LogLevel::kInfo, "owner_claim_failed")
-          .With("epoch", claim_.epoch)
+          .With("generation", claim_.generation)
           .With("reason", std::string(reason)));
   candidacy_ = Candidacy::kNone;
   owner_writer_.reset();
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -56,6 +56,7 @@
   void OnClaimDone(const job_event::AppendDone& done, const Now& now);
   void OnOwnerAppendDone(const job_event::AppendDone& done, const Now& now);
   void AdvanceCandidacy(const Now& now);
+  void BeginFencing(const Now& now);
   void GiveUpCandidacy(std::string_view reason, const Now& now);
   void BecomeOwner(const Now& now);
   void StepDown(std::string_view reason, const Now& now);
@@ -76,16 +77,16 @@
   Counters counters_;
   std::vector<JobEffect> effects_;
 
-  // Becoming the owner takes three steps. The owner record is appended at the known end of the log,
-  // which succeeds for one process only. The first append under the new epoch then shuts out the
-  // appends of earlier owners. Once the log is read up to there, everything that they stored is
-  // known.
-  enum class Candidacy : std::uint8_t { kNone, kClaiming, kClaimUnanswered, kFencing, kReading };
+  // Becoming the owner takes three steps. A claim is appended; of several the first in the log
+  // holds. The first append under the new epoch then shuts out the appends of earlier owners. Once
+  // the log is read up to there, everything that they stored is known.
+  enum class Candidacy : std::uint8_t { kNone, kClaiming, kClaimStored, kFencing, kReading };
   Candidacy candidacy_ = Candidacy::kNone;
   OwnerRecord claim_;
   std::uint64_t claim_append_ = 0;
-  std::int64_t fence_offset_ = 0;
-  bool predecessor_ended_ = false;  // The last owner has released, or was a process of this host.
+  std::uint64_t next_claim_append_ = 1;
+  std::int64_t awaited_offset_ = 0;  // To be read before the next step.
+  bool predecessor_ended_ = false;   // The last owner has released, or was a process of this host.
 
   // While this process is the owner, and while it becomes it.
   std::unique_ptr<BatchWriter> owner_writer_;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -9,9 +9,9 @@
 
 using nlohmann::json;
 
-constexpr char kOwnerKey[] = "owner";
 constexpr char kRosterKey[] = "roster";
 // First character of the keys of a job, before the job's own key.
+constexpr char kOwnerPrefix = 'o';  // Before the name of a host.
 constexpr char kSubmitPrefix = 'j';
 constexpr char kCancelPrefix = 'c';
 constexpr char kProgressPrefix = 'p';
@@ -25,10 +25,10 @@
 constexpr unsigned kLongRunning = 1U << 4;
 constexpr unsigned kBestEffort = 1U << 5;
 
-std::string KeyOf(char prefix, const JobKey& key) {
+std::string KeyOf(char prefix, const std::string& name) {
   std::string text(1, prefix);
   text += kSeparator;
-  text += key.str();
+  text += name;
   return text;
 }
 
@@ -128,10 +128,11 @@
 }
 
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
-  if (record_key == kOwnerKey) return DecodeOwner(value);
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
   const JobKey key(record_key.substr(2));
   switch (record_key.front()) {
+    case kOwnerPrefix:
+      return DecodeOwner(value);
     case kSubmitPrefix:
       return DecodeSubmitted(key, value);
     case kCancelPrefix:
@@ -146,8 +147,9 @@
 }  // namespace
 
 KeyedRecord Encode(const OwnerRecord& record) {
-  return {kOwnerKey, ToBytes(json::array({record.epoch, record.generation, record.member,
-                                          record.host, record.released}))};
+  return {KeyOf(kOwnerPrefix, record.host),
+          ToBytes(json::array(
+              {record.epoch, record.generation, record.member, record.host, record.released}))};
 }
 
 KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
@@ -155,7 +157,7 @@
 KeyedRecord Encode(const SubmittedJob& record) {
   json steps = json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(ToJson(step));
-  return {KeyOf(kSubmitPrefix, record.key),
+  return {KeyOf(kSubmitPrefix, record.key.str()),
           ToBytes(json::array({ToJson(record.queue), record.spec.payload, record.spec.occurrences,
                                record.spec.first_due.time_since_epoch().count(),
                                record.spec.period.count(),
@@ -163,7 +165,7 @@
 }
 
 KeyedRecord Encode(const CancelRecord& record) {
-  return {KeyOf(kCancelPrefix, record.key), ToBytes(json::array())};
+  return {KeyOf(kCancelPrefix, record.key.str()), ToBytes(json::array())};
 }
 
 KeyedRecord Encode(const ProgressRecord& record) {
@@ -172,21 +174,21 @@
     tasks.push_back(json::array({task.id.occurrence, task.id.step, task.id.index, task.done ? 1 : 0,
                                  task.last_run, task.failed_runs}));
   }
-  return {KeyOf(kProgressPrefix, record.key),
+  return {KeyOf(kProgressPrefix, record.key.str()),
           ToBytes(json::array({static_cast<int>(record.progress.state), tasks}))};
 }
 
 std::vector<KeyedRecord> EncodeDrop(const JobKey& key) {
   // The submission goes last, since a reader may stop between two records.
-  return {{KeyOf(kProgressPrefix, key), ""},
-          {KeyOf(kCancelPrefix, key), ""},
-          {KeyOf(kSubmitPrefix, key), ""}};
+  return {{KeyOf(kProgressPrefix, key.str()), ""},
+          {KeyOf(kCancelPrefix, key.str()), ""},
+          {KeyOf(kSubmitPrefix, key.str()), ""}};
 }
 
 JobLogRecord DecodeJobLogRecord(const KeyedRecord& record) {
   const std::string& key = record.key;
   const bool of_job = key.size() > 2 && key[1] == kSeparator;
-  if (!of_job && key != kOwnerKey && key != kRosterKey) {
+  if (!of_job && key != kRosterKey) {
     throw DecodeError("job log record with an unknown key");
   }
   if (record.value.empty()) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -93,7 +93,7 @@
   void Adopt(WorkerState& worker, const RunningTask& running, const Now& now);
   void SettleMissing(WorkerState& worker, const HoldReport& report, const Now& now);
   void JudgeWorker(WorkerState& worker, const EndedRun& end, const Now& now);
-  void LoseRun(WorkerState& worker, const TaskRef& task, std::string_view reason, const Now& now);
+  void LoseRun(WorkerState& worker, TaskRef task, std::string_view reason, const Now& now);
   void LoseAllRuns(WorkerState& worker, std::string_view reason, const Now& now);
   void ForgetLapsed(const Now& now);
   void CheckTakeover(const Now& now);
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -11,6 +11,12 @@
 constexpr int kSuspiciousFailures = 2;
 constexpr int kMaxQuarantineFactor = 4;
 
+bool IsListed(const HoldReport& report, const Run& run) {
+  return std::any_of(report.running.begin(), report.running.end(), [&run](const RunningTask& it) {
+    return it.task == run.task && it.run == run.number;
+  });
+}
+
 }  // namespace
 
 Scheduler::PendingOrder Scheduler::TakePending(CallId call) {
@@ -182,9 +188,7 @@
   std::vector<TaskRef> missing;
   for (auto& [ref, run] : worker.runs()) {
     if (run.phase == RunPhase::kStarting || run.settled_at > worker.hold_sent_at) continue;
-    const bool listed =
-        std::any_of(report.running.begin(), report.running.end(),
-                    [&](const auto& it) { return it.task == ref && it.run == run.number; });
+    const bool listed = IsListed(report, run);
     if (listed) continue;
     if (run.phase == RunPhase::kUnsettled) {
       // It may still begin. A stop prevents that.
@@ -196,7 +200,8 @@
   for (const TaskRef& ref : missing) LoseRun(worker, ref, "not_reported", now);
 }
 
-void Scheduler::LoseRun(WorkerState& worker, const TaskRef& ref, std::string_view reason,
+// `ref` is a copy, since callers name runs by the key that is removed.
+void Scheduler::LoseRun(WorkerState& worker, TaskRef ref, std::string_view reason,  // NOLINT
                         const Now& now) {
   const Run* run = worker.FindRun(ref);
   const std::string checkpoint = run->checkpoint;
