--- a/packages/jobs/src/pace_control.cc
+++ b/packages/jobs/src/pace_control.cc
@@ -14,11 +14,11 @@
 constexpr int kPaceStep = 10;        // Percent; smaller changes are not worth an order.
 constexpr int kLowestPace = 10;      // Percent; below this the run is paused.
 // Pressure that best-effort neighbours may bring a serving task to.
-constexpr double kPressureGoal = 0.72;
+constexpr double kPressureGoal = 0.73;
 // Effects below this are taken for noise.
 constexpr double kLeastEffect = 0.012;
 // A pressure that was seen is expected to return within this time, as loads go up and down.
-constexpr Duration kPeakMemory = seconds(15);
+constexpr Duration kPeakMemory = seconds(10);
 // Tails far above the target come from a backlog, whose length says nothing of the present load.
 constexpr double kBacklogFactor = 3.0;
 
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -15,7 +15,7 @@
 // A best-effort task starts only where it can expect this share of the processors that it wants.
 constexpr double kMinIdleShare = 0.8;
 // Pressure that a best-effort task may bring a serving neighbour to.
-constexpr double kPressureLimit = 0.70;
+constexpr double kPressureLimit = 0.71;
 // Effects below this are taken for noise.
 constexpr double kLeastEffect = 0.012;
 constexpr double kHarmCost = 1.0;
