Divide large pools into cells with logs and owners of their own

Cause: one owner needs about 0.2 cores for 66 workers and 90 starts a second; on the grown sites (490 and 350 workers, entry hosts of 0.12 to 0.5 cores) it was saturated and nothing ran.

Jobs and workers are divided by the hash of their names; a cell is a partition of the job log with an owner. The owner of the first cell decides once, from the number of workers, how many there are. Weak entry hosts (under 0.2 cores) follow the logs every 3 s and claim a cell only if nobody else does. A node reads a cell's log at once when a caller asks for what it does not know.

--- a/packages/daemon/src/job_settings.cc
+++ b/packages/daemon/src/job_settings.cc
@@ -12,6 +12,10 @@
 
 constexpr std::size_t kKiB = 1024;
 constexpr std::size_t kMiB = 1024 * kKiB;
+constexpr double kStrongHost = 0.2;  // Processors.
+constexpr double kMaxProcessors = 1024.0;
+constexpr Duration kWeakHostDelay = seconds(3);
+constexpr Duration kWeakHostFollowPeriod = milliseconds(3000);
 constexpr std::string_view kJobService = "jobs";
 
 void ReadListen(TableReader reader, JobSettings& settings) {
@@ -52,6 +56,15 @@
   reader.ReportUnknown();
 }
 
+// A weak host follows the logs less often and owns cells only if no stronger one does.
+void ReadProcessors(TableReader& reader, JobSettings& settings) {
+  double processors = kStrongHost;
+  reader.Real("processors", 0.0, kMaxProcessors, processors);
+  if (processors >= kStrongHost) return;
+  settings.node.standby_delay = kWeakHostDelay;
+  settings.node.follow_period = kWeakHostFollowPeriod;
+}
+
 void CheckTogether(const TableReader& reader, const JobSettings& settings, Findings& findings) {
   const jobs::JobNodeOptions& node = settings.node;
   if (2 * node.heartbeat > node.owner_silence) {
@@ -94,6 +107,7 @@
   reader.Name("host_name", settings.host_name);
   reader.Name("domain", settings.domain);
   ReadLogLevel(reader, findings, settings.log_level);
+  ReadProcessors(reader, settings);
   reader.Time("drain", milliseconds(0), minutes(10), settings.node.drain);
   ReadListen(reader.Table("listen"), settings);
   ReadStore(reader.Table("store"), settings);
--- a/packages/jobs/include/cactusshelf/jobs/job_event.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_event.h
@@ -53,6 +53,7 @@
 // The end of a ReadRecords or ReadNewest.
 struct StreamRead {
   Stream stream{};
+  int cell = 0;  // Of Stream::kJobs.
   bool newest = false;
   ReadOutcome outcome = ReadOutcome::kFailed;
   std::string reason;     // Of a failure.
@@ -133,6 +134,7 @@
 
 struct ReadRecords {
   Stream stream{};
+  int cell = 0;  // Of Stream::kJobs, whose cells have logs of their own.
   std::int64_t from = 0;
   Duration wait{};  // For a record, if there is none yet.
 };
@@ -140,10 +142,12 @@
 // One page of the newest record of each key.
 struct ReadNewest {
   Stream stream{};
+  int cell = 0;
   std::string after_key;
 };
 
 struct Append {
+  int cell = 0;
   std::uint64_t append = 0;
   std::vector<KeyedRecord> records;
   std::string producer;  // Empty: epoch and sequence have no meaning.
--- a/packages/jobs/include/cactusshelf/jobs/job_ledger.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_ledger.h
@@ -38,10 +38,13 @@
   // The present owner, with its epoch; of generation 0 if there was none.
   const OwnerRecord& owner() const { return owner_; }
   const std::vector<std::string>& roster() const { return roster_; }
+  // Number of cells; 0 while it is not decided. Only the first cell's log holds it.
+  int layout() const { return layout_; }
 
  private:
   void ApplyRecord(OwnerRecord record, std::int64_t offset);
   void ApplyRecord(RosterRecord record, std::int64_t offset);
+  void ApplyRecord(const LayoutRecord& record, std::int64_t offset);
   void ApplyRecord(SubmittedJob record, std::int64_t offset);
   void ApplyRecord(const CancelRecord& record, std::int64_t offset);
   void ApplyRecord(ProgressRecord record, std::int64_t offset);
@@ -55,6 +58,7 @@
   std::map<std::string, Claim> claims_;  // The newest of each host.
   OwnerRecord owner_;
   std::vector<std::string> roster_;
+  int layout_ = 0;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/include/cactusshelf/jobs/job_node.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_node.h
@@ -24,6 +24,8 @@
   Duration worker_list_period = std::chrono::milliseconds(400);
   // An owner with nothing else to store says so often that it is alive.
   Duration heartbeat = std::chrono::milliseconds(400);
+  // A process that should own a cell only if no other does claims it so much later.
+  Duration standby_delay{};
   // Between two appends of the owner, in which changes are collected.
   Duration store_period = std::chrono::milliseconds(20);
   Duration owner_silence = std::chrono::milliseconds(1300);
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -35,6 +35,11 @@
   std::vector<std::string> workers;
 };
 
+// Number of cells among which jobs and workers are divided, decided once.
+struct LayoutRecord {
+  int cells = 0;
+};
+
 struct CancelRecord {
   JobKey key;
 };
@@ -49,12 +54,13 @@
   JobKey key;
 };
 
-using JobLogRecord =
-    std::variant<OwnerRecord, RosterRecord, SubmittedJob, CancelRecord, ProgressRecord, DropRecord>;
+using JobLogRecord = std::variant<OwnerRecord, RosterRecord, LayoutRecord, SubmittedJob,
+                                  CancelRecord, ProgressRecord, DropRecord>;
 
 // Thread-safe.
 KeyedRecord Encode(const OwnerRecord& record);
 KeyedRecord Encode(const RosterRecord& record);
+KeyedRecord Encode(const LayoutRecord& record);
 KeyedRecord Encode(const SubmittedJob& record);
 KeyedRecord Encode(const CancelRecord& record);
 KeyedRecord Encode(const ProgressRecord& record);
--- a/packages/jobs/src/batch_writer.cc
+++ b/packages/jobs/src/batch_writer.cc
@@ -21,7 +21,7 @@
   if (!busy_ || in_flight_ || now < next_try_) return std::nullopt;
   in_flight_ = true;
   append_ = next_append_++;
-  return job_effect::Append{append_, records_, producer_, epoch_, sequence_};
+  return job_effect::Append{0, append_, records_, producer_, epoch_, sequence_};
 }
 
 BatchWriter::Result BatchWriter::OnDone(const job_event::AppendDone& done, Time now) {
--- a/packages/jobs/src/entry_desk.cc
+++ b/packages/jobs/src/entry_desk.cc
@@ -8,41 +8,20 @@
 
 constexpr std::size_t kKeyDigits = 16;
 
+}  // namespace
+
 bool IsJobKey(std::string_view text) {
   return text.size() == kKeyDigits && std::all_of(text.begin(), text.end(), [](char c) {
            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
          });
 }
 
-}  // namespace
-
-void EntryDesk::OnRequest(job_event::CallerRequest request, const QueueTable& queues, bool loaded,
-                          bool store_usable, const Now& now) {
+void EntryDesk::OnRequest(job_event::CallerRequest request, const QueueRoute& route,
+                          const JobKey& key, bool store_usable, const Now& now) {
   store_usable_ = store_usable;
   request.patience = std::min(request.patience, options_.longest_wait);
-  const Time arrived = now.monotonic;
-  if (!loaded) {
-    Reply(request.caller, {}, ReplyKind::kNotAccepted, arrived, arrived, "no_configuration");
-    return;
-  }
-  const QueueTable::Match match = queues.Find(request.host, request.path);
-  if (match.route == nullptr) {
-    Reply(request.caller, {}, ReplyKind::kNoQueue, arrived, arrived, request.path);
-    return;
-  }
-  if (match.rest.empty() && request.verb == Verb::kRead) {
-    Reply(request.caller, {}, ReplyKind::kPending, arrived, arrived, "", JobState::kQueued,
-          ledger_.PendingJobs(match.route->policy.name));
-    return;
-  }
-  const JobKey key{std::string(match.rest)};
-  if (!IsJobKey(match.rest)) {
-    Reply(request.caller, key, ReplyKind::kMalformed, arrived, arrived,
-          "path: expected 16 hexadecimal digits after the queue");
-    return;
-  }
   if (request.verb == Verb::kSubmit) {
-    Submit(request, *match.route, key, store_usable, now);
+    Submit(request, route, key, store_usable, now);
   } else {
     Read(request, key, now);
   }
@@ -241,7 +220,7 @@
 }
 
 void EntryDesk::Reply(CallerId caller, const JobKey& key, ReplyKind kind, Time arrived, Time now,
-                      std::string message, JobState state, int pending) {
+                      std::string message, JobState state) {
   counters_.Add("cactusshelf_replies_total", ToString(kind));
   if (kind == ReplyKind::kNotAccepted) counters_.Add("cactusshelf_refusals_total", message);
   reply_time_.Add(now - arrived);
@@ -252,13 +231,9 @@
   if (!message.empty()) event.With("detail", message);
   effects_.emplace_back(job_effect::WriteLogEvent{std::move(event)});
   effects_.emplace_back(
-      job_effect::Reply{caller, kind, state, pending, options_.retry_after, std::move(message)});
+      job_effect::Reply{caller, kind, state, 0, options_.retry_after, std::move(message)});
 }
 
 std::vector<JobEffect> EntryDesk::TakeEffects() { return std::exchange(effects_, {}); }
 
-std::string EntryDesk::FormatMetrics() const {
-  return counters_.Format() + reply_time_.Format("cactusshelf_reply_seconds");
-}
-
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/entry_desk.h
+++ b/packages/jobs/src/entry_desk.h
@@ -35,13 +35,16 @@
 // has certainly not stored. Not thread-safe.
 class EntryDesk {
  public:
-  EntryDesk(const EntryOptions& options, const std::string& member, const JobLedger& ledger)
+  // Appends are numbered from `first_append` on. `ledger` outlives the desk.
+  EntryDesk(const EntryOptions& options, const std::string& member, std::uint64_t first_append,
+            const JobLedger& ledger)
       : options_(options),
         ledger_(ledger),
-        writer_(member, 1, 0, 1, BatchWriter::Persistence::kMayRefuse) {}
+        writer_(member, 1, 0, first_append, BatchWriter::Persistence::kMayRefuse) {}
 
-  // `store_usable` is false while reads of the store fail.
-  void OnRequest(job_event::CallerRequest request, const QueueTable& queues, bool loaded,
+  // A request for job `key` of the queue of `route`. `store_usable` is false while reads of the
+  // store fail.
+  void OnRequest(job_event::CallerRequest request, const QueueRoute& route, const JobKey& key,
                  bool store_usable, const Now& now);
   void OnCallerGone(CallerId caller);
 
@@ -62,7 +65,8 @@
   bool wants_fresh_ledger() const { return !readers_.empty(); }
   bool idle() const { return readers_.empty() && waiting_.empty() && stored_.empty(); }
   const Counters& counters() const { return counters_; }
-  std::string FormatMetrics() const;
+  // Prometheus summary of the time to a reply.
+  const Distribution& reply_time() const { return reply_time_; }
 
  private:
   // A request that is stored before it is answered.
@@ -91,7 +95,7 @@
   bool StoreBlocked(Time now) const;
   void AnswerReader(const Reader& reader, const Now& now);
   void Reply(CallerId caller, const JobKey& key, ReplyKind kind, Time arrived, Time now,
-             std::string message = "", JobState state = JobState::kQueued, int pending = 0);
+             std::string message = "", JobState state = JobState::kQueued);
   void BeginBatch(const Now& now);
 
   EntryOptions options_;
@@ -106,6 +110,9 @@
   Distribution reply_time_;
 };
 
+// True for 16 hexadecimal digits.
+bool IsJobKey(std::string_view text);
+
 }  // namespace cactusshelf::jobs
 
 #endif  // CACTUSSHELF_JOBS_SRC_ENTRY_DESK_H_
--- /dev/null
+++ b/packages/jobs/src/job_cell.cc
@@ -0,0 +1,392 @@
+#include "job_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/base/rendezvous.h"
+
+namespace cactusshelf::jobs {
+namespace {
+
+constexpr char kOwnerProducer[] = "owner";
+// Numbers of appends: the cell, then the epoch of the owner, then a count. Those of the entry desk
+// have epoch 0, and those of claims the highest one.
+constexpr int kCellBits = 50;
+constexpr int kEpochBits = 20;
+constexpr std::uint64_t kClaimAppends = std::uint64_t{1} << (kCellBits - 1);
+// Between two reads of the log by the owner; each read may return many records.
+constexpr Duration kOwnerReadPeriod = std::chrono::milliseconds(40);
+constexpr Duration kFollowPeriodOfSeveral = std::chrono::milliseconds(700);
+constexpr std::size_t kMaxDropsAtOnce = 64;
+// Cells are spread over the processes that could own them: a process that owns some already, or
+// that comes late in the cell's own order of hosts, claims later.
+constexpr Duration kDelayForOwnedCell = std::chrono::milliseconds(350);
+constexpr Duration kDelayByOrder = std::chrono::milliseconds(300);
+
+ElectionOptions ElectionOptionsOf(const JobNodeOptions& options, int index) {
+  ElectionOptions election;
+  election.silence = options.owner_silence;
+  election.jitter = options.election_jitter;
+  election.longest_gap = std::max(options.follow_period, kFollowPeriodOfSeveral) * 3;
+  const double order =
+      static_cast<double>(RendezvousWeight(options.host, std::to_string(index)) >> 11) /
+      static_cast<double>(std::uint64_t{1} << 53);
+  const auto by_order = std::chrono::duration<double, Duration::period>(kDelayByOrder) * order;
+  election.delay = options.standby_delay + std::chrono::duration_cast<Duration>(by_order);
+  return election;
+}
+
+std::uint64_t FirstAppend(int index) {
+  return (static_cast<std::uint64_t>(index) << kCellBits) + 1;
+}
+
+}  // namespace
+
+int CellOf(const std::string& name, int cells) {
+  if (cells <= 1) return 0;
+  return static_cast<int>(RendezvousWeight("cell", name) % static_cast<std::uint64_t>(cells));
+}
+
+JobCell::JobCell(int index, const JobNodeOptions& options, std::uint64_t seed)
+    : index_(index),
+      options_(options),
+      first_append_(FirstAppend(index)),
+      follower_(Stream::kJobs),
+      election_(ElectionOptionsOf(options, index), options.member, options.host, seed),
+      desk_(EntryOptions{}, options.member, first_append_, ledger_),
+      next_claim_append_(first_append_ + kClaimAppends) {}
+
+void JobCell::Log(LogEvent event) {
+  event.With("cell", index_);
+  Emit(job_effect::WriteLogEvent{std::move(event)});
+}
+
+void JobCell::EmitAppend(job_effect::Append append) {
+  append.cell = index_;
+  Emit(std::move(append));
+}
+
+std::vector<JobEffect> JobCell::TakeEffects() { return std::exchange(effects_, {}); }
+
+bool JobCell::StoreUsable(Time now) const {
+  return follower_.loaded() && follower_.SilentFor(now) <= options_.store_patience;
+}
+
+void JobCell::Refresh(Time now) {
+  refresh_ = true;
+  if (follower_.loaded()) follower_.Hurry(now);
+}
+
+void JobCell::OnPaused(const Now& now) {
+  follower_.Hurry(now.monotonic);
+  if (scheduler_) scheduler_->OnPaused(now);
+}
+
+void JobCell::OnQueuesChanged(const QueueTable& queues) {
+  if (!scheduler_) return;
+  for (const QueueRoute& route : queues.routes()) {
+    scheduler_->SetQueueService(route.policy.name, route.policy.service);
+  }
+}
+
+void JobCell::OnRead(job_event::StreamRead& read, const NodeState& state, const Now& now) {
+  follower_.OnRead(read, now.monotonic);
+  if (read.outcome != ReadOutcome::kDone) return;
+  bool owner_active = false;
+  for (const KeyedRecord& record : read.jobs) {
+    const bool of_owner = ApplyRecord(record, now);
+    owner_active = owner_active || (of_owner && !read.newest);
+  }
+  if (!follower_.loaded()) return;
+  refresh_ = false;
+  election_.OnRead(owner_active, now.monotonic);
+  if (scheduler_ && ledger_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
+  AdvanceCandidacy(state, now);
+  desk_.OnLedgerFresh(follower_.fresh_at(), now.monotonic);
+}
+
+bool JobCell::ApplyRecord(const KeyedRecord& record, const Now& now) {
+  try {
+    JobLogRecord decoded = DecodeJobLogRecord(record);
+    const auto* submitted = std::get_if<SubmittedJob>(&decoded);
+    const auto* cancelled = std::get_if<CancelRecord>(&decoded);
+    const auto* progress = std::get_if<ProgressRecord>(&decoded);
+    const auto* dropped = std::get_if<DropRecord>(&decoded);
+    if (progress != nullptr && IsFinal(progress->progress.state)) {
+      over_since_.try_emplace(progress->key, now.monotonic);
+    }
+    if (dropped != nullptr) {
+      over_since_.erase(dropped->key);
+      if (scheduler_) scheduler_->OnForgotten(dropped->key);
+    }
+    const JobKey submitted_key = submitted != nullptr ? submitted->key : JobKey();
+    const JobKey cancelled_key = cancelled != nullptr ? cancelled->key : JobKey();
+    ledger_.Apply(std::move(decoded), record.offset);
+    if (scheduler_ && !submitted_key.empty()) {
+      const JobLedger::Entry* entry = ledger_.Find(submitted_key);
+      if (entry != nullptr && !IsFinal(JobLedger::StateOf(*entry))) {
+        scheduler_->OnJob(entry->job, now);
+      }
+    }
+    if (scheduler_ && !cancelled_key.empty()) scheduler_->OnCancel(cancelled_key, now);
+    return submitted_key.empty() && cancelled_key.empty();
+  } catch (const DecodeError& error) {
+    counters_.Add("cactusshelf_unreadable_records_total", "jobs");
+    Log(LogEvent(LogLevel::kWarning, "record_skipped")
+            .With("stream", "jobs")
+            .With("reason", record.key + ": " + error.what()));
+    return false;
+  }
+}
+
+void JobCell::OnAppendDone(const job_event::AppendDone& done, const NodeState& state,
+                           const Now& now) {
+  if (desk_.Owns(done.append)) {
+    desk_.OnAppendDone(done, now);
+  } else if (done.append == claim_append_) {
+    OnClaimDone(done, state, now);
+  } else if (owner_writer_ && owner_writer_->Owns(done.append)) {
+    OnOwnerAppendDone(done, now);
+  }
+}
+
+void JobCell::OnOwnerAppendDone(const job_event::AppendDone& done, const Now& now) {
+  switch (owner_writer_->OnDone(done, now.monotonic)) {
+    case BatchWriter::Result::kStored:
+      last_owner_write_ = now.monotonic;
+      if (candidacy_ == Candidacy::kFencing) {
+        awaited_offset_ = done.offset;
+        candidacy_ = Candidacy::kReading;
+        Refresh(now.monotonic);
+      } else if (releasing_) {
+        StepDown("released", now);
+      } else {
+        scheduler_->OnStored(batch_in_flight_, now);
+      }
+      return;
+    case BatchWriter::Result::kFenced:
+      if (scheduler_) {
+        StepDown("fenced_by_store", now);
+      } else {
+        GiveUpCandidacy("fenced_by_store", now);
+      }
+      return;
+    case BatchWriter::Result::kRefused:
+    case BatchWriter::Result::kRetry:
+      counters_.Add("cactusshelf_append_retries_total", done.reason);
+      Log(LogEvent(LogLevel::kInfo, "owner_append_retry").With("reason", done.reason));
+      return;
+  }
+}
+
+void JobCell::NoticeStore(const Now& now) {
+  const bool usable = StoreUsable(now.monotonic);
+  if (usable == store_was_usable_) return;
+  store_was_usable_ = usable;
+  Log(LogEvent(usable ? LogLevel::kInfo : LogLevel::kWarning,
+               usable ? "store_regained" : "store_lost"));
+  if (!usable) desk_.OnLedgerStale(now.monotonic);
+}
+
+void JobCell::Decide(const NodeState& state, const Now& now) {
+  several_cells_ = state.cells > 1;
+  NoticeStore(now);
+  if (scheduler_ && scheduler_->fenced()) StepDown("fenced_by_worker", now);
+  DecideElection(state, now);
+  if (scheduler_) {
+    if (!releasing_) scheduler_->Decide(now);
+    for (WorkerOrder& order : scheduler_->TakeOrders()) Emit(job_effect::Order{std::move(order)});
+    for (LogEvent& event : scheduler_->TakeLog()) Log(std::move(event));
+    DecideOwnerWrites(state, now);
+  }
+  desk_.Decide(now);
+  for (JobEffect& effect : desk_.TakeEffects()) {
+    if (auto* append = std::get_if<job_effect::Append>(&effect)) append->cell = index_;
+    Emit(std::move(effect));
+  }
+  DecideReads(now);
+}
+
+void JobCell::DecideReads(const Now& now) {
+  if (desk_.wants_fresh_ledger() || refresh_) {
+    follower_.SetPace(Duration::zero(), Duration::zero());
+    if (follower_.loaded()) follower_.Hurry(now.monotonic);
+  } else if (scheduler_) {
+    follower_.SetPace(kOwnerReadPeriod, options_.owner_read_wait);
+  } else {
+    follower_.SetPace(FollowPeriod(), Duration::zero());
+  }
+  const auto request = follower_.Next(now.monotonic);
+  if (!request) return;
+  if (const auto* records = std::get_if<job_effect::ReadRecords>(&*request)) {
+    Emit(job_effect::ReadRecords{Stream::kJobs, index_, records->from, records->wait});
+  } else if (const auto* newest = std::get_if<job_effect::ReadNewest>(&*request)) {
+    Emit(job_effect::ReadNewest{Stream::kJobs, index_, newest->after_key});
+  }
+}
+
+// With several cells, most of which others own, each is followed less closely.
+Duration JobCell::FollowPeriod() const {
+  return several_cells_ ? std::max(options_.follow_period, kFollowPeriodOfSeveral)
+                        : options_.follow_period;
+}
+
+void JobCell::DecideElection(const NodeState& state, const Now& now) {
+  if (scheduler_ || state.draining || !follower_.loaded() || state.queues.version() == 0) return;
+  const Duration busy = kDelayForOwnedCell * state.owned_cells;
+  if (candidacy_ == Candidacy::kNone && election_.ShouldStand(ledger_.owner(), busy)) Claim();
+  if (candidacy_ != Candidacy::kFencing) return;
+  if (auto append = owner_writer_->Next(now.monotonic)) EmitAppend(std::move(*append));
+}
+
+void JobCell::Claim() {
+  const OwnerRecord& last = ledger_.owner();
+  predecessor_ended_ = last.released || last.host == options_.host;
+  claim_ = {};
+  claim_.generation = last.generation + 1;
+  claim_.member = options_.member;
+  claim_.host = options_.host;
+  claim_append_ = next_claim_append_++;
+  candidacy_ = Candidacy::kClaiming;
+  Log(LogEvent(LogLevel::kInfo, "owner_claim")
+          .With("generation", claim_.generation)
+          .With("previous", last.member));
+  EmitAppend({index_, claim_append_, {Encode(claim_)}, "", 0, 0});
+}
+
+void JobCell::OnClaimDone(const job_event::AppendDone& done, const NodeState& state,
+                          const Now& now) {
+  claim_append_ = 0;
+  if (candidacy_ != Candidacy::kClaiming) return;
+  Refresh(now.monotonic);
+  if (done.outcome == job_event::AppendOutcome::kDone) {
+    awaited_offset_ = done.offset;
+    candidacy_ = Candidacy::kClaimStored;
+    AdvanceCandidacy(state, now);
+  } else {
+    // If it was or will be stored without an answer, the log tells.
+    GiveUpCandidacy(done.reason, now);
+  }
+}
+
+void JobCell::AdvanceCandidacy(const NodeState& state, const Now& now) {
+  if (scheduler_ || state.draining) return;
+  const OwnerRecord& owner = ledger_.owner();
+  const bool own = owner.member == options_.member && !owner.released;
+  const bool read = follower_.next() > awaited_offset_;
+  switch (candidacy_) {
+    case Candidacy::kNone:
+      if (own) BeginFencing(now);
+      return;
+    case Candidacy::kClaimStored:
+      if (!read) return;
+      if (own) {
+        BeginFencing(now);
+      } else {
+        GiveUpCandidacy("another_was_first", now);
+      }
+      return;
+    case Candidacy::kReading:
+      if (!own || owner.epoch != claim_.epoch) {
+        GiveUpCandidacy("replaced", now);
+      } else if (read) {
+        BecomeOwner(state, now);
+      }
+      return;
+    case Candidacy::kClaiming:
+    case Candidacy::kFencing:
+      return;
+  }
+}
+
+void JobCell::BeginFencing(const Now& now) {
+  claim_ = ledger_.owner();
+  const std::uint64_t first =
+      first_append_ + (static_cast<std::uint64_t>(claim_.epoch) << kEpochBits);
+  owner_writer_ = std::make_unique<BatchWriter>(kOwnerProducer, claim_.epoch, 0, first,
+                                                BatchWriter::Persistence::kUntilStored);
+  owner_writer_->Begin({Encode(claim_)}, now.monotonic);
+  candidacy_ = Candidacy::kFencing;
+}
+
+void JobCell::GiveUpCandidacy(std::string_view reason, const Now& now) {
+  Log(LogEvent(LogLevel::kInfo, "owner_claim_failed")
+          .With("generation", claim_.generation)
+          .With("reason", std::string(reason)));
+  candidacy_ = Candidacy::kNone;
+  owner_writer_.reset();
+  election_.Redraw();
+  Refresh(now.monotonic);
+}
+
+void JobCell::BecomeOwner(const NodeState& state, const Now& now) {
+  ownership_ = claim_;
+  candidacy_ = Candidacy::kNone;
+  releasing_ = false;
+  gained_ = true;
+  scheduler_ = std::make_unique<Scheduler>(options_.scheduler, ownership_.epoch,
+                                           ownership_.generation, predecessor_ended_, ledger_, now);
+  OnQueuesChanged(state.queues);
+  counters_.Add("cactusshelf_ownership_changes_total", "gained");
+  Log(LogEvent(LogLevel::kInfo, "owner_gained")
+          .With("epoch", ownership_.epoch)
+          .With("generation", ownership_.generation)
+          .With("jobs", ledger_.entries().size()));
+}
+
+void JobCell::StepDown(std::string_view reason, const Now& now) {
+  Log(LogEvent(LogLevel::kWarning, "owner_lost")
+          .With("epoch", ownership_.epoch)
+          .With("reason", std::string(reason))
+          .With("newest_epoch", ledger_.owner().epoch));
+  counters_.Add("cactusshelf_ownership_changes_total", reason);
+  for (LogEvent& event : scheduler_->TakeLog()) Log(std::move(event));
+  counters_.Merge(scheduler_->counters());
+  scheduler_.reset();
+  owner_writer_.reset();
+  releasing_ = false;
+  layout_to_store_ = 0;
+  election_.Redraw();
+  Refresh(now.monotonic);
+}
+
+void JobCell::DecideOwnerWrites(const NodeState& state, const Now& now) {
+  if (!owner_writer_->busy()) BeginOwnerWrite(state, now);
+  if (auto append = owner_writer_->Next(now.monotonic)) EmitAppend(std::move(*append));
+}
+
+void JobCell::BeginOwnerWrite(const NodeState& state, const Now& now) {
+  const Duration pause = now.monotonic - last_owner_write_;
+  std::vector<KeyedRecord> records;
+  if (state.draining) {
+    OwnerRecord record = ownership_;
+    record.released = true;
+    if (auto batch = scheduler_->TakeChanges()) records = std::move(batch->records);
+    records.push_back(Encode(record));
+    releasing_ = true;
+  } else if (layout_to_store_ > 0 && ledger_.layout() == 0) {
+    records.push_back(Encode(LayoutRecord{std::exchange(layout_to_store_, 0)}));
+    batch_in_flight_ = 0;
+  } else if (scheduler_->has_changes() && pause >= options_.store_period) {
+    auto batch = scheduler_->TakeChanges();
+    batch_in_flight_ = batch->id;
+    records = std::move(batch->records);
+  } else if (pause >= options_.heartbeat) {
+    records = DropsOfOldJobs(now);
+    if (records.empty()) records.push_back(Encode(ownership_));
+  }
+  if (!records.empty()) owner_writer_->Begin(std::move(records), now.monotonic);
+}
+
+std::vector<KeyedRecord> JobCell::DropsOfOldJobs(const Now& now) {
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, since] : over_since_) {
+    if (now.monotonic - since < options_.status_retention) continue;
+    for (KeyedRecord& record : EncodeDrop(key)) records.push_back(std::move(record));
+    if (records.size() >= kMaxDropsAtOnce) break;
+  }
+  return records;
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/job_cell.h
@@ -0,0 +1,133 @@
+#ifndef CACTUSSHELF_JOBS_SRC_JOB_CELL_H_
+#define CACTUSSHELF_JOBS_SRC_JOB_CELL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactusshelf/jobs/job_node.h"
+#include "entry_desk.h"
+#include "owner_election.h"
+#include "scheduler.h"
+#include "stream_follower.h"
+
+namespace cactusshelf::jobs {
+
+// What the cells of one node share.
+struct NodeState {
+  QueueTable queues;
+  bool draining = false;
+  int owned_cells = 0;
+  int cells = 1;
+};
+
+// One process's part in one cell: a share of the jobs, with a log of their own, and of the workers.
+// Follows the cell's log, answers callers about its jobs, and, while it is the cell's owner,
+// schedules them. Not thread-safe.
+class JobCell {
+ public:
+  JobCell(int index, const JobNodeOptions& options, std::uint64_t seed);
+
+  // `state` is that of the node. What is to be done is collected for TakeEffects.
+  void Decide(const NodeState& state, const Now& now);
+  std::vector<JobEffect> TakeEffects();
+
+  void OnRead(job_event::StreamRead& read, const NodeState& state, const Now& now);
+  // Does nothing for an append of another cell.
+  void OnAppendDone(const job_event::AppendDone& done, const NodeState& state, const Now& now);
+  void OnPaused(const Now& now);
+  void OnQueuesChanged(const QueueTable& queues);
+
+  EntryDesk& desk() { return desk_; }
+  const EntryDesk& desk() const { return desk_; }
+  const JobLedger& ledger() const { return ledger_; }
+  const StreamFollower& follower() const { return follower_; }
+  // The log is wanted as it is now.
+  void Refresh(Time now);
+
+  // Null unless this process is the owner.
+  Scheduler* scheduler() { return scheduler_.get(); }
+  const Scheduler* scheduler() const { return scheduler_.get(); }
+  // Started to own the cell since the last call.
+  bool TakeGained() { return std::exchange(gained_, false); }
+
+  // The log can be read, as far as is known.
+  bool StoreUsable(Time now) const;
+
+  // As the owner of the cell that holds the layout: stores how many cells there are.
+  void StoreLayout(int cells) { layout_to_store_ = cells; }
+
+  const Counters& counters() const { return counters_; }
+
+ private:
+  // Becoming the owner takes three steps. A claim is appended; of several the first in the log
+  // holds. The first append under the new epoch then shuts out the appends of earlier owners. Once
+  // the log is read up to there, everything that they stored is known.
+  enum class Candidacy : std::uint8_t { kNone, kClaiming, kClaimStored, kFencing, kReading };
+
+  // Returns true for a record that only the owner writes.
+  bool ApplyRecord(const KeyedRecord& record, const Now& now);
+  void DecideElection(const NodeState& state, const Now& now);
+  void DecideOwnerWrites(const NodeState& state, const Now& now);
+  void BeginOwnerWrite(const NodeState& state, const Now& now);
+  void DecideReads(const Now& now);
+  void NoticeStore(const Now& now);
+  Duration FollowPeriod() const;
+  void Claim();
+  void OnClaimDone(const job_event::AppendDone& done, const NodeState& state, const Now& now);
+  void OnOwnerAppendDone(const job_event::AppendDone& done, const Now& now);
+  void AdvanceCandidacy(const NodeState& state, const Now& now);
+  void BeginFencing(const Now& now);
+  void GiveUpCandidacy(std::string_view reason, const Now& now);
+  void BecomeOwner(const NodeState& state, const Now& now);
+  void StepDown(std::string_view reason, const Now& now);
+  std::vector<KeyedRecord> DropsOfOldJobs(const Now& now);
+  template <typename Effect>
+  void Emit(Effect effect) {
+    effects_.emplace_back(std::move(effect));
+  }
+  void EmitAppend(job_effect::Append append);
+  void Log(LogEvent event);
+
+  int index_;
+  const JobNodeOptions& options_;
+  std::uint64_t first_append_;  // Appends of different cells are numbered apart.
+  JobLedger ledger_;
+  StreamFollower follower_;
+  OwnerElection election_;
+  EntryDesk desk_;
+  Counters counters_;
+  std::vector<JobEffect> effects_;
+  bool refresh_ = false;
+  bool several_cells_ = false;
+
+  Candidacy candidacy_ = Candidacy::kNone;
+  OwnerRecord claim_;
+  std::uint64_t claim_append_ = 0;
+  std::uint64_t next_claim_append_;
+  std::int64_t awaited_offset_ = 0;  // To be read before the next step.
+  bool predecessor_ended_ = false;   // The last owner has released, or was a process of this host.
+
+  // While this process is the owner, and while it becomes it.
+  std::unique_ptr<BatchWriter> owner_writer_;
+  // While this process is the owner.
+  std::unique_ptr<Scheduler> scheduler_;
+  OwnerRecord ownership_;
+  std::uint64_t batch_in_flight_ = 0;
+  bool releasing_ = false;
+  bool gained_ = false;
+  int layout_to_store_ = 0;
+  Time last_owner_write_;
+
+  std::map<JobKey, Time> over_since_;
+  bool store_was_usable_ = true;
+};
+
+// The cell of a job or a worker, of `cells`.
+int CellOf(const std::string& name, int cells);
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_JOB_CELL_H_
--- a/packages/jobs/src/job_ledger.cc
+++ b/packages/jobs/src/job_ledger.cc
@@ -30,6 +30,10 @@
   roster_ = std::move(record.workers);
 }
 
+void JobLedger::ApplyRecord(const LayoutRecord& record, std::int64_t /*offset*/) {
+  layout_ = record.cells;
+}
+
 void JobLedger::ApplyRecord(SubmittedJob record, std::int64_t /*offset*/) {
   Entry& entry = entries_[record.key];
   // A repeated submission of the same job changes nothing.
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 
 constexpr char kRosterKey[] = "roster";
+constexpr char kLayoutKey[] = "layout";
 // First character of the keys of a job, before the job's own key.
 constexpr char kOwnerPrefix = 'o';  // Before the name of a host.
 constexpr char kSubmitPrefix = 'j';
@@ -129,6 +130,7 @@
 
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
+  if (record_key == kLayoutKey) return LayoutRecord{value.get<int>()};
   const JobKey key(record_key.substr(2));
   switch (record_key.front()) {
     case kOwnerPrefix:
@@ -154,6 +156,8 @@
 
 KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
 
+KeyedRecord Encode(const LayoutRecord& record) { return {kLayoutKey, ToBytes(record.cells), 0}; }
+
 KeyedRecord Encode(const SubmittedJob& record) {
   json steps = json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(ToJson(step));
@@ -188,7 +192,7 @@
 JobLogRecord DecodeJobLogRecord(const KeyedRecord& record) {
   const std::string& key = record.key;
   const bool of_job = key.size() > 2 && key[1] == kSeparator;
-  if (!of_job && key != kRosterKey) {
+  if (!of_job && key != kRosterKey && key != kLayoutKey) {
     throw DecodeError("job log record with an unknown key");
   }
   if (record.value.empty()) {
--- a/packages/jobs/src/owner_election.cc
+++ b/packages/jobs/src/owner_election.cc
@@ -12,11 +12,12 @@
   last_read_ = now;
 }
 
-bool OwnerElection::ShouldStand(const OwnerRecord& owner) const {
+bool OwnerElection::ShouldStand(const OwnerRecord& owner, Duration extra_delay) const {
   // The owner is an earlier process of this host, so it has ended.
   const bool own_predecessor = owner.host == host_ && owner.member != member_;
-  if (owner.epoch == 0 || owner.released || own_predecessor) return silent_ >= delay_ / 4;
-  return silent_ >= options_.silence + delay_;
+  if (owner.epoch == 0 || owner.released || own_predecessor)
+    return silent_ >= delay_ / 4 + options_.delay + extra_delay;
+  return silent_ >= options_.silence + delay_ + options_.delay + extra_delay;
 }
 
 void OwnerElection::Redraw() {
--- a/packages/jobs/src/owner_election.h
+++ b/packages/jobs/src/owner_election.h
@@ -14,6 +14,8 @@
   Duration silence = std::chrono::milliseconds(1300);
   // Added at random, so that seldom two processes try at the same time.
   Duration jitter = std::chrono::milliseconds(300);
+  // Added always: a process that should rather not own the cell waits longer.
+  Duration delay{};
   // Silence is measured over reads that follow each other within this time; while the store does
   // not answer nobody knows whether the owner is silent.
   Duration longest_gap = std::chrono::milliseconds(900);
@@ -33,8 +35,9 @@
   // The log was read up to its end at `now`; `active` if it held records of the owner.
   void OnRead(bool active, Time now);
 
-  // True if an owner record should be appended. Precondition: `owner` is what the log says.
-  bool ShouldStand(const OwnerRecord& owner) const;
+  // True if this process should claim to be the owner, after an additional delay. Precondition:
+  // `owner` is what the log says.
+  bool ShouldStand(const OwnerRecord& owner, Duration extra_delay) const;
 
   // An attempt has failed or succeeded.
   void Redraw();
--- a/packages/jobs/src/pace_control.cc
+++ b/packages/jobs/src/pace_control.cc
@@ -19,6 +19,8 @@
 constexpr double kLeastEffect = 0.012;
 // A pressure that was seen is expected to return within this time, as loads go up and down.
 constexpr Duration kPeakMemory = seconds(10);
+// The model may be wrong: after so long above the target every neighbour is suspect and pauses.
+constexpr Duration kOverPatience = seconds(1);
 // Tails far above the target come from a backlog, whose length says nothing of the present load.
 constexpr double kBacklogFactor = 3.0;
 
@@ -93,9 +95,8 @@
     const double effect = model.Effect(image, run.image_index);
     const bool over = state.pressure >= kPressureAtTarget;
     if (effect < kLeastEffect) {
-      // The model may be wrong: after a while above the target every neighbour is suspect.
-      const bool persistent = over && worker.reported_at - state.over_since > seconds(1);
-      if (persistent) pace = std::min(pace, run.pace / 2.0);
+      const bool persistent = over && worker.reported_at - state.over_since > kOverPatience;
+      if (persistent) pace = 0;
       continue;
     }
     double wanted = 0;
--- a/packages/jobs/src/stream_follower.cc
+++ b/packages/jobs/src/stream_follower.cc
@@ -19,14 +19,14 @@
   if (in_flight_ || now < next_read_) return std::nullopt;
   in_flight_ = true;
   read_started_ = now;
-  if (!loaded_) return job_effect::ReadNewest{stream_, after_key_};
-  return job_effect::ReadRecords{stream_, from_, wait_};
+  if (!loaded_) return job_effect::ReadNewest{stream_, 0, after_key_};
+  return job_effect::ReadRecords{stream_, 0, from_, wait_};
 }
 
 void StreamFollower::OnRead(const job_event::StreamRead& read, Time now) {
   in_flight_ = false;
   if (read.outcome == ReadOutcome::kFailed) {
-    ++failures_;
+    if (failures_++ == 0) failing_since_ = read_started_;
     const Duration delay = kFirstRetry * (1 << std::min(failures_ - 1, 3));
     next_read_ = now + std::min(delay, kLongestRetry);
     return;
@@ -50,6 +50,11 @@
   fresh_at_ = read_started_;
 }
 
+Duration StreamFollower::SilentFor(Time now) const {
+  if (failures_ > 0) return now - failing_since_;
+  return in_flight_ ? now - read_started_ : Duration::zero();
+}
+
 void StreamFollower::Restart(Time now) {
   loaded_ = false;
   from_ = -1;
--- a/packages/jobs/src/stream_follower.h
+++ b/packages/jobs/src/stream_follower.h
@@ -38,7 +38,8 @@
   std::int64_t next() const { return from_; }
   // Start of the last successful read, which has seen all that was stored before.
   Time fresh_at() const { return fresh_at_; }
-  bool failing() const { return failures_ > 0; }
+  // For so long no read has been answered, although one was wanted.
+  Duration SilentFor(Time now) const;
   Time next_read() const { return next_read_; }
 
  private:
@@ -50,6 +51,7 @@
   std::int64_t from_ = -1;  // -1: no page was read.
   std::string after_key_;
   int failures_ = 0;
+  Time failing_since_;
   Time next_read_;
   Time read_started_;
   Time fresh_at_;
--- a/packages/jobs/tests/job_world.h
+++ b/packages/jobs/tests/job_world.h
@@ -56,6 +56,7 @@
   const std::vector<std::string>& violations() const { return violations_; }
   FakeWorker& worker(int i) { return *workers_[static_cast<std::size_t>(i)]; }
   FakeStore& store() { return store_; }
+  int CellsOfWorld();
   void KillAllNodes();
   // Workers that are leaving are listed so.
   void DrainWorker(int i);
