--- a/packages/daemon/src/bounded_log.cc
+++ b/packages/daemon/src/bounded_log.cc
@@ -10,7 +10,7 @@
 namespace cactusshelf {
 namespace {
 
-constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
 // A pipe that is writable takes so many bytes at once without waiting (POSIX's PIPE_BUF).
 constexpr std::size_t kAtomicBytes = 4096;
 
--- a/packages/jobs/include/cactusshelf/jobs/scheduler_options.h
+++ b/packages/jobs/include/cactusshelf/jobs/scheduler_options.h
@@ -23,7 +23,7 @@
   Duration stop_retry_period = std::chrono::milliseconds(300);
   // An owner that was replaced is refused by a worker, and so notices, within this time, if it
   // reaches any worker that its successor has reached.
-  Duration predecessor_notice = std::chrono::seconds(2);
+  Duration predecessor_notice = std::chrono::milliseconds(1200);
   // Pause between two placement passes, in which starts are collected.
   Duration placement_period = std::chrono::milliseconds(10);
   // No starts on a worker that failed the tasks of several jobs in a row, at first for this time.
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -19,6 +19,8 @@
 // Effects below this are taken for noise.
 constexpr double kLeastEffect = 0.012;
 constexpr double kHarmCost = 1.0;
+// Workers at a time that short tasks leave for waiting long-running ones.
+constexpr std::size_t kMaxReserved = 6;
 // A long-running task that has waited so long takes the reserve of short tasks rather than none.
 constexpr Duration kReservePatience = std::chrono::seconds(1);
 
@@ -37,6 +39,7 @@
 void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
   workers_ = workers;
   misfits_.clear();
+  reserved_.clear();
   fill_use_.clear();
   free_.clear();
   capacity_.clear();
@@ -75,22 +78,46 @@
   return Share(left, capacity_.at(request.service).milliprocessors) >= options_.short_task_reserve;
 }
 
-bool Placer::MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const {
+// All but the room and the neighbours.
+bool Placer::Suits(const WorkerState& worker, const PlacementRequest& request) const {
   const WorkerEntry& entry = worker.entry();
   const StepSpec& step = request.step();
-  if (entry.pool != request.service || now < worker.no_starts_before) return false;
+  if (entry.pool != request.service) return false;
   if (!request.rack.empty() && entry.rack != request.rack) return false;
-  if (!Fits(CountedNeed(step), worker.Free())) return false;
   if (!step.required_label.empty()) {
     const auto& labels = entry.labels;
     if (std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) return false;
   }
   const TaskId& task = request.task;
-  if (step.max_per_worker > 0 &&
-      worker.RunsOfStep(request.job->key, task.occurrence, task.step) >= step.max_per_worker) {
-    return false;
+  return step.max_per_worker == 0 ||
+         worker.RunsOfStep(request.job->key, task.occurrence, task.step) < step.max_per_worker;
+}
+
+bool Placer::MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const {
+  const StepSpec& step = request.step();
+  if (now < worker.no_starts_before || !Fits(CountedNeed(step), worker.Free())) return false;
+  if (!Suits(worker, request)) return false;
+  if (step.best_effort) return SparesNeighbours(worker, request);
+  return step.long_running || !IsReserved(worker);
+}
+
+bool Placer::IsReserved(const WorkerState& worker) const {
+  return std::find(reserved_.begin(), reserved_.end(), &worker) != reserved_.end();
+}
+
+void Placer::Reserve(const PlacementRequest& request) {
+  if (reserved_.size() >= kMaxReserved) return;
+  const WorkerState* best = nullptr;
+  for (const WorkerState* worker : workers_) {
+    if (!Suits(*worker, request) || IsReserved(*worker)) continue;
+    Resources later = worker->Free();
+    later.milliprocessors += worker->passing_milliprocessors();
+    if (!Fits(CountedNeed(request.step()), later)) continue;
+    const bool sooner =
+        best == nullptr || worker->Free().milliprocessors > best->Free().milliprocessors;
+    if (sooner) best = worker;
   }
-  return !step.best_effort || SparesNeighbours(worker, request);
+  if (best != nullptr) reserved_.push_back(best);
 }
 
 bool Placer::SparesNeighbours(const WorkerState& worker, const PlacementRequest& request) const {
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -41,6 +41,10 @@
   // The best worker for one task, or null if it fits nowhere now.
   WorkerState* Choose(const PlacementRequest& request, Time now);
 
+  // Keeps a worker free of further short tasks in this pass, so that room for a long-running task
+  // that fits nowhere comes together there.
+  void Reserve(const PlacementRequest& request);
+
   // A task was placed on `worker` in this pass.
   void OnPlaced(const WorkerState& worker, const StepSpec& step, int image_index);
 
@@ -58,6 +62,8 @@
 
   bool IsMisfit(const PlacementRequest& request) const;
   bool KeepsReserve(const PlacementRequest& request) const;
+  bool IsReserved(const WorkerState& worker) const;
+  bool Suits(const WorkerState& worker, const PlacementRequest& request) const;
   bool MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const;
   bool SparesNeighbours(const WorkerState& worker, const PlacementRequest& request) const;
   // Share of its room to the latency target that the task would take from its closest neighbour.
@@ -71,6 +77,7 @@
   std::unordered_map<std::string, Resources> free_;      // By pool.
   std::unordered_map<std::string, Resources> capacity_;  // By pool.
   std::vector<Misfit> misfits_;
+  std::vector<const WorkerState*> reserved_;
 };
 
 // What a task of `step` counts against a worker's capacity.
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -134,6 +134,8 @@
   Log(LogEvent(LogLevel::kInfo, "takeover_complete")
           .With("workers", workers_.size())
           .With("unreported", unreported_.size()));
+  // The stored roster still names those that did not report.
+  roster_changed_ = roster_changed_ || !unreported_.empty();
   unreported_.clear();
   placement_wanted_ = true;
 }
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -10,6 +10,8 @@
 
 // A job that took so many times its objective earns its caller nothing any more.
 constexpr double kWorthlessAfter = 3.0;
+// A long-running task that has waited so long has a worker cleared for it.
+constexpr Duration kStarvingAfter = std::chrono::milliseconds(1500);
 // A pass is made so often even if nothing is known to have changed: delays pass and jobs come due.
 constexpr Duration kForcedPlacementPeriod = std::chrono::milliseconds(100);
 
@@ -93,8 +95,13 @@
     id.index = static_cast<int>(i);
     // A run of the task that is being stopped is still in the way.
     if (task.runs_present > 0) continue;
-    WorkerState* worker = placer_.Choose(RequestFor(job, id, now.monotonic), now.monotonic);
-    if (worker == nullptr) return;
+    const PlacementRequest request = RequestFor(job, id, now.monotonic);
+    WorkerState* worker = placer_.Choose(request, now.monotonic);
+    if (worker == nullptr) {
+      const bool starves = job.SpecOf(id).long_running && request.waited >= kStarvingAfter;
+      if (starves) placer_.Reserve(request);
+      return;
+    }
     StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
   }
 }
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -32,6 +32,7 @@
   const bool serving = run.latency_target > Duration::zero();
   expected_use_ +=
       sign * static_cast<std::int64_t>(serving ? wanted * options_->serving_use : wanted);
+  if (!run.long_running) passing_use_ += sign * run.need.milliprocessors;
   if (!serving) return;
   const int n = serving_runs_[run.image_index] += sign;
   if (n == 0) serving_runs_.erase(run.image_index);
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -91,6 +91,8 @@
   std::int64_t IdleMilliprocessors() const {
     return entry_.capacity.milliprocessors - expected_use_;
   }
+  // Counted processors of tasks that end by themselves.
+  std::int64_t passing_milliprocessors() const { return passing_use_; }
   // Images of tasks with a latency target, besides `image_index`.
   int OtherServingImages(int image_index) const;
 
@@ -139,6 +141,7 @@
   std::map<TaskRef, Run> runs_;
   Resources used_;
   std::int64_t expected_use_ = 0;    // Milliprocessors.
+  std::int64_t passing_use_ = 0;     // Milliprocessors.
   std::map<int, int> serving_runs_;  // By image index.
   bool clock_known_ = false;
   WorkerClock clock_{};
--- /dev/null
+++ b/packages/jobs/tests/job_log_test.cc
@@ -0,0 +1,208 @@
+#include <catch2/catch.hpp>
+
+#include "batch_writer.h"
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/jobs/job_ledger.h"
+#include "cactusshelf/jobs/queue_table.h"
+#include "stream_follower.h"
+
+// The job log: records, their fold, appends and reads.
+namespace cactusshelf::jobs {
+namespace {
+
+using job_event::AppendDone;
+using job_event::AppendOutcome;
+using std::chrono::milliseconds;
+
+const Time kStart{std::chrono::seconds(10)};
+const JobKey kKey("0123456789abcdef");
+
+SubmittedJob FullJob() {
+  StepSpec step;
+  step.count = 3;
+  step.need = {1500, std::int64_t{1} << 30, 2};
+  step.estimate = milliseconds(900);
+  step.checkpointing = true;
+  step.gang = true;
+  step.same_rack = true;
+  step.required_label = "a";
+  step.preferred_rack = "r1";
+  step.max_per_worker = 2;
+  step.image = "img";
+  step.latency_target = milliseconds(50);
+  step.max_unavailable = 1;
+  SubmittedJob job;
+  job.key = kKey;
+  job.queue = {"q", "pool", 2, 4, 1.5, milliseconds(300)};
+  job.spec.payload = "payload";
+  job.spec.steps = {step, step};
+  job.spec.steps[1].depends_on = {0};
+  job.spec.occurrences = 4;
+  job.spec.period = std::chrono::seconds(60);
+  return job;
+}
+
+AppendDone Answer(const job_effect::Append& append, AppendOutcome outcome) {
+  AppendDone done;
+  done.append = append.append;
+  done.outcome = outcome;
+  return done;
+}
+
+KeyedRecord Claim(const std::string& host, std::int64_t generation, std::int64_t offset) {
+  OwnerRecord owner;
+  owner.host = host;
+  owner.member = host + "/1";
+  owner.generation = generation;
+  KeyedRecord record = Encode(owner);
+  record.offset = offset;
+  return record;
+}
+
+void Apply(JobLedger& ledger, const KeyedRecord& record) {
+  ledger.Apply(DecodeJobLogRecord(record), record.offset);
+}
+
+}  // namespace
+
+TEST_CASE("a submission survives being stored") {
+  const auto decoded = std::get<SubmittedJob>(DecodeJobLogRecord(Encode(FullJob())));
+  const StepSpec& step = decoded.spec.steps.at(1);
+  CHECK(decoded.key == kKey);
+  CHECK(decoded.queue.stretch == 1.5);
+  CHECK(decoded.spec.occurrences == 4);
+  CHECK(step.need == FullJob().spec.steps[1].need);
+  CHECK(step.depends_on == std::vector<int>{0});
+  CHECK((step.gang && step.same_rack && step.checkpointing && !step.best_effort));
+  CHECK(step.latency_target == milliseconds(50));
+}
+
+TEST_CASE("records of other writers are refused and not guessed at") {
+  CHECK_THROWS_AS(DecodeJobLogRecord({"", "x", 0}), DecodeError);
+  CHECK_THROWS_AS(DecodeJobLogRecord({"x/abc", "\x80", 0}), DecodeError);
+  CHECK_THROWS_AS(DecodeJobLogRecord({"j/abc", "\xff\xff", 0}), DecodeError);
+  CHECK_THROWS_AS(DecodeJobLogRecord({"p/abc", "\x82\x18\x63\x80", 0}), DecodeError);
+  CHECK_THROWS_AS(DecodeJobLogRecord({"roster", "", 0}), DecodeError);
+}
+
+TEST_CASE("of two claims of one generation the first in the log holds, in whatever order read") {
+  // Guards against: a claim that was conditional on the end of the log lost to each submission.
+  const KeyedRecord first = Claim("b", 1, 10);
+  const KeyedRecord second = Claim("a", 1, 11);
+  JobLedger forward;
+  Apply(forward, first);
+  Apply(forward, second);
+  JobLedger backward;
+  Apply(backward, second);
+  Apply(backward, first);
+  CHECK(forward.owner().host == "b");
+  CHECK(backward.owner().host == "b");
+  CHECK(forward.owner().epoch == 11);
+}
+
+TEST_CASE("the owner's own records keep it the owner against a later claim of its generation") {
+  JobLedger ledger;
+  Apply(ledger, Claim("b", 1, 10));
+  Apply(ledger, Claim("a", 1, 11));
+  OwnerRecord heartbeat = ledger.owner();
+  KeyedRecord record = Encode(heartbeat);
+  record.offset = 50;
+  Apply(ledger, record);
+  CHECK(ledger.owner().host == "b");
+  CHECK(ledger.owner().epoch == 11);
+  Apply(ledger, Claim("a", 2, 60));
+  CHECK(ledger.owner().host == "a");
+  CHECK(ledger.owner().epoch == 61);
+}
+
+TEST_CASE("a dropped job is unknown, a repeated submission changes nothing") {
+  JobLedger ledger;
+  Apply(ledger, Encode(FullJob()));
+  Apply(ledger, Encode(CancelRecord{kKey}));
+  Apply(ledger, Encode(FullJob()));
+  REQUIRE(ledger.Find(kKey) != nullptr);
+  CHECK(JobLedger::StateOf(*ledger.Find(kKey)) == JobState::kCancelled);
+  for (const KeyedRecord& record : EncodeDrop(kKey)) Apply(ledger, record);
+  CHECK(ledger.Find(kKey) == nullptr);
+}
+
+TEST_CASE("an append without an answer is repeated with its sequence number until it is known") {
+  BatchWriter writer("p", 1, 0, 100, BatchWriter::Persistence::kMayRefuse);
+  writer.Begin({{"k", "v", 0}}, kStart);
+  const auto first = writer.Next(kStart);
+  REQUIRE(first);
+  CHECK(writer.OnDone(Answer(*first, AppendOutcome::kNoAnswer), kStart) ==
+        BatchWriter::Result::kRetry);
+  CHECK(writer.unanswered());
+  const auto second = writer.Next(kStart + milliseconds(200));
+  REQUIRE(second);
+  CHECK(second->sequence == first->sequence);
+  CHECK(second->append != first->append);
+  // A refusal says nothing of the append that was not answered.
+  CHECK(writer.OnDone(Answer(*second, AppendOutcome::kRefused), kStart + milliseconds(210)) ==
+        BatchWriter::Result::kRetry);
+  const auto third = writer.Next(kStart + milliseconds(500));
+  REQUIRE(third);
+  CHECK(writer.OnDone(Answer(*third, AppendOutcome::kDone), kStart + milliseconds(510)) ==
+        BatchWriter::Result::kStored);
+  CHECK_FALSE(writer.busy());
+}
+
+TEST_CASE("a refused batch is given up, but not by the owner") {
+  BatchWriter desk("p", 1, 0, 100, BatchWriter::Persistence::kMayRefuse);
+  BatchWriter owner("owner", 7, 0, 200, BatchWriter::Persistence::kUntilStored);
+  for (BatchWriter* it : {&desk, &owner}) it->Begin({{"k", "v", 0}}, kStart);
+  const auto from_desk = desk.Next(kStart);
+  const auto from_owner = owner.Next(kStart);
+  CHECK(desk.OnDone(Answer(*from_desk, AppendOutcome::kRefused), kStart) ==
+        BatchWriter::Result::kRefused);
+  CHECK(owner.OnDone(Answer(*from_owner, AppendOutcome::kRefused), kStart) ==
+        BatchWriter::Result::kRetry);
+}
+
+TEST_CASE("a follower starts again from the newest records when those it wants are gone") {
+  StreamFollower follower(Stream::kJobs);
+  follower.SetPace(milliseconds(100), {});
+  REQUIRE(std::holds_alternative<job_effect::ReadNewest>(*follower.Next(kStart)));
+  job_event::StreamRead page;
+  page.newest = true;
+  page.outcome = ReadOutcome::kDone;
+  page.next = 20;
+  page.has_more = true;
+  page.last_key = "m";
+  follower.OnRead(page, kStart);
+  const auto next = follower.Next(kStart);
+  REQUIRE(std::get<job_effect::ReadNewest>(*next).after_key == "m");
+  page.next = 25;
+  page.has_more = false;
+  follower.OnRead(page, kStart);
+  // What changed between the pages is read again.
+  CHECK(std::get<job_effect::ReadRecords>(*follower.Next(kStart)).from == 20);
+  job_event::StreamRead trimmed;
+  trimmed.outcome = ReadOutcome::kTrimmed;
+  follower.OnRead(trimmed, kStart);
+  CHECK_FALSE(follower.loaded());
+  CHECK(std::holds_alternative<job_effect::ReadNewest>(*follower.Next(kStart)));
+}
+
+TEST_CASE("the longest prefix of a path selects the queue, and the host's port does not matter") {
+  QueueRoute shorter{"h.example", "/a/", {}};
+  QueueRoute longer{"h.example", "/a/b/", {}};
+  shorter.policy.name = "shorter";
+  longer.policy.name = "longer";
+  const QueueTable table(3, {shorter, longer});
+  CHECK(table.Find("h.example:80", "/a/b/0").route->policy.name == "longer");
+  CHECK(table.Find("h.example", "/a/0").rest == "0");
+  CHECK(table.Find("other", "/a/0").route == nullptr);
+  CHECK(table.Find("h.example", "/c").route == nullptr);
+}
+
+TEST_CASE("a task's name is read back or refused") {
+  const TaskRef ref{kKey, {1, 2, 33}};
+  CHECK(ParseTaskRef(ToString(ref)) == ref);
+  for (const char* text : {"", "abc", "abc.1.2", "abc.1.2.x", "abc.1.2.3.4", "abc.1.-2.3"}) {
+    CHECK_THROWS_AS(ParseTaskRef(text), DecodeError);
+  }
+}
+
+}  // namespace cactusshelf::jobs
--- a/packages/jobs/tests/job_world.cc
+++ b/packages/jobs/tests/job_world.cc
@@ -299,7 +299,7 @@
 JobKey JobWorld::Submit(JobSpec spec) {
   std::string digits = "0000000000000000";
   for (char& c : digits) c = "0123456789abcdef"[random_.Below(16)];
-  const JobKey key(digits);
+  JobKey key(digits);
   jobs_[key].spec = std::move(spec);
   Request(key, Verb::kSubmit, 1);
   return key;
@@ -403,7 +403,7 @@
   now_ = end;
 }
 
-void JobWorld::Every(Duration WorldFaults::*period, std::function<void()> action) {
+void JobWorld::Every(Duration WorldFaults::*period, const std::function<void()>& action) {
   const Duration next = faults_.*period;
   if (next <= Duration::zero()) return;
   const auto delay =
--- a/packages/jobs/tests/job_world.h
+++ b/packages/jobs/tests/job_world.h
@@ -106,7 +106,7 @@
   void PerformOrder(int i, const Order& order, Call call, Done done);
   void Request(const JobKey& key, Verb verb, int tries);
   void ScheduleFaults();
-  void Every(Duration WorldFaults::*period, std::function<void()> action);
+  void Every(Duration WorldFaults::*period, const std::function<void()>& action);
   void CheckStart(const FakeWorker& worker, const StartOrder& order);
   void Violation(const std::string& text);
   FakeWorker* FindWorker(const std::string& id);
--- a/packages/jobs/tests/job_world_test.cc
+++ b/packages/jobs/tests/job_world_test.cc
@@ -21,6 +21,12 @@
   return spec;
 }
 
+std::vector<JobKey> SubmitMany(JobWorld& world, std::size_t n) {
+  std::vector<JobKey> keys(n);
+  for (JobKey& key : keys) key = world.Submit(TwoSteps());
+  return keys;
+}
+
 JobSpec Lasting(int count) {
   JobSpec spec = SimpleJob(count, 1500);
   spec.steps.front().long_running = true;
@@ -58,11 +64,10 @@
   JobWorld world(1, 3, 4, {});
   world.RunFor(seconds(3));
   REQUIRE(world.owners() == 1);
-  std::vector<JobKey> keys;
-  for (int i = 0; i < 20; ++i) keys.push_back(world.Submit(TwoSteps()));
+  const std::vector<JobKey> keys = SubmitMany(world, 20);
   world.RunFor(seconds(30));
   for (const JobKey& key : keys) CHECK(world.StateOf(key) == JobState::kCompleted);
-  CHECK(world.starts() == 20 * 6);
+  CHECK(world.starts() == keys.size() * 6);
   CheckNothingViolated(world);
 }
 
@@ -140,12 +145,50 @@
   CheckNothingViolated(world);
 }
 
+TEST_CASE("workers that are gone for good delay one takeover, not each") {
+  // Guards against: the roster kept the names of workers that did not report to a new owner, and
+  // each later owner waited for them again (ctua-despacho, trouble-1: 6 s each).
+  JobWorld world(8, 3, 4, {});
+  world.RunFor(seconds(3));
+  world.Submit(Lasting(12));
+  world.RunFor(seconds(3));
+  world.store().UnlistWorker(world.worker(0).entry().id);
+  world.CutWorker(0, seconds(600));
+  world.KillAllNodes();
+  world.RunFor(seconds(12));
+  world.KillAllNodes();
+  world.RunFor(seconds(4));
+  const JobKey key = world.Submit(SimpleJob(1, 500));
+  world.RunFor(seconds(3));
+  CHECK(world.StateOf(key) == JobState::kCompleted);
+  CHECK(world.Log("takeover_complete").find("unreported=1") != std::string::npos);
+  CHECK(world.Log("unreported=1").find('\n') == world.Log("unreported=1").size() - 1);
+  CheckNothingViolated(world);
+}
+
+TEST_CASE("short tasks do not starve a long-running one that needs more room") {
+  // Guards against: room that became free went to short tasks in small pieces
+  // (caarg-grown, quiet-1: a lasting task waited 20 s).
+  JobWorld world(9, 2, 2, {});
+  world.RunFor(seconds(3));
+  for (int i = 0; i < 12; ++i) world.Submit(SimpleJob(8, 1000));
+  world.RunFor(milliseconds(300));
+  JobSpec wide = SimpleJob(1, 6000);
+  wide.steps.front().long_running = true;
+  const JobKey key = world.Submit(wide);
+  for (int i = 0; i < 40; ++i) {
+    world.Submit(SimpleJob(8, 1000));
+    world.RunFor(milliseconds(250));
+  }
+  CHECK(world.StateOf(key) == JobState::kRunning);
+  CheckNothingViolated(world);
+}
+
 TEST_CASE("many workers are divided into cells with owners of their own") {
   JobWorld world(7, 4, 120, {});
   world.RunFor(seconds(6));
   REQUIRE(world.CellsOfWorld() == 2);
-  std::vector<JobKey> keys;
-  for (int i = 0; i < 30; ++i) keys.push_back(world.Submit(TwoSteps()));
+  const std::vector<JobKey> keys = SubmitMany(world, 30);
   world.RunFor(seconds(20));
   for (const JobKey& key : keys) CHECK(world.StateOf(key) == JobState::kCompleted);
   world.KillAllNodes();
