--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -20,7 +20,7 @@
 constexpr double kLeastEffect = 0.012;
 constexpr double kHarmCost = 1.0;
 // Workers at a time that short tasks leave for waiting long-running ones.
-constexpr std::size_t kMaxReserved = 6;
+constexpr std::size_t kMaxReserved = 2;
 // A long-running task that has waited so long takes the reserve of short tasks rather than none.
 constexpr Duration kReservePatience = std::chrono::seconds(1);
 
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -11,7 +11,7 @@
 // A job that took so many times its objective earns its caller nothing any more.
 constexpr double kWorthlessAfter = 3.0;
 // A long-running task that has waited so long has a worker cleared for it.
-constexpr Duration kStarvingAfter = std::chrono::milliseconds(1500);
+constexpr Duration kStarvingAfter = std::chrono::milliseconds(2500);
 // A pass is made so often even if nothing is known to have changed: delays pass and jobs come due.
 constexpr Duration kForcedPlacementPeriod = std::chrono::milliseconds(100);
 
@@ -22,6 +22,10 @@
   auto operator<=>(const Rank&) const = default;
 };
 
+Time WaitingSince(const StepStatus& step, const TaskStatus& task) {
+  return std::max(step.ready_since, task.retry_at);
+}
+
 Rank RankOf(const TrackedJob& job, Time now) {
   const auto limit =
       std::chrono::duration<double, Duration::period>(job.objective) * kWorthlessAfter;
@@ -153,7 +157,8 @@
   request.job = job.job.get();
   request.task = task;
   request.service = ServiceOf(*job.job);
-  request.waited = now - job.StepOf(task).ready_since;
+  const StepStatus& step = job.StepOf(task);
+  request.waited = now - WaitingSince(step, step.tasks[static_cast<std::size_t>(task.index)]);
   request.image_index = neighbours_.ImageIndex(job.SpecOf(task).image);
   return request;
 }
