--- a/packages/daemon/include/cactusshelf/daemon/table_reader.h
+++ b/packages/daemon/include/cactusshelf/daemon/table_reader.h
@@ -79,6 +79,11 @@
   std::set<std::string, std::less<>> known_;
 };
 
+// Parses TOML `text` of the file named `file`. A fault is added to `findings`, and the table is
+// then empty. Thread-safe.
+std::optional<toml::table> ParseToml(std::string_view text, const std::string& file,
+                                     Findings& findings);
+
 }  // namespace cactusshelf
 
 #endif  // CACTUSSHELF_DAEMON_TABLE_READER_H_
--- a/packages/daemon/src/job_settings.cc
+++ b/packages/daemon/src/job_settings.cc
@@ -91,14 +91,9 @@
 JobSettings ParseJobSettings(std::string_view text, const std::string& file, Findings& findings) {
   JobSettings settings;
   settings.file = file;
-  toml::table root;
-  try {
-    root = toml::parse(text, file);
-  } catch (const toml::parse_error& error) {
-    const toml::source_position begin = error.source().begin;
-    findings.Add({file, begin.line, begin.column}, std::string(error.description()));
-    return settings;
-  }
+  const std::optional<toml::table> table = ParseToml(text, file, findings);
+  if (!table) return settings;
+  const toml::table& root = *table;
   TableReader reader(root, file, findings);
   std::string service;
   reader.Name("service", service);
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -172,14 +172,9 @@
 
 Settings ParseSettings(std::string_view text, const std::string& file, Findings& findings) {
   Settings settings;
-  toml::table root;
-  try {
-    root = toml::parse(text, file);
-  } catch (const toml::parse_error& error) {
-    const toml::source_position begin = error.source().begin;
-    findings.Add({file, begin.line, begin.column}, std::string(error.description()));
-    return settings;
-  }
+  const std::optional<toml::table> table = ParseToml(text, file, findings);
+  if (!table) return settings;
+  const toml::table& root = *table;
   TableReader reader(root, file, findings);
   ReadIdentity(reader, settings);
   ReadLogLevel(reader, findings, settings.log_level);
--- a/packages/daemon/src/table_reader.cc
+++ b/packages/daemon/src/table_reader.cc
@@ -251,4 +251,15 @@
   }
 }
 
+std::optional<toml::table> ParseToml(std::string_view text, const std::string& file,
+                                     Findings& findings) {
+  try {
+    return toml::parse(text, file);
+  } catch (const toml::parse_error& error) {
+    const toml::source_position begin = error.source().begin;
+    findings.Add({file, begin.line, begin.column}, std::string(error.description()));
+    return std::nullopt;
+  }
+}
+
 }  // namespace cactusshelf
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -25,6 +25,7 @@
   running_.erase(task);
   highest_ended_[task] = std::max(highest_ended_[task], run);
   ended_.push_back({next_end_++, task, run, end, ""});
+  if (end == RunEnd::kDone) done_.insert(task);
 }
 
 void FakeWorker::Advance(Time now) {
@@ -34,6 +35,8 @@
   }
   for (const auto& [task, end] : due) End(task, end);
   if (Clock(now) < lease_end_) return;
+  lapsed_after_.insert(done_.begin(), done_.end());
+  done_.clear();
   while (!running_.empty()) End(running_.begin()->first, RunEnd::kLapsed);
 }
 
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
   // Everything is gone; another incarnation answers from now on.
   void Crash(Time now);
 
+  // True if the lease has ended since a run of `task` ended as done.
+  bool LapsedAfter(const TaskRef& task) const { return lapsed_after_.contains(task); }
+
   const std::map<TaskRef, Active>& running() const { return running_; }
   // Highest acknowledged end.
   std::int64_t acknowledged() const { return acknowledged_; }
@@ -69,6 +73,8 @@
   std::map<TaskRef, Active> running_;
   std::map<TaskRef, std::int64_t> highest_ended_;  // Stopped or ended runs.
   std::vector<EndedRun> ended_;
+  std::set<TaskRef> done_;          // Since the lease last ended.
+  std::set<TaskRef> lapsed_after_;  // Done before that.
   std::int64_t next_end_ = 1;
   std::int64_t acknowledged_ = 0;
   WorkerClock lease_end_{};
--- a/packages/jobs/tests/job_world.h
+++ b/packages/jobs/tests/job_world.h
@@ -109,6 +109,8 @@
   void Every(Duration WorldFaults::*period, const std::function<void()>& action);
   void CheckStart(const FakeWorker& worker, const StartOrder& order);
   void Violation(const std::string& text);
+  bool DoneIsKnown(const StartOrder& order);
+  job_event::AppendDone AppendNow(const job_effect::Append& append);
   FakeWorker* FindWorker(const std::string& id);
   Now Clock() const;
 
@@ -118,6 +120,7 @@
   std::priority_queue<Event> events_;
   std::uint64_t next_order_ = 0;
   FakeStore store_;
+  std::map<std::pair<int, std::int64_t>, Time> stored_at_;  // By cell and offset.
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
   std::map<std::string, Time> worker_cut_until_;
