--- a/packages/daemon/tests/job_settings_test.cc
+++ b/packages/daemon/tests/job_settings_test.cc
@@ -32,7 +32,8 @@
   Findings findings;
   const JobSettings settings =
       Parse(SettingsText() + "processors = 0.12\nworkers.lease = \"6s\"\n", findings);
-  CHECK(findings.Format() == "");
+  INFO(findings.Format());
+  CHECK(findings.empty());
   CHECK(settings.node.host == "h");
   CHECK(settings.node.scheduler.lease == std::chrono::seconds(6));
   CHECK(settings.node.standby_delay > Duration::zero());
--- a/packages/jobs/tests/job_log_test.cc
+++ b/packages/jobs/tests/job_log_test.cc
@@ -14,8 +14,9 @@
 using job_event::AppendOutcome;
 using std::chrono::milliseconds;
 
-const Time kStart{std::chrono::seconds(10)};
-const JobKey kKey("0123456789abcdef");
+constexpr Time kStart{std::chrono::seconds(10)};
+
+JobKey Key() { return JobKey("0123456789abcdef"); }
 
 SubmittedJob FullJob() {
   StepSpec step;
@@ -32,7 +33,7 @@
   step.latency_target = milliseconds(50);
   step.max_unavailable = 1;
   SubmittedJob job;
-  job.key = kKey;
+  job.key = Key();
   job.queue = {"q", "pool", 2, 4, 1.5, milliseconds(300)};
   job.spec.payload = "payload";
   job.spec.steps = {step, step};
@@ -68,7 +69,7 @@
 TEST_CASE("a submission survives being stored") {
   const auto decoded = std::get<SubmittedJob>(DecodeJobLogRecord(Encode(FullJob())));
   const StepSpec& step = decoded.spec.steps.at(1);
-  CHECK(decoded.key == kKey);
+  CHECK(decoded.key == Key());
   CHECK(decoded.queue.stretch == 1.5);
   CHECK(decoded.spec.occurrences == 4);
   CHECK(step.need == FullJob().spec.steps[1].need);
@@ -118,12 +119,12 @@
 TEST_CASE("a dropped job is unknown, a repeated submission changes nothing") {
   JobLedger ledger;
   Apply(ledger, Encode(FullJob()));
-  Apply(ledger, Encode(CancelRecord{kKey}));
+  Apply(ledger, Encode(CancelRecord{Key()}));
   Apply(ledger, Encode(FullJob()));
-  REQUIRE(ledger.Find(kKey) != nullptr);
-  CHECK(JobLedger::StateOf(*ledger.Find(kKey)) == JobState::kCancelled);
-  for (const KeyedRecord& record : EncodeDrop(kKey)) Apply(ledger, record);
-  CHECK(ledger.Find(kKey) == nullptr);
+  REQUIRE(ledger.Find(Key()) != nullptr);
+  CHECK(JobLedger::StateOf(*ledger.Find(Key())) == JobState::kCancelled);
+  for (const KeyedRecord& record : EncodeDrop(Key())) Apply(ledger, record);
+  CHECK(ledger.Find(Key()) == nullptr);
 }
 
 TEST_CASE("an append without an answer is repeated with its sequence number until it is known") {
@@ -198,7 +199,7 @@
 }
 
 TEST_CASE("a task's name is read back or refused") {
-  const TaskRef ref{kKey, {1, 2, 33}};
+  const TaskRef ref{Key(), {1, 2, 33}};
   CHECK(ParseTaskRef(ToString(ref)) == ref);
   for (const char* text : {"", "abc", "abc.1.2", "abc.1.2.x", "abc.1.2.3.4", "abc.1.-2.3"}) {
     CHECK_THROWS_AS(ParseTaskRef(text), DecodeError);
--- a/packages/jobs/tests/job_world.cc
+++ b/packages/jobs/tests/job_world.cc
@@ -233,7 +233,7 @@
 
 job_event::AppendDone JobWorld::AppendNow(const job_effect::Append& append) {
   const auto first = static_cast<std::int64_t>(store_.log(append.cell).size());
-  const job_event::AppendDone done = store_.Append(append);
+  job_event::AppendDone done = store_.Append(append);
   const auto end = static_cast<std::int64_t>(store_.log(append.cell).size());
   for (std::int64_t i = first; i < end; ++i) stored_at_[{append.cell, i}] = now_;
   return done;
--- a/packages/jobs/tests/neighbours_test.cc
+++ b/packages/jobs/tests/neighbours_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const Time kStart{seconds(100)};
+constexpr Time kStart{seconds(100)};
 constexpr double kStrongEffect = 0.06;  // Pressure a processor.
 
 // A worker with one serving task and one best-effort task of two processors.
