--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -162,7 +162,7 @@
       } else if (releasing_) {
         StepDown("released", now);
       } else {
-        scheduler_->OnStored(batch_in_flight_, now);
+        if (batch_in_flight_ != 0) scheduler_->OnStored(std::exchange(batch_in_flight_, 0), now);
       }
       return;
     case BatchWriter::Result::kFenced:
@@ -367,7 +367,6 @@
     releasing_ = true;
   } else if (layout_to_store_ > 0 && ledger_.layout() == 0) {
     records.push_back(Encode(LayoutRecord{std::exchange(layout_to_store_, 0)}));
-    batch_in_flight_ = 0;
   } else if (scheduler_->has_changes() && pause >= options_.store_period) {
     auto batch = scheduler_->TakeChanges();
     batch_in_flight_ = batch->id;
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -115,7 +115,7 @@
   // While this process is the owner.
   std::unique_ptr<Scheduler> scheduler_;
   OwnerRecord ownership_;
-  std::uint64_t batch_in_flight_ = 0;
+  std::uint64_t batch_in_flight_ = 0;  // 0: none of the scheduler.
   bool releasing_ = false;
   bool gained_ = false;
   int layout_to_store_ = 0;
