--- a/packages/jobs/include/cactusshelf/jobs/worker_calls.h
+++ b/packages/jobs/include/cactusshelf/jobs/worker_calls.h
@@ -130,13 +130,15 @@
   CallId call{};
   std::string worker;
   OrderOutcome outcome = OrderOutcome::kNoAnswer;
-  HoldReport report;  // If the outcome is kDone.
+  std::string reason;  // Of an outcome other than kDone.
+  HoldReport report;   // If the outcome is kDone.
 };
 
 struct OrderAnswer {
   CallId call{};
   std::string worker;
   OrderOutcome outcome = OrderOutcome::kNoAnswer;
+  std::string reason;  // Of an outcome other than kDone.
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -38,6 +38,7 @@
       Log(LogEvent(LogLevel::kWarning, "worker_lost")
               .With("worker", order.worker)
               .With("reason", std::string(ToString(answer.outcome)))
+              .With("detail", answer.reason)
               .With("runs", worker->runs().size()));
     }
     counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
@@ -244,7 +245,8 @@
             .With("task", jobs::ToString(order.task))
             .With("run", order.run)
             .With("worker", order.worker)
-            .With("reason", std::string(ToString(answer.outcome))));
+            .With("reason", std::string(ToString(answer.outcome)))
+            .With("detail", answer.reason));
   }
   Run* run = worker->FindRun(order.task);
   if (run == nullptr || run->number != order.run) return;
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -64,7 +64,7 @@
 
 OrderAnswer FakeWorker::Start(const StartOrder& order, Time now) {
   Advance(now);
-  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone};
+  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone, ""};
   if (!Accepts(order.token)) {
     answer.outcome = OrderOutcome::kFenced;
   } else if (order.lease_end <= Clock(now)) {
@@ -85,7 +85,7 @@
 
 OrderAnswer FakeWorker::Stop(const StopOrder& order, Time now) {
   Advance(now);
-  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone};
+  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone, ""};
   if (!Accepts(order.token)) {
     answer.outcome = OrderOutcome::kFenced;
     return answer;
@@ -99,7 +99,7 @@
 OrderAnswer FakeWorker::Pace(const PaceOrder& order, Time now) {
   Advance(now);
   const bool accepted = Accepts(order.token);
-  return {order.call, entry_.id, accepted ? OrderOutcome::kDone : OrderOutcome::kFenced};
+  return {order.call, entry_.id, accepted ? OrderOutcome::kDone : OrderOutcome::kFenced, ""};
 }
 
 void FakeWorker::Crash(Time now) {
--- a/packages/jobs/tests/job_world.cc
+++ b/packages/jobs/tests/job_world.cc
@@ -276,14 +276,14 @@
   const auto order_done = []<typename Event>(const auto& order,
                                              const std::optional<OrderAnswer>& answer) -> JobEvent {
     return Event{
-        answer.value_or(OrderAnswer{order.call, order.worker.id, OrderOutcome::kNoAnswer})};
+        answer.value_or(OrderAnswer{order.call, order.worker.id, OrderOutcome::kNoAnswer, ""})};
   };
   if (const auto* hold = std::get_if<HoldOrder>(&effect.order)) {
     PerformOrder(
         i, *hold, [](FakeWorker& w, const HoldOrder& o, Time t) { return w.Hold(o, t); },
         [](const HoldOrder& o, const std::optional<HoldAnswer>& a) -> JobEvent {
           return job_event::HoldDone{
-              a.value_or(HoldAnswer{o.call, o.worker.id, OrderOutcome::kNoAnswer, {}})};
+              a.value_or(HoldAnswer{o.call, o.worker.id, OrderOutcome::kNoAnswer, "", {}})};
         });
   } else if (const auto* start = std::get_if<StartOrder>(&effect.order)) {
     PerformOrder(
