After a pause, start nothing until the log or all workers confirm the owner

It now waits for a read of the log, or, while the store is away, for every listed worker to accept its token.

--- a/packages/jobs/src/entry_desk.cc
+++ b/packages/jobs/src/entry_desk.cc
@@ -179,6 +179,7 @@
   for (const Waiter& waiter : std::exchange(stored_, {})) {
     if (result == BatchWriter::Result::kStored) {
       const bool submitted = waiter.verb == Verb::kSubmit;
+      if (!submitted) cancelled_.push_back(waiter.key);
       Reply(waiter.caller, waiter.key, submitted ? ReplyKind::kAccepted : ReplyKind::kCancelled,
             waiter.arrived, now.monotonic, "offset " + std::to_string(done.offset));
     } else {
--- a/packages/jobs/src/entry_desk.h
+++ b/packages/jobs/src/entry_desk.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "batch_writer.h"
@@ -56,6 +57,9 @@
   bool Owns(std::uint64_t append) const { return writer_.Owns(append); }
   void OnAppendDone(const job_event::AppendDone& done, const Now& now);
 
+  // Jobs whose cancellation was stored through this desk since the last call.
+  std::vector<JobKey> TakeCancelled() { return std::exchange(cancelled_, {}); }
+
   // Sends what is due and answers those whose time is up.
   void Decide(const Now& now);
 
@@ -104,6 +108,7 @@
   std::vector<Waiter> waiting_;  // Not handed to the store.
   std::vector<Waiter> stored_;   // In the batch in flight.
   std::vector<Reader> readers_;
+  std::vector<JobKey> cancelled_;
   bool store_usable_ = true;
   std::vector<JobEffect> effects_;
   Counters counters_;
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -79,6 +79,7 @@
 }
 
 void JobCell::OnPaused(const Now& now) {
+  paused_at_ = now.monotonic;
   follower_.Hurry(now.monotonic);
   if (scheduler_) scheduler_->OnPaused(now);
 }
@@ -102,6 +103,7 @@
   refresh_ = false;
   election_.OnRead(owner_active, now.monotonic);
   if (scheduler_ && ledger_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
+  if (scheduler_ && follower_.fresh_at() >= paused_at_) scheduler_->ConfirmOwner();
   AdvanceCandidacy(state, now);
   desk_.OnLedgerFresh(follower_.fresh_at(), now.monotonic);
 }
@@ -144,6 +146,10 @@
                            const Now& now) {
   if (desk_.Owns(done.append)) {
     desk_.OnAppendDone(done, now);
+    // The owner need not read what it has just stored; it may be cut off before it can.
+    for (const JobKey& key : desk_.TakeCancelled()) {
+      if (scheduler_) scheduler_->OnCancel(key, now);
+    }
   } else if (done.append == claim_append_) {
     OnClaimDone(done, state, now);
   } else if (owner_writer_ && owner_writer_->Owns(done.append)) {
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -101,6 +101,7 @@
   Counters counters_;
   std::vector<JobEffect> effects_;
   bool refresh_ = false;
+  Time paused_at_;
   bool several_cells_ = false;
 
   Candidacy candidacy_ = Candidacy::kNone;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -80,6 +80,7 @@
 }
 
 void Scheduler::OnPaused(const Now& now) {
+  in_doubt_ = true;
   for (auto& [id, worker] : workers_) {
     worker.visited = false;
     worker.next_hold = now.monotonic;
@@ -102,7 +103,10 @@
   CheckTakeover(now);
   StopRunsOnLeavingWorkers();
   SendStops(now);
-  if (now.monotonic >= next_placement_ && !fenced_) Place(now);
+  // Without the store, the workers' word that there is no higher token has to do.
+  if (in_doubt_ && AllListedVisited()) in_doubt_ = false;
+  const bool may_start = !fenced_ && !in_doubt_;
+  if (now.monotonic >= next_placement_ && may_start) Place(now);
   SendPaces(now);
   SendHolds(now);
 }
@@ -122,12 +126,15 @@
   }
 }
 
+bool Scheduler::AllListedVisited() const {
+  return !workers_.empty() && std::all_of(workers_.begin(), workers_.end(), [](const auto& it) {
+    return it.second.visited || !it.second.listed;
+  });
+}
+
 void Scheduler::CheckTakeover(const Now& now) {
   if (!taking_over_) return;
-  const bool all_reported = unreported_.empty() && !workers_.empty() &&
-                            std::all_of(workers_.begin(), workers_.end(), [](const auto& it) {
-                              return it.second.visited || !it.second.listed;
-                            });
+  const bool all_reported = unreported_.empty() && AllListedVisited();
   if (!all_reported && now.monotonic < takeover_end_) return;
   taking_over_ = false;
   tracker_.AllRunsSeen();
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -55,6 +55,9 @@
   // has to confirm the token before anything starts there.
   void OnPaused(const Now& now);
 
+  // Nobody else owned the workers when the log was read after the last pause.
+  void ConfirmOwner() { in_doubt_ = false; }
+
   // Service of a queue, as in force now.
   void SetQueueService(const std::string& queue, const std::string& service);
 
@@ -99,6 +102,7 @@
   void LoseAllRuns(WorkerState& worker, std::string_view reason, const Now& now);
   void ForgetLapsed(const Now& now);
   void CheckTakeover(const Now& now);
+  bool AllListedVisited() const;
 
   void SendHolds(const Now& now);
   void SendHold(WorkerState& worker, const Now& now);
@@ -156,6 +160,9 @@
   bool roster_changed_ = false;
   std::map<std::uint64_t, std::vector<std::string>> roster_batches_;
   bool fenced_ = false;
+  // The process stood still, and neither the log nor the workers have said since that it is still
+  // the owner. Nothing starts meanwhile.
+  bool in_doubt_ = false;
   Time next_review_;
   Time next_placement_;
   Time forced_placement_;
--- a/packages/jobs/tests/job_world.h
+++ b/packages/jobs/tests/job_world.h
@@ -134,6 +134,9 @@
   };
   std::map<CallerId, Waiting> waiting_;
   std::map<JobKey, JobState> states_;
+  // Of the order that a worker carries out now.
+  Time order_sent_;
+  bool sender_in_touch_ = true;
   std::uint64_t starts_ = 0;
   std::vector<std::string> violations_;
   std::vector<std::string> log_;
