Remove repeated and dead code of the job service

The bound below which an effect is noise stood in the placer and in the pace control; it now stands beside the model. Late requests of all kinds are answered by one loop; jobs of an earlier owner are added in one place, cancelled or not; the workers that have not reported are a set; an unused accessor is gone.

--- a/packages/jobs/src/entry_desk.cc
+++ b/packages/jobs/src/entry_desk.cc
@@ -191,14 +191,12 @@
 
 void EntryDesk::Decide(const Now& now) {
   const Time time = now.monotonic;
-  const auto answer_late = [&](std::vector<Waiter>& waiters, ReplyKind kind) {
-    std::vector<Waiter> late;
-    std::erase_if(waiters, [&](const Waiter& it) {
+  const auto answer_late = [&](auto& waiters, ReplyKind kind) {
+    std::erase_if(waiters, [&](const auto& it) {
       if (time < it.deadline) return false;
-      late.push_back(it);
+      Reply(it.caller, it.key, kind, it.arrived, time, "timeout");
       return true;
     });
-    for (const Waiter& it : late) Reply(it.caller, it.key, kind, it.arrived, time, "timeout");
   };
   answer_late(waiting_, ReplyKind::kNotAccepted);
   answer_late(stored_, ReplyKind::kUnknown);
@@ -207,15 +205,7 @@
       Reply(it.caller, it.key, ReplyKind::kNotAccepted, it.arrived, time, "store_blocked");
     }
   }
-  std::vector<Reader> late;
-  std::erase_if(readers_, [&](const Reader& it) {
-    if (time < it.deadline) return false;
-    late.push_back(it);
-    return true;
-  });
-  for (const Reader& it : late) {
-    Reply(it.caller, it.key, ReplyKind::kNotAccepted, it.arrived, time, "timeout");
-  }
+  answer_late(readers_, ReplyKind::kNotAccepted);
   if (!writer_.busy() && !waiting_.empty()) BeginBatch(now);
   if (auto append = writer_.Next(time)) effects_.emplace_back(std::move(*append));
 }
--- a/packages/jobs/src/neighbour_model.h
+++ b/packages/jobs/src/neighbour_model.h
@@ -18,6 +18,9 @@
 // Pressure at which a task just meets its latency target.
 inline constexpr double kPressureAtTarget = 0.8;
 
+// Effects of one image on another below this are taken for noise.
+inline constexpr double kLeastEffect = 0.012;
+
 // Processors that best-effort tasks use on one worker, by image.
 using FillUse = std::map<int, double>;
 
--- a/packages/jobs/src/pace_control.cc
+++ b/packages/jobs/src/pace_control.cc
@@ -15,8 +15,6 @@
 constexpr int kLowestPace = 10;      // Percent; below this the run is paused.
 // Pressure that best-effort neighbours may bring a serving task to.
 constexpr double kPressureGoal = 0.73;
-// Effects below this are taken for noise.
-constexpr double kLeastEffect = 0.012;
 // A pressure that was seen is expected to return within this time, as loads go up and down.
 constexpr Duration kPeakMemory = seconds(10);
 // The model may be wrong: after so long above the target every neighbour is suspect and pauses.
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -16,8 +16,6 @@
 constexpr double kMinIdleShare = 0.8;
 // Pressure that a best-effort task may bring a serving neighbour to.
 constexpr double kPressureLimit = 0.71;
-// Effects below this are taken for noise.
-constexpr double kLeastEffect = 0.012;
 constexpr double kHarmCost = 1.0;
 // Workers at a time that short tasks leave for waiting long-running ones.
 constexpr std::size_t kMaxReserved = 2;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -29,15 +29,11 @@
   takeover_end_ = now.monotonic + notice + std::chrono::duration_cast<Duration>(slow);
   for (const auto& [key, entry] : ledger.entries()) {
     if (entry.job == nullptr) continue;
-    if (IsFinal(JobLedger::StateOf(entry)) && !IsFinal(entry.progress.state)) {
-      // The cancellation is stored, its effect not yet.
-      tracker_.Add(entry.job, entry.progress, taking_over_, now.monotonic);
-      tracker_.Cancel(key);
-      continue;
-    }
     tracker_.Add(entry.job, entry.progress, taking_over_, now.monotonic);
+    // The cancellation may be stored, and its effect not yet.
+    if (entry.cancelled) tracker_.Cancel(key);
   }
-  for (const std::string& id : ledger.roster()) unreported_.emplace(id, true);
+  unreported_.insert(ledger.roster().begin(), ledger.roster().end());
 }
 
 WorkerState* Scheduler::FindWorker(const std::string& id) {
@@ -163,7 +159,7 @@
     for (const auto& [id, worker] : workers_) {
       if (worker.visited || !worker.HasLapsed({})) roster.workers.push_back(id);
     }
-    for (const auto& [id, unused] : unreported_) {
+    for (const std::string& id : unreported_) {
       if (!workers_.contains(id)) roster.workers.push_back(id);
     }
     batch.records.push_back(Encode(roster));
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -76,7 +77,6 @@
   bool fenced() const { return fenced_; }
 
   const Counters& counters() const { return counters_; }
-  std::size_t worker_count() const { return workers_.size(); }
 
  private:
   struct PendingOrder {
@@ -154,7 +154,7 @@
   std::uint64_t next_batch_ = 1;
   std::uint64_t stored_batch_ = 0;
   // Workers named by the stored roster of earlier owners that have not reported to this one.
-  std::map<std::string, bool> unreported_;
+  std::set<std::string> unreported_;
   bool taking_over_;
   Time takeover_end_;  // Orders of earlier owners have no effect after this time.
   bool roster_changed_ = false;
