--- a/packages/daemon/include/cactusshelf/daemon/job_shell.h
+++ b/packages/daemon/include/cactusshelf/daemon/job_shell.h
@@ -4,6 +4,7 @@
 #include <concepts>
 #include <deque>
 #include <functional>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -30,17 +31,24 @@
   ports.Send(order);
 };
 
+// Messages to other processes of the job service, best effort.
+template <typename T>
+concept JobPeerPort = requires(T& peers, const std::string& address, std::string bytes) {
+  peers.Send(address, std::move(bytes));
+};
+
 // Drives one job node: reports events to it one at a time and carries out its effects in order.
 // The arguments of the constructor outlive the shell. Not thread-safe.
-template <Clock C, JobPorts P>
+template <Clock C, JobPorts P, JobPeerPort Q>
 class JobShell {
  public:
   // `on_stop` runs when the node asks the process to end.
-  JobShell(jobs::JobNode& node, const C& clock, P& ports, BoundedLog& log, ShellMetrics& metrics,
-           std::function<void()> on_stop)
+  JobShell(jobs::JobNode& node, const C& clock, P& ports, Q& peers, BoundedLog& log,
+           ShellMetrics& metrics, std::function<void()> on_stop)
       : node_(node),
         clock_(clock),
         ports_(ports),
+        peers_(peers),
         log_(log),
         metrics_(metrics),
         on_stop_(std::move(on_stop)),
@@ -77,7 +85,7 @@
 
   void CarryOutEffects() {
     for (jobs::JobEffect& effect : node_.TakeEffects()) {
-      std::visit([this](const auto& value) { this->CarryOut(value); }, effect);
+      std::visit([this](auto& value) { this->CarryOut(value); }, effect);
     }
   }
 
@@ -95,6 +103,9 @@
   void CarryOut(const jobs::job_effect::ReadNewest& effect) { ports_.Read(effect); }
   void CarryOut(const jobs::job_effect::Append& effect) { ports_.Append(effect); }
   void CarryOut(const jobs::job_effect::Order& effect) { ports_.Send(effect.order); }
+  void CarryOut(jobs::job_effect::SendToPeer& effect) {
+    peers_.Send(effect.address, std::move(effect.bytes));
+  }
   void CarryOut(const jobs::job_effect::WriteLogEvent& effect) {
     log_.Write(clock_.Read().wall, effect.event);
   }
@@ -103,6 +114,7 @@
   jobs::JobNode& node_;
   const C& clock_;
   P& ports_;
+  Q& peers_;
   BoundedLog& log_;
   ShellMetrics& metrics_;
   std::function<void()> on_stop_;
--- a/packages/daemon/include/cactusshelf/daemon/job_daemon.h
+++ b/packages/daemon/src/job_daemon.h
@@ -11,6 +11,7 @@
 #include "cactusshelf/daemon/job_settings.h"
 #include "cactusshelf/daemon/job_shell.h"
 #include "cactusshelf/daemon/unix_signals.h"
+#include "job_peers.h"
 
 namespace cactusshelf {
 
@@ -28,8 +29,12 @@
         ports_(
             settings, metrics_, [this](jobs::JobEvent event) { shell_.Post(std::move(event)); },
             [this] { return IsReady(); }),
+        peers_(settings, seed, metrics_,
+               [this](std::string bytes) {
+                 shell_.Post(jobs::job_event::PeerMessage{std::move(bytes)});
+               }),
         operators_(OperatorOptions(settings), MakePages(), metrics_, [](const NodeEvent&) {}),
-        shell_(node_, clock_, ports_, log, metrics_, [this] { OnStop(); }),
+        shell_(node_, clock_, ports_, peers_, log, metrics_, [this] { OnStop(); }),
         stop_timer_([this] { exit_code_ = 0; }),
         stop_signals_({SIGTERM, SIGINT}, [this] { OnSignal(); }),
         reload_signals_({SIGHUP}, std::move(on_reload)) {}
@@ -38,6 +43,7 @@
     Log(LogEvent(LogLevel::kInfo, "started")
             .With("member", settings.node.member)
             .With("callers", settings.caller_address)
+            .With("peers", settings.node.peer_address)
             .With("store", settings.store_address));
     shell_.Start();
   }
@@ -88,8 +94,9 @@
   std::optional<int> exit_code_;
   jobs::JobNode node_;
   P ports_;
+  JobPeers peers_;
   CallerServer operators_;
-  JobShell<SystemClock, P> shell_;
+  JobShell<SystemClock, P, JobPeers> shell_;
   WakeupTimer stop_timer_;
   UnixSignals stop_signals_;
   UnixSignals reload_signals_;
--- a/packages/daemon/src/job_settings.cc
+++ b/packages/daemon/src/job_settings.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kKiB = 1024;
 constexpr std::size_t kMiB = 1024 * kKiB;
 constexpr double kStrongHost = 0.2;  // Processors.
+constexpr double kMilli = 1000.0;
 constexpr double kMaxProcessors = 1024.0;
 constexpr Duration kWeakHostDelay = seconds(3);
 constexpr Duration kWeakHostFollowPeriod = milliseconds(3000);
@@ -23,6 +24,7 @@
   reader.Address("callers", settings.caller_address);
   reader.Address("readiness", settings.readiness_address);
   reader.Address("metrics", settings.metrics_address);
+  reader.Address("peers", settings.node.peer_address);
   reader.ReportUnknown();
 }
 
@@ -60,6 +62,7 @@
 void ReadProcessors(TableReader& reader, JobSettings& settings) {
   double processors = kStrongHost;
   reader.Real("processors", 0.0, kMaxProcessors, processors);
+  settings.node.milliprocessors = static_cast<int>(processors * kMilli);
   if (processors >= kStrongHost) return;
   settings.node.standby_delay = kWeakHostDelay;
   settings.node.follow_period = kWeakHostFollowPeriod;
@@ -111,6 +114,7 @@
   reader.ReportUnknown();
   CheckTogether(reader, settings, findings);
   settings.node.host = settings.host_name;
+  settings.node.domain = settings.domain;
   return settings;
 }
 
--- a/packages/daemon/src/program.h
+++ b/packages/daemon/src/program.h
@@ -11,10 +11,10 @@
 #include <variant>
 
 #include "cactusshelf/base/errors.h"
-#include "cactusshelf/daemon/job_daemon.h"
 #include "cactusshelf/daemon/node_concept.h"
 #include "cactusshelf/daemon/settings.h"
 #include "daemon.h"
+#include "job_daemon.h"
 
 namespace cactusshelf {
 
--- a/packages/jobs/include/cactusshelf/jobs/job_event.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_event.h
@@ -95,6 +95,11 @@
   OrderAnswer answer;
 };
 
+// Bytes that another process sent with SendToPeer.
+struct PeerMessage {
+  std::string bytes;
+};
+
 struct Timer {};
 
 // The process is to end after a graceful shutdown.
@@ -105,7 +110,7 @@
 using JobEvent = std::variant<job_event::CallerRequest, job_event::CallerGone,
                               job_event::StreamRead, job_event::AppendDone, job_event::HoldDone,
                               job_event::StartDone, job_event::StopDone, job_event::PaceDone,
-                              job_event::Timer, job_event::DrainRequested>;
+                              job_event::PeerMessage, job_event::Timer, job_event::DrainRequested>;
 
 enum class ReplyKind : std::uint8_t {
   kAccepted,
@@ -159,6 +164,12 @@
   WorkerOrder order;
 };
 
+// Best effort: the message may be lost, or arrive late.
+struct SendToPeer {
+  std::string address;
+  std::string bytes;
+};
+
 struct WriteLogEvent {
   LogEvent event;
 };
@@ -168,8 +179,8 @@
 }  // namespace job_effect
 
 using JobEffect = std::variant<job_effect::Reply, job_effect::ReadRecords, job_effect::ReadNewest,
-                               job_effect::Append, job_effect::Order, job_effect::WriteLogEvent,
-                               job_effect::Stop>;
+                               job_effect::Append, job_effect::Order, job_effect::SendToPeer,
+                               job_effect::WriteLogEvent, job_effect::Stop>;
 
 }  // namespace cactusshelf::jobs
 
--- a/packages/jobs/include/cactusshelf/jobs/job_ledger.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_ledger.h
@@ -38,6 +38,8 @@
   // The present owner, with its epoch; of generation 0 if there was none.
   const OwnerRecord& owner() const { return owner_; }
   const std::vector<std::string>& roster() const { return roster_; }
+  // Entry hosts that ever announced themselves, by name. Only the first cell's log holds them.
+  const std::map<std::string, HostRecord>& hosts() const { return hosts_; }
   // Number of cells; 0 while it is not decided. Only the first cell's log holds it.
   int layout() const { return layout_; }
 
@@ -45,6 +47,7 @@
   void ApplyRecord(OwnerRecord record, std::int64_t offset);
   void ApplyRecord(RosterRecord record, std::int64_t offset);
   void ApplyRecord(const LayoutRecord& record, std::int64_t offset);
+  void ApplyRecord(HostRecord record, std::int64_t offset);
   void ApplyRecord(SubmittedJob record, std::int64_t offset);
   void ApplyRecord(const CancelRecord& record, std::int64_t offset);
   void ApplyRecord(ProgressRecord record, std::int64_t offset);
@@ -58,6 +61,7 @@
   std::map<std::string, Claim> claims_;  // The newest of each host.
   OwnerRecord owner_;
   std::vector<std::string> roster_;
+  std::map<std::string, HostRecord> hosts_;
   int layout_ = 0;
 };
 
--- a/packages/jobs/include/cactusshelf/jobs/job_node.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_node.h
@@ -14,6 +14,14 @@
 struct JobNodeOptions {
   std::string host;    // Name of this entry host.
   std::string member;  // Name of this process, unique over restarts.
+  // Where other processes reach this one. Empty: it takes no part in relaying orders.
+  std::string peer_address;
+  std::string domain;         // Failure domain.
+  int milliprocessors = 200;  // Of this host.
+  // One owner schedules so many workers; beyond that there are several cells of fewer, each with
+  // an owner. A cell that is full cannot use the room of another, so cells are large.
+  std::size_t workers_of_one_cell = 640;
+  std::size_t workers_of_each_cell = 400;
   SchedulerOptions scheduler;
   // Between two reads of the job log by a process that is not the owner.
   Duration follow_period = std::chrono::milliseconds(300);
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -40,6 +40,15 @@
   int cells = 0;
 };
 
+// An entry host that passes on orders of owners to workers. It stays after the host has gone.
+struct HostRecord {
+  std::string host;
+  std::string peer_address;
+  std::string domain;
+  int milliprocessors = 0;
+  friend bool operator==(const HostRecord&, const HostRecord&) = default;
+};
+
 struct CancelRecord {
   JobKey key;
 };
@@ -54,13 +63,14 @@
   JobKey key;
 };
 
-using JobLogRecord = std::variant<OwnerRecord, RosterRecord, LayoutRecord, SubmittedJob,
+using JobLogRecord = std::variant<OwnerRecord, RosterRecord, LayoutRecord, HostRecord, SubmittedJob,
                                   CancelRecord, ProgressRecord, DropRecord>;
 
 // Thread-safe.
 KeyedRecord Encode(const OwnerRecord& record);
 KeyedRecord Encode(const RosterRecord& record);
 KeyedRecord Encode(const LayoutRecord& record);
+KeyedRecord Encode(const HostRecord& record);
 KeyedRecord Encode(const SubmittedJob& record);
 KeyedRecord Encode(const CancelRecord& record);
 KeyedRecord Encode(const ProgressRecord& record);
--- /dev/null
+++ b/packages/jobs/include/cactusshelf/jobs/relay_messages.h
@@ -0,0 +1,66 @@
+#ifndef CACTUSSHELF_JOBS_RELAY_MESSAGES_H_
+#define CACTUSSHELF_JOBS_RELAY_MESSAGES_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cactusshelf/jobs/job_event.h"
+
+// Messages between an owner and the entry hosts that pass its orders on to workers, the relays.
+namespace cactusshelf::jobs {
+
+// Time by the clocks of a relay. The steady clock does not count a suspension of the host, and the
+// time of day may be set, so both are kept.
+struct RelayStamp {
+  Duration steady{};
+  std::chrono::milliseconds wall{};
+  friend bool operator==(const RelayStamp&, const RelayStamp&) = default;
+};
+
+// From the owner. Without orders it asks the relay for a sign of life.
+struct OrderBatch {
+  std::string owner_address;  // Where the answers go.
+  // The last stamp that the owner received, by which the relay sees how old the batch may be.
+  std::optional<RelayStamp> echo;
+  std::vector<WorkerOrder> orders;
+};
+
+using WorkerAnswer = std::variant<job_event::HoldDone, job_event::StartDone, job_event::StopDone,
+                                  job_event::PaceDone>;
+
+// From the relay.
+struct AnswerBatch {
+  std::string host;
+  RelayStamp stamp;
+  bool leaving = false;  // The relay is about to end and wants no more orders.
+  std::vector<WorkerAnswer> answers;
+};
+
+using RelayMessage = std::variant<OrderBatch, AnswerBatch>;
+
+// Thread-safe.
+std::string Encode(const OrderBatch& batch);
+std::string Encode(const AnswerBatch& batch);
+
+// Throws DecodeError for anything that Encode does not produce. Thread-safe.
+RelayMessage DecodeRelayMessage(std::string_view bytes);
+
+// The call that an order or an answer belongs to, and the worker.
+CallId CallOf(const WorkerOrder& order);
+CallId CallOf(const WorkerAnswer& answer);
+const WorkerTarget& TargetOf(const WorkerOrder& order);
+
+// The same with another call.
+void SetCall(WorkerOrder& order, CallId call);
+void SetCall(WorkerAnswer& answer, CallId call);
+
+// The answer to `order` when no worker gave one.
+WorkerAnswer MakeAnswer(const WorkerOrder& order, OrderOutcome outcome, const std::string& reason);
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_RELAY_MESSAGES_H_
--- a/packages/jobs/include/cactusshelf/jobs/worker_calls.h
+++ b/packages/jobs/include/cactusshelf/jobs/worker_calls.h
@@ -17,6 +17,13 @@
 
 enum class CallId : std::uint64_t {};
 
+// Addressee of an order.
+struct WorkerTarget {
+  std::string id;
+  std::string address;
+  std::string domain;  // Where the worker is; a relay near it is preferred.
+};
+
 // What the platform lists of a worker.
 struct WorkerEntry {
   std::string id;
@@ -28,12 +35,8 @@
   std::string rack;
   bool draining = false;
   std::int64_t incarnation = 0;
-};
 
-// Addressee of an order.
-struct WorkerTarget {
-  std::string id;
-  std::string address;
+  WorkerTarget Target() const { return {id, address, domain}; }
 };
 
 // Raises the worker's fencing token, renews the lease of all that runs there, forgets ends that
@@ -122,6 +125,7 @@
   kRejected,       // Refused without effect for another reason.
   kOtherInstance,  // Another incarnation answered.
   kNoAnswer,       // It may have been carried out, or may be later.
+  kRelaySilent,    // The same, since the host that passed the order on does not answer.
 };
 
 std::string_view ToString(OrderOutcome outcome);
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -122,6 +122,7 @@
       over_since_.erase(dropped->key);
       if (scheduler_) scheduler_->OnForgotten(dropped->key);
     }
+    const bool of_host = std::holds_alternative<HostRecord>(decoded);
     const JobKey submitted_key = submitted != nullptr ? submitted->key : JobKey();
     const JobKey cancelled_key = cancelled != nullptr ? cancelled->key : JobKey();
     ledger_.Apply(std::move(decoded), record.offset);
@@ -132,7 +133,7 @@
       }
     }
     if (scheduler_ && !cancelled_key.empty()) scheduler_->OnCancel(cancelled_key, now);
-    return submitted_key.empty() && cancelled_key.empty();
+    return submitted_key.empty() && cancelled_key.empty() && !of_host;
   } catch (const DecodeError& error) {
     counters_.Add("cactusshelf_unreadable_records_total", "jobs");
     Log(LogEvent(LogLevel::kWarning, "record_skipped")
--- a/packages/jobs/src/job_ledger.cc
+++ b/packages/jobs/src/job_ledger.cc
@@ -34,6 +34,11 @@
   layout_ = record.cells;
 }
 
+void JobLedger::ApplyRecord(HostRecord record, std::int64_t /*offset*/) {
+  const std::string host = record.host;
+  hosts_[host] = std::move(record);
+}
+
 void JobLedger::ApplyRecord(SubmittedJob record, std::int64_t /*offset*/) {
   Entry& entry = entries_[record.key];
   // A repeated submission of the same job changes nothing.
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cactusshelf/base/errors.h"
+
 namespace cactusshelf::jobs {
 namespace {
 
@@ -16,24 +18,33 @@
 constexpr Duration kFirstListPeriod = milliseconds(150);
 // The number of workers that decides it has not changed for this time.
 constexpr Duration kWorkersSettled = milliseconds(600);
-// One owner schedules so many workers well; beyond that there are several cells of fewer.
-constexpr std::size_t kWorkersOfOneCell = 100;
-constexpr std::size_t kWorkersOfEachCell = 60;
 constexpr int kMaxCells = 32;
 // A count of pending jobs may be this old, and is answered without an update after the second time.
 constexpr Duration kPendingAge = milliseconds(1200);
 constexpr Duration kPendingPatience = milliseconds(500);
 
-int CellsFor(std::size_t workers) {
-  if (workers <= kWorkersOfOneCell) return 1;
-  const std::size_t cells = (workers + kWorkersOfEachCell - 1) / kWorkersOfEachCell;
+// Number of the append of this host's announcement, which no cell uses.
+constexpr std::uint64_t kAnnouncementAppend = ~std::uint64_t{0};
+constexpr Duration kAnnouncementRetry = milliseconds(500);
+
+HostRecord SelfOf(const JobNodeOptions& options) {
+  return {options.host, options.peer_address, options.domain, options.milliprocessors};
+}
+
+int CellsFor(std::size_t workers, const JobNodeOptions& options) {
+  if (workers <= options.workers_of_one_cell) return 1;
+  const std::size_t each = options.workers_of_each_cell;
+  const std::size_t cells = (workers + each - 1) / each;
   return std::min(static_cast<int>(cells), kMaxCells);
 }
 
 }  // namespace
 
 JobNode::Impl::Impl(const JobNodeOptions& options, std::uint64_t seed)
-    : options_(options), random_(seed) {
+    : options_(options),
+      random_(seed),
+      relays_(RelayPoolOptions{}, SelfOf(options)),
+      relay_(OrderRelayOptions{}, options.host) {
   cells_.push_back(std::make_unique<JobCell>(0, options_, random_.Next()));
 }
 
@@ -52,11 +63,13 @@
 
 std::optional<Time> JobNode::Impl::NextWakeup() const {
   const Time now = last_event_.value_or(Time{});
-  if (owner()) return now + kOwnerTick;
+  const std::optional<Time> relay_due = relay_.NextDue();
+  if (owner()) return std::min(now + kOwnerTick, std::max(relay_due.value_or(Time::max()), now));
   const bool busy =
       !pending_readers_.empty() ||
       std::any_of(cells_.begin(), cells_.end(), [](const auto& it) { return !it->desk().idle(); });
   Time next = now + (busy ? kBusyTick : kIdleTick);
+  if (relay_due) next = std::min(next, std::max(*relay_due, now));
   const auto consider = [&](const StreamFollower& it) {
     if (!it.in_flight()) next = std::min(next, std::max(it.next_read(), now));
   };
@@ -84,6 +97,7 @@
           .With("ms", std::chrono::duration_cast<milliseconds>(gap).count())
           .With("wall_ms", std::chrono::duration_cast<milliseconds>(wall_gap).count()));
   for (const auto& cell : cells_) cell->OnPaused(now);
+  relays_.OnPaused(now.monotonic);
 }
 
 JobCell* JobNode::Impl::CellOfJob(const std::string& key) {
@@ -220,27 +234,62 @@
 }
 
 void JobNode::Impl::On(const job_event::AppendDone& done, const Now& now) {
+  if (done.append == kAnnouncementAppend) {
+    const bool stored = done.outcome == job_event::AppendOutcome::kDone;
+    announcement_ = stored ? Announcement::kStored : Announcement::kWanted;
+    next_announcement_ = now.monotonic + kAnnouncementRetry;
+    return;
+  }
   for (const auto& cell : cells_) cell->OnAppendDone(done, state_, now);
 }
 
-void JobNode::Impl::On(const job_event::HoldDone& done, const Now& now) {
-  Scheduler* scheduler = SchedulerOf(done.answer.worker);
-  if (scheduler != nullptr) scheduler->OnHoldAnswer(done.answer, now);
-}
+void JobNode::Impl::On(const job_event::HoldDone& done, const Now& now) { OnOwnAnswer(done, now); }
+
+void JobNode::Impl::On(const job_event::StartDone& done, const Now& now) { OnOwnAnswer(done, now); }
+
+void JobNode::Impl::On(const job_event::StopDone& done, const Now& now) { OnOwnAnswer(done, now); }
 
-void JobNode::Impl::On(const job_event::StartDone& done, const Now& now) {
-  Scheduler* scheduler = SchedulerOf(done.answer.worker);
-  if (scheduler != nullptr) scheduler->OnStartAnswer(done.answer, now);
+void JobNode::Impl::On(const job_event::PaceDone& done, const Now& now) { OnOwnAnswer(done, now); }
+
+void JobNode::Impl::OnOwnAnswer(WorkerAnswer answer, const Now& now) {
+  if (OrderRelay::IsRelayed(CallOf(answer))) {
+    relay_.OnAnswer(std::move(answer), now.monotonic);
+  } else {
+    OnAnswer(answer, now);
+  }
 }
 
-void JobNode::Impl::On(const job_event::StopDone& done, const Now& now) {
-  Scheduler* scheduler = SchedulerOf(done.answer.worker);
-  if (scheduler != nullptr) scheduler->OnStopAnswer(done.answer, now);
+void JobNode::Impl::OnAnswer(const WorkerAnswer& answer, const Now& now) {
+  const std::string& worker =
+      std::visit([](const auto& it) -> const std::string& { return it.answer.worker; }, answer);
+  Scheduler* scheduler = SchedulerOf(worker);
+  if (scheduler == nullptr) return;
+  if (const auto* hold = std::get_if<job_event::HoldDone>(&answer)) {
+    scheduler->OnHoldAnswer(hold->answer, now);
+  } else if (const auto* start = std::get_if<job_event::StartDone>(&answer)) {
+    scheduler->OnStartAnswer(start->answer, now);
+  } else if (const auto* stop = std::get_if<job_event::StopDone>(&answer)) {
+    scheduler->OnStopAnswer(stop->answer, now);
+  } else if (const auto* pace = std::get_if<job_event::PaceDone>(&answer)) {
+    scheduler->OnPaceAnswer(pace->answer, now);
+  }
 }
 
-void JobNode::Impl::On(const job_event::PaceDone& done, const Now& now) {
-  Scheduler* scheduler = SchedulerOf(done.answer.worker);
-  if (scheduler != nullptr) scheduler->OnPaceAnswer(done.answer, now);
+void JobNode::Impl::On(const job_event::PeerMessage& message, const Now& now) {
+  try {
+    RelayMessage decoded = DecodeRelayMessage(message.bytes);
+    if (auto* orders = std::get_if<OrderBatch>(&decoded)) {
+      relay_.OnOrders(std::move(*orders), now);
+      for (WorkerOrder& order : relay_.TakeOrders()) Emit(job_effect::Order{std::move(order)});
+    } else if (auto* answers = std::get_if<AnswerBatch>(&decoded)) {
+      for (const WorkerAnswer& answer : relays_.OnAnswers(std::move(*answers), now.monotonic)) {
+        OnAnswer(answer, now);
+      }
+    }
+  } catch (const DecodeError& error) {
+    counters_.Add("cactusshelf_unreadable_peer_messages_total", "malformed");
+    Log(LogEvent(LogLevel::kWarning, "peer_message_skipped").With("reason", error.what()));
+  }
 }
 
 void JobNode::Impl::On(const job_event::Timer& /*timer*/, const Now& /*now*/) {}
@@ -251,12 +300,13 @@
 }
 
 void JobNode::Impl::Decide(const Now& now) {
+  for (const WorkerAnswer& answer : relays_.TakeOverdue(now.monotonic)) OnAnswer(answer, now);
   OpenCells();
   state_.cells = static_cast<int>(cells_.size());
   DecideLayout(now);
   for (const auto& cell : cells_) {
     cell->Decide(state_, now);
-    CollectEffects(*cell);
+    CollectEffects(*cell, now);
     // All workers are listed to a new owner.
     if (cell->TakeGained()) workers_.Restart(now.monotonic);
   }
@@ -264,11 +314,50 @@
       cells_.begin(), cells_.end(), [](const auto& it) { return it->scheduler() != nullptr; }));
   AnswerPending(now);
   DecideReads(now);
+  DecideRelaying(now);
   DecideEnd(now);
 }
 
-void JobNode::Impl::CollectEffects(JobCell& cell) {
-  for (JobEffect& effect : cell.TakeEffects()) Emit(std::move(effect));
+void JobNode::Impl::CollectEffects(JobCell& cell, const Now& now) {
+  for (JobEffect& effect : cell.TakeEffects()) {
+    if (auto* order = std::get_if<job_effect::Order>(&effect)) {
+      SendOrder(std::move(order->order), now);
+    } else {
+      effects_.push_back(std::move(effect));
+    }
+  }
+}
+
+void JobNode::Impl::SendOrder(WorkerOrder order, const Now& now) {
+  std::optional<WorkerOrder> own = relays_.Send(std::move(order), now.monotonic);
+  if (own) Emit(job_effect::Order{std::move(*own)});
+}
+
+void JobNode::Impl::DecideRelaying(const Now& now) {
+  if (options_.peer_address.empty()) return;
+  Announce(now);
+  if (owner()) {
+    relays_.SetHosts(cells_.front()->ledger().hosts());
+    for (auto& message : relays_.TakeMessages(now.monotonic)) Emit(std::move(message));
+  }
+  for (auto& message : relay_.TakeMessages(state_.draining, now)) Emit(std::move(message));
+  for (LogEvent& event : relays_.TakeLog()) Log(std::move(event));
+}
+
+// Owners learn of this host from the first cell's log.
+void JobNode::Impl::Announce(const Now& now) {
+  const JobCell& first = *cells_.front();
+  const bool due = announcement_ == Announcement::kWanted && now.monotonic >= next_announcement_;
+  if (!due || !first.follower().loaded() || state_.draining) return;
+  const HostRecord self = SelfOf(options_);
+  const auto& hosts = first.ledger().hosts();
+  const auto it = hosts.find(self.host);
+  if (it != hosts.end() && it->second == self) {
+    announcement_ = Announcement::kStored;
+    return;
+  }
+  announcement_ = Announcement::kInFlight;
+  Emit(job_effect::Append{0, kAnnouncementAppend, {Encode(self)}, "", 0, 0});
 }
 
 void JobNode::Impl::OpenCells() {
@@ -285,7 +374,7 @@
   if (first.scheduler() == nullptr || first.ledger().layout() > 0 || listed_workers_.empty())
     return;
   if (now.monotonic - workers_changed_ < kWorkersSettled) return;
-  first.StoreLayout(CellsFor(listed_workers_.size()));
+  first.StoreLayout(CellsFor(listed_workers_.size(), options_));
 }
 
 void JobNode::Impl::EmitRead(const std::optional<StreamFollower::Request>& request) {
@@ -315,6 +404,8 @@
 
 std::string JobNode::Impl::Metrics() const {
   Counters all = counters_;
+  all.Merge(relays_.counters());
+  all.Merge(relay_.counters());
   for (const auto& cell : cells_) {
     all.Merge(cell->counters());
     all.Merge(cell->desk().counters());
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -9,6 +9,8 @@
 
 #include "cactusshelf/base/random.h"
 #include "job_cell.h"
+#include "order_relay.h"
+#include "relay_pool.h"
 
 namespace cactusshelf::jobs {
 
@@ -40,9 +42,15 @@
   void On(const job_event::StartDone& done, const Now& now);
   void On(const job_event::StopDone& done, const Now& now);
   void On(const job_event::PaceDone& done, const Now& now);
+  void On(const job_event::PeerMessage& message, const Now& now);
   void On(const job_event::Timer& timer, const Now& now);
   void On(const job_event::DrainRequested& drain, const Now& now);
 
+  // Answers to orders of a scheduler of this process.
+  void OnAnswer(const WorkerAnswer& answer, const Now& now);
+  // An answer to an order that this process has sent to a worker, for itself or for an owner.
+  void OnOwnAnswer(WorkerAnswer answer, const Now& now);
+
   void OnConfigurationRead(job_event::StreamRead& read);
   void OnWorkersRead(job_event::StreamRead& read, const Now& now);
   // Null for a worker of another cell's owner.
@@ -57,9 +65,12 @@
   void OpenCells();
   void DecideLayout(const Now& now);
   void DecideReads(const Now& now);
+  void DecideRelaying(const Now& now);
+  void Announce(const Now& now);
+  void SendOrder(WorkerOrder order, const Now& now);
   void EmitRead(const std::optional<StreamFollower::Request>& request);
   void DecideEnd(const Now& now);
-  void CollectEffects(JobCell& cell);
+  void CollectEffects(JobCell& cell, const Now& now);
   template <typename Effect>
   void Emit(Effect effect) {
     effects_.emplace_back(std::move(effect));
@@ -79,6 +90,13 @@
   std::vector<JobEffect> effects_;
   std::vector<PendingReader> pending_readers_;
 
+  // For the cells that this process owns, and for owners elsewhere.
+  RelayPool relays_;
+  OrderRelay relay_;
+  enum class Announcement : std::uint8_t { kWanted, kInFlight, kStored };
+  Announcement announcement_ = Announcement::kWanted;
+  Time next_announcement_;
+
   std::optional<Time> last_event_;
   WallTime last_wall_{};
   std::optional<Time> drain_started_;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -13,6 +13,7 @@
 constexpr char kLayoutKey[] = "layout";
 // First character of the keys of a job, before the job's own key.
 constexpr char kOwnerPrefix = 'o';  // Before the name of a host.
+constexpr char kHostPrefix = 'h';   // Before the name of a host.
 constexpr char kSubmitPrefix = 'j';
 constexpr char kCancelPrefix = 'c';
 constexpr char kProgressPrefix = 'p';
@@ -128,6 +129,10 @@
   return owner;
 }
 
+HostRecord DecodeHost(const std::string& host, const json& value) {
+  return {host, value.at(0), value.at(1), value.at(2)};
+}
+
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
   if (record_key == kLayoutKey) return LayoutRecord{value.get<int>()};
@@ -135,6 +140,8 @@
   switch (record_key.front()) {
     case kOwnerPrefix:
       return DecodeOwner(value);
+    case kHostPrefix:
+      return DecodeHost(key.str(), value);
     case kSubmitPrefix:
       return DecodeSubmitted(key, value);
     case kCancelPrefix:
@@ -158,6 +165,11 @@
 
 KeyedRecord Encode(const LayoutRecord& record) { return {kLayoutKey, ToBytes(record.cells), 0}; }
 
+KeyedRecord Encode(const HostRecord& record) {
+  return {KeyOf(kHostPrefix, record.host),
+          ToBytes(json::array({record.peer_address, record.domain, record.milliprocessors}))};
+}
+
 KeyedRecord Encode(const SubmittedJob& record) {
   json steps = json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(ToJson(step));
--- /dev/null
+++ b/packages/jobs/src/order_relay.h
@@ -0,0 +1,79 @@
+#ifndef CACTUSSHELF_JOBS_SRC_ORDER_RELAY_H_
+#define CACTUSSHELF_JOBS_SRC_ORDER_RELAY_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cactusshelf/base/counters.h"
+#include "cactusshelf/jobs/relay_messages.h"
+
+namespace cactusshelf::jobs {
+
+struct OrderRelayOptions {
+  // Answers are collected for so long before they are sent.
+  Duration collect = std::chrono::milliseconds(4);
+  // An owner is sent something at least this often while it sends orders.
+  Duration heartbeat = std::chrono::milliseconds(150);
+  // An owner that has sent nothing for so long is forgotten.
+  Duration owner_memory = std::chrono::seconds(2);
+  // Starts of a batch that may be older are not passed on: their owner may have decided otherwise
+  // and, if the worker was started anew, nobody there knows of it.
+  Duration longest_transit = std::chrono::milliseconds(1000);
+};
+
+// The relay's side: passes the orders of owners on to workers, and the answers back. Keeps nothing
+// but the calls that are not answered yet. Not thread-safe.
+class OrderRelay {
+ public:
+  OrderRelay(const OrderRelayOptions& options, std::string host)
+      : options_(options), host_(std::move(host)) {}
+
+  void OnOrders(OrderBatch batch, const Now& now);
+
+  // True for a call that is made for an owner.
+  static bool IsRelayed(CallId call);
+
+  // Precondition: IsRelayed(CallOf(answer)).
+  void OnAnswer(WorkerAnswer answer, Time now);
+
+  // Orders to send to workers now.
+  std::vector<WorkerOrder> TakeOrders() { return std::exchange(orders_, {}); }
+
+  // Answers that are due. `leaving` tells the owners to use other relays.
+  std::vector<job_effect::SendToPeer> TakeMessages(bool leaving, const Now& now);
+
+  // When the next message is due.
+  std::optional<Time> NextDue() const;
+
+  const Counters& counters() const { return counters_; }
+
+ private:
+  struct Owner {
+    Time heard_at;
+    Time due;  // Of the next message.
+    std::vector<WorkerAnswer> answers;
+  };
+  struct Call {
+    std::string owner_address;
+    CallId call{};
+  };
+
+  bool IsStale(const OrderBatch& batch, const Now& now) const;
+  void AddAnswer(Owner& owner, WorkerAnswer answer, Time now);
+
+  OrderRelayOptions options_;
+  std::string host_;
+  std::map<std::string, Owner> owners_;  // By address.
+  std::unordered_map<std::uint64_t, Call> calls_;
+  std::uint64_t next_call_ = 0;
+  std::vector<WorkerOrder> orders_;
+  Counters counters_;
+};
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_ORDER_RELAY_H_
--- a/packages/jobs/src/pace_control.cc
+++ b/packages/jobs/src/pace_control.cc
@@ -112,6 +112,7 @@
 
 void PaceControl::Update(WorkerState& worker, NeighbourModel& model, Time now) const {
   Observe(worker, model, ReportedUse(worker), now);
+  worker.pressure_rooms.reset();
   for (auto& [ref, run] : worker.runs()) {
     if (!run.best_effort || run.phase != RunPhase::kRunning) continue;
     run.pace = RoundPace(AllowedPace(worker, model, run));
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -38,21 +38,17 @@
   workers_ = workers;
   misfits_.clear();
   reserved_.clear();
-  fill_use_.clear();
   free_.clear();
   capacity_.clear();
   for (const WorkerState* worker : workers_) {
     const WorkerEntry& entry = worker->entry();
     free_[entry.pool] += worker->Free();
     capacity_[entry.pool] += entry.capacity;
-    fill_use_[worker] = ExpectedUse(*worker);
   }
 }
 
-void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step, int image_index) {
+void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step) {
   free_[worker.entry().pool] -= CountedNeed(step);
-  if (!step.best_effort) return;
-  fill_use_[&worker][image_index] += static_cast<double>(step.need.milliprocessors) / kMilli;
 }
 
 bool Placer::IsMisfit(const PlacementRequest& request) const {
@@ -91,7 +87,7 @@
          worker.RunsOfStep(request.job->key, task.occurrence, task.step) < step.max_per_worker;
 }
 
-bool Placer::MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const {
+bool Placer::MayRun(WorkerState& worker, const PlacementRequest& request, Time now) const {
   const StepSpec& step = request.step();
   if (now < worker.no_starts_before || !Fits(CountedNeed(step), worker.Free())) return false;
   if (!Suits(worker, request)) return false;
@@ -118,28 +114,37 @@
   if (best != nullptr) reserved_.push_back(best);
 }
 
-bool Placer::SparesNeighbours(const WorkerState& worker, const PlacementRequest& request) const {
+bool Placer::SparesNeighbours(WorkerState& worker, const PlacementRequest& request) const {
   const StepSpec& step = request.step();
   const double wanted = static_cast<double>(step.need.milliprocessors) * kMinIdleShare;
   if (static_cast<double>(worker.IdleMilliprocessors()) < wanted) return false;
   return Harm(worker, request) < 1.0;
 }
 
-double Placer::Harm(const WorkerState& worker, const PlacementRequest& request) const {
+const std::vector<PressureRoom>& Placer::PressureRooms(WorkerState& worker) const {
+  if (worker.pressure_rooms) return *worker.pressure_rooms;
+  std::vector<PressureRoom>& rooms = worker.pressure_rooms.emplace();
+  if (worker.serving.empty()) return rooms;
+  const FillUse use = ExpectedUse(worker);
+  for (const auto& [image, state] : worker.serving) {
+    rooms.push_back({image, kPressureLimit - state.peak - neighbours_.Predict(image, use)});
+  }
+  return rooms;
+}
+
+double Placer::Harm(WorkerState& worker, const PlacementRequest& request) const {
   const double processors = static_cast<double>(request.step().need.milliprocessors) / kMilli;
   double worst = 0;
-  for (const auto& [image, state] : worker.serving) {
+  for (const auto& [image, room] : PressureRooms(worker)) {
     const double effect = neighbours_.Effect(image, request.image_index);
     if (effect < kLeastEffect) continue;
-    const double pressure = state.peak + neighbours_.Predict(image, fill_use_.at(&worker));
-    const double room = kPressureLimit - pressure;
     const double taken = effect * processors;
     worst = std::max(worst, room > 0 ? taken / room : 1.0);
   }
   return worst;
 }
 
-double Placer::Score(const WorkerState& worker, const PlacementRequest& request) const {
+double Placer::Score(WorkerState& worker, const PlacementRequest& request) const {
   const WorkerEntry& entry = worker.entry();
   const StepSpec& step = request.step();
   const std::int64_t capacity = entry.capacity.milliprocessors;
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -46,7 +46,7 @@
   void Reserve(const PlacementRequest& request);
 
   // A task was placed on `worker` in this pass.
-  void OnPlaced(const WorkerState& worker, const StepSpec& step, int image_index);
+  void OnPlaced(const WorkerState& worker, const StepSpec& step);
 
  private:
   // What did not fit on any worker in this pass.
@@ -64,16 +64,16 @@
   bool KeepsReserve(const PlacementRequest& request) const;
   bool IsReserved(const WorkerState& worker) const;
   bool Suits(const WorkerState& worker, const PlacementRequest& request) const;
-  bool MayRun(const WorkerState& worker, const PlacementRequest& request, Time now) const;
-  bool SparesNeighbours(const WorkerState& worker, const PlacementRequest& request) const;
+  bool MayRun(WorkerState& worker, const PlacementRequest& request, Time now) const;
+  bool SparesNeighbours(WorkerState& worker, const PlacementRequest& request) const;
+  const std::vector<PressureRoom>& PressureRooms(WorkerState& worker) const;
   // Share of its room to the latency target that the task would take from its closest neighbour.
-  double Harm(const WorkerState& worker, const PlacementRequest& request) const;
-  double Score(const WorkerState& worker, const PlacementRequest& request) const;
+  double Harm(WorkerState& worker, const PlacementRequest& request) const;
+  double Score(WorkerState& worker, const PlacementRequest& request) const;
 
   const SchedulerOptions& options_;
   const NeighbourModel& neighbours_;
   std::vector<WorkerState*> workers_;
-  std::unordered_map<const WorkerState*, FillUse> fill_use_;
   std::unordered_map<std::string, Resources> free_;      // By pool.
   std::unordered_map<std::string, Resources> capacity_;  // By pool.
   std::vector<Misfit> misfits_;
--- /dev/null
+++ b/packages/jobs/src/relay_messages.cc
@@ -0,0 +1,309 @@
+#include "cactusshelf/jobs/relay_messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cactusshelf/base/cbor.h"
+#include "cactusshelf/base/errors.h"
+
+namespace cactusshelf::jobs {
+namespace {
+
+using job_event::HoldDone;
+using job_event::PaceDone;
+using job_event::StartDone;
+using job_event::StopDone;
+using nlohmann::json;
+
+constexpr int kMaxDepth = 10;
+constexpr int kOrderBatch = 1;
+constexpr int kAnswerBatch = 2;
+
+// First element of an order or an answer.
+enum Kind : std::uint8_t { kHold, kStart, kStop, kPace };
+
+json ToJson(const TaskRef& ref) {
+  return json::array({ref.job.str(), ref.task.occurrence, ref.task.step, ref.task.index});
+}
+
+TaskRef TaskFromJson(const json& value) {
+  return {JobKey(value.at(0).get<std::string>()), {value.at(1), value.at(2), value.at(3)}};
+}
+
+// What all orders begin with.
+template <typename Order>
+json Head(Kind kind, const Order& order) {
+  const WorkerTarget& worker = order.worker;
+  return json::array({static_cast<int>(kind), static_cast<std::uint64_t>(order.call), worker.id,
+                      worker.address, order.token});
+}
+
+constexpr std::size_t kHeadFields = 5;
+
+template <typename Order>
+Order OrderFromHead(const json& value) {
+  Order order;
+  order.call = CallId{value.at(1).get<std::uint64_t>()};
+  order.worker.id = value.at(2);
+  order.worker.address = value.at(3);
+  order.token = value.at(4);
+  return order;
+}
+
+json ToJson(const HoldOrder& order) {
+  json value = Head(kHold, order);
+  value.push_back(order.acknowledged_end);
+  value.push_back(order.wait.count());
+  if (order.lease_end) value.push_back(order.lease_end->count());
+  return value;
+}
+
+json ToJson(const StartOrder& order) {
+  json value = Head(kStart, order);
+  value.push_back(ToJson(order.task));
+  value.push_back(order.run);
+  value.push_back(order.payload);
+  value.push_back(order.checkpoint);
+  value.push_back(order.lease_end.count());
+  return value;
+}
+
+json ToJson(const StopOrder& order) {
+  json value = Head(kStop, order);
+  value.push_back(ToJson(order.task));
+  value.push_back(order.run);
+  return value;
+}
+
+json ToJson(const PaceOrder& order) {
+  json value = Head(kPace, order);
+  value.push_back(ToJson(order.task));
+  value.push_back(order.run);
+  value.push_back(order.percent);
+  return value;
+}
+
+WorkerOrder DecodeHold(const json& value) {
+  auto order = OrderFromHead<HoldOrder>(value);
+  order.acknowledged_end = value.at(kHeadFields);
+  order.wait = Duration(value.at(kHeadFields + 1).get<std::int64_t>());
+  if (value.size() > kHeadFields + 2) {
+    order.lease_end = WorkerClock(value.at(kHeadFields + 2).get<std::int64_t>());
+  }
+  return order;
+}
+
+WorkerOrder DecodeStart(const json& value) {
+  auto order = OrderFromHead<StartOrder>(value);
+  order.task = TaskFromJson(value.at(kHeadFields));
+  order.run = value.at(kHeadFields + 1);
+  order.payload = value.at(kHeadFields + 2);
+  order.checkpoint = value.at(kHeadFields + 3);
+  order.lease_end = WorkerClock(value.at(kHeadFields + 4).get<std::int64_t>());
+  return order;
+}
+
+template <typename Order>
+Order DecodeRunOrder(const json& value) {
+  auto order = OrderFromHead<Order>(value);
+  order.task = TaskFromJson(value.at(kHeadFields));
+  order.run = value.at(kHeadFields + 1);
+  return order;
+}
+
+WorkerOrder DecodeOrder(const json& value) {
+  switch (value.at(0).get<int>()) {
+    case kHold:
+      return DecodeHold(value);
+    case kStart:
+      return DecodeStart(value);
+    case kStop:
+      return DecodeRunOrder<StopOrder>(value);
+    case kPace: {
+      auto order = DecodeRunOrder<PaceOrder>(value);
+      order.percent = value.at(kHeadFields + 2);
+      return order;
+    }
+    default:
+      throw DecodeError("relay message: unknown order");
+  }
+}
+
+json ToJson(const HoldReport& report) {
+  json running = json::array();
+  for (const RunningTask& it : report.running) {
+    running.push_back(
+        json::array({ToJson(it.task), it.run, it.checkpoint, it.progress_percent, it.load}));
+  }
+  json ended = json::array();
+  for (const EndedRun& it : report.ended) {
+    ended.push_back(
+        json::array({it.number, ToJson(it.task), it.run, static_cast<int>(it.end), it.checkpoint}));
+  }
+  return json::array(
+      {report.clock.count(), report.incarnation, std::move(running), std::move(ended)});
+}
+
+// Reads an enumerator and checks it against the last one.
+template <typename Enum>
+Enum EnumFromJson(const json& value, Enum last) {
+  const int n = value.get<int>();
+  if (n < 0 || n > static_cast<int>(last)) {
+    throw DecodeError("relay message: enumerator out of range");
+  }
+  return static_cast<Enum>(n);
+}
+
+HoldReport ReportFromJson(const json& value) {
+  HoldReport report;
+  report.clock = WorkerClock(value.at(0).get<std::int64_t>());
+  report.incarnation = value.at(1);
+  for (const json& row : value.at(2)) {
+    report.running.push_back({TaskFromJson(row.at(0)), row.at(1), row.at(2), row.at(3), row.at(4)});
+  }
+  for (const json& row : value.at(3)) {
+    report.ended.push_back({row.at(0), TaskFromJson(row.at(1)), row.at(2),
+                            EnumFromJson(row.at(3), RunEnd::kWaited), row.at(4)});
+  }
+  return report;
+}
+
+// What all answers begin with.
+template <typename Answer>
+json AnswerHead(Kind kind, const Answer& answer) {
+  return json::array({static_cast<int>(kind), static_cast<std::uint64_t>(answer.call),
+                      answer.worker, static_cast<int>(answer.outcome), answer.reason});
+}
+
+json ToJson(const HoldDone& done) {
+  json value = AnswerHead(kHold, done.answer);
+  if (done.answer.outcome == OrderOutcome::kDone) value.push_back(ToJson(done.answer.report));
+  return value;
+}
+json ToJson(const StartDone& done) { return AnswerHead(kStart, done.answer); }
+json ToJson(const StopDone& done) { return AnswerHead(kStop, done.answer); }
+json ToJson(const PaceDone& done) { return AnswerHead(kPace, done.answer); }
+
+template <typename Done>
+Done AnswerFromHead(const json& value) {
+  Done done;
+  done.answer.call = CallId{value.at(1).get<std::uint64_t>()};
+  done.answer.worker = value.at(2);
+  done.answer.outcome = EnumFromJson(value.at(3), OrderOutcome::kRelaySilent);
+  done.answer.reason = value.at(4);
+  return done;
+}
+
+WorkerAnswer DecodeAnswer(const json& value) {
+  switch (value.at(0).get<int>()) {
+    case kHold: {
+      auto done = AnswerFromHead<HoldDone>(value);
+      if (done.answer.outcome == OrderOutcome::kDone) {
+        done.answer.report = ReportFromJson(value.at(kHeadFields));
+      }
+      return done;
+    }
+    case kStart:
+      return AnswerFromHead<StartDone>(value);
+    case kStop:
+      return AnswerFromHead<StopDone>(value);
+    case kPace:
+      return AnswerFromHead<PaceDone>(value);
+    default:
+      throw DecodeError("relay message: unknown answer");
+  }
+}
+
+json ToJson(const RelayStamp& stamp) {
+  return json::array({stamp.steady.count(), stamp.wall.count()});
+}
+
+RelayStamp StampFromJson(const json& value) {
+  return {Duration(value.at(0).get<std::int64_t>()),
+          std::chrono::milliseconds(value.at(1).get<std::int64_t>())};
+}
+
+RelayMessage DecodeMessage(const json& value) {
+  const int type = value.at(0);
+  if (type == kOrderBatch) {
+    OrderBatch batch;
+    batch.owner_address = value.at(1);
+    if (!value.at(2).empty()) batch.echo = StampFromJson(value.at(2));
+    for (const json& it : value.at(3)) batch.orders.push_back(DecodeOrder(it));
+    return batch;
+  }
+  if (type != kAnswerBatch) throw DecodeError("relay message: unknown type");
+  AnswerBatch batch;
+  batch.host = value.at(1);
+  batch.stamp = StampFromJson(value.at(2));
+  batch.leaving = value.at(3);
+  for (const json& it : value.at(4)) batch.answers.push_back(DecodeAnswer(it));
+  return batch;
+}
+
+std::string ToBytes(const json& value) {
+  std::string bytes;
+  json::to_cbor(value, bytes);
+  return bytes;
+}
+
+}  // namespace
+
+std::string Encode(const OrderBatch& batch) {
+  json orders = json::array();
+  for (const WorkerOrder& order : batch.orders) {
+    orders.push_back(std::visit([](const auto& it) { return ToJson(it); }, order));
+  }
+  const json echo = batch.echo ? ToJson(*batch.echo) : json::array();
+  return ToBytes(json::array({kOrderBatch, batch.owner_address, echo, std::move(orders)}));
+}
+
+std::string Encode(const AnswerBatch& batch) {
+  json answers = json::array();
+  for (const WorkerAnswer& answer : batch.answers) {
+    answers.push_back(std::visit([](const auto& it) { return ToJson(it); }, answer));
+  }
+  return ToBytes(json::array(
+      {kAnswerBatch, batch.host, ToJson(batch.stamp), batch.leaving, std::move(answers)}));
+}
+
+RelayMessage DecodeRelayMessage(std::string_view bytes) {
+  try {
+    return DecodeMessage(DecodeCbor(bytes, kMaxDepth));
+  } catch (const json::exception& error) {
+    throw DecodeError(std::string("malformed relay message: ") + error.what());
+  }
+}
+
+CallId CallOf(const WorkerOrder& order) {
+  return std::visit([](const auto& it) { return it.call; }, order);
+}
+
+CallId CallOf(const WorkerAnswer& answer) {
+  return std::visit([](const auto& it) { return it.answer.call; }, answer);
+}
+
+const WorkerTarget& TargetOf(const WorkerOrder& order) {
+  return std::visit([](const auto& it) -> const WorkerTarget& { return it.worker; }, order);
+}
+
+void SetCall(WorkerOrder& order, CallId call) {
+  std::visit([call](auto& it) { it.call = call; }, order);
+}
+
+void SetCall(WorkerAnswer& answer, CallId call) {
+  std::visit([call](auto& it) { it.answer.call = call; }, answer);
+}
+
+WorkerAnswer MakeAnswer(const WorkerOrder& order, OrderOutcome outcome, const std::string& reason) {
+  const CallId call = CallOf(order);
+  const std::string& worker = TargetOf(order).id;
+  if (std::holds_alternative<HoldOrder>(order)) {
+    return HoldDone{{call, worker, outcome, reason, {}}};
+  }
+  const OrderAnswer answer{call, worker, outcome, reason};
+  if (std::holds_alternative<StartOrder>(order)) return StartDone{answer};
+  if (std::holds_alternative<StopOrder>(order)) return StopDone{answer};
+  return PaceDone{answer};
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/relay_pool.cc
@@ -0,0 +1,156 @@
+#include "relay_pool.h"
+
+#include <cmath>
+
+#include "cactusshelf/base/rendezvous.h"
+
+namespace cactusshelf::jobs {
+namespace {
+
+// Between two looks for relays that fell silent and orders that were lost.
+constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
+constexpr int kMantissaBits = 53;
+constexpr int kUnusedBits = 64 - kMantissaBits;
+
+// Weighted rendezvous hashing: the host with the highest value takes the key, each host with a
+// probability proportional to its weight.
+double RelayWeight(const std::string& host, const std::string& worker, double weight) {
+  const auto bits = static_cast<double>(RendezvousWeight(host, worker) >> kUnusedBits);
+  const double uniform = (bits + 0.5) / static_cast<double>(std::uint64_t{1} << kMantissaBits);
+  return -weight / std::log(uniform);
+}
+
+// What is kept of an order until its answer needs no payload.
+WorkerOrder WithoutPayload(const WorkerOrder& order) {
+  WorkerOrder kept = order;
+  if (auto* start = std::get_if<StartOrder>(&kept)) start->payload.clear();
+  return kept;
+}
+
+Duration WaitOf(const WorkerOrder& order) {
+  const auto* hold = std::get_if<HoldOrder>(&order);
+  return hold == nullptr ? Duration::zero() : hold->wait;
+}
+
+}  // namespace
+
+void RelayPool::SetHosts(const std::map<std::string, HostRecord>& hosts) {
+  for (const auto& [name, host] : hosts) {
+    if (name == self_.host) continue;
+    Relay& relay = relays_[name];
+    if (relay.host == host) continue;
+    relay.host = host;
+    SetState(relay, false, false, "announced_again");
+  }
+}
+
+void RelayPool::SetState(Relay& relay, bool heard, bool leaving, std::string_view reason) {
+  if (relay.heard == heard && relay.leaving == leaving) return;
+  const bool in_use = heard && !leaving;
+  relay.heard = heard;
+  relay.leaving = leaving;
+  ++version_;
+  counters_.Add(in_use ? "cactusshelf_relays_gained_total" : "cactusshelf_relays_lost_total",
+                reason);
+  log_.push_back(LogEvent(LogLevel::kInfo, in_use ? "relay_gained" : "relay_lost")
+                     .With("relay", relay.host.host)
+                     .With("reason", std::string(reason)));
+}
+
+// Hosts of the worker's failure domain come first; among those, by strength.
+std::string RelayPool::Choose(const WorkerTarget& worker) const {
+  for (const bool near : {true, false}) {
+    std::string best;
+    double best_weight = 0;
+    const auto consider = [&](const HostRecord& host, double share, const std::string& name) {
+      if (near && host.domain != worker.domain) return;
+      const double weight = RelayWeight(host.host, worker.id, host.milliprocessors * share);
+      if (weight <= best_weight) return;
+      best = name;
+      best_weight = weight;
+    };
+    consider(self_, options_.own_share, "");
+    for (const auto& [name, relay] : relays_) {
+      if (relay.heard && !relay.leaving) consider(relay.host, 1.0, name);
+    }
+    if (best_weight > 0) return best;
+  }
+  return "";
+}
+
+const std::string& RelayPool::RelayFor(const WorkerTarget& worker) {
+  Choice& choice = choices_[worker.id];
+  if (choice.version != version_) choice = {version_, Choose(worker)};
+  return choice.host;
+}
+
+std::optional<WorkerOrder> RelayPool::Send(WorkerOrder order, Time now) {
+  if (relays_.empty()) return order;
+  const std::string& host = RelayFor(TargetOf(order));
+  if (host.empty()) return order;
+  const Time expires = now + WaitOf(order) + options_.order_patience;
+  awaited_[static_cast<std::uint64_t>(CallOf(order))] = {host, WithoutPayload(order), expires};
+  relays_.at(host).unsent.push_back(std::move(order));
+  return std::nullopt;
+}
+
+std::vector<WorkerAnswer> RelayPool::OnAnswers(AnswerBatch batch, Time now) {
+  const auto it = relays_.find(batch.host);
+  if (it == relays_.end()) return {};
+  Relay& relay = it->second;
+  relay.heard_at = now;
+  relay.stamp = batch.stamp;
+  SetState(relay, true, batch.leaving, batch.leaving ? "leaving" : "answered");
+  std::vector<WorkerAnswer> awaited;
+  for (WorkerAnswer& answer : batch.answers) {
+    const auto call = awaited_.find(static_cast<std::uint64_t>(CallOf(answer)));
+    if (call == awaited_.end() || call->second.host != batch.host) continue;
+    awaited_.erase(call);
+    awaited.push_back(std::move(answer));
+  }
+  return awaited;
+}
+
+std::vector<WorkerAnswer> RelayPool::TakeOverdue(Time now) {
+  std::vector<WorkerAnswer> overdue;
+  if (now < next_check_) return overdue;
+  next_check_ = now + kCheckPeriod;
+  for (auto& [name, relay] : relays_) {
+    if (!relay.heard || now - relay.heard_at <= options_.silence) continue;
+    SetState(relay, false, false, "silent");
+    relay.unsent.clear();
+  }
+  for (auto it = awaited_.begin(); it != awaited_.end();) {
+    const Awaited& awaited = it->second;
+    const bool silent = !relays_.at(awaited.host).heard;
+    if (!silent && now < awaited.expires) {
+      ++it;
+      continue;
+    }
+    const std::string reason =
+        "relay " + awaited.host + (silent ? " is silent" : " lost the order");
+    counters_.Add("cactusshelf_relayed_orders_lost_total", silent ? "silent" : "lost");
+    overdue.push_back(MakeAnswer(awaited.order, OrderOutcome::kRelaySilent, reason));
+    it = awaited_.erase(it);
+  }
+  return overdue;
+}
+
+void RelayPool::OnPaused(Time now) {
+  for (auto& [name, relay] : relays_) relay.heard_at = now;
+}
+
+std::vector<job_effect::SendToPeer> RelayPool::TakeMessages(Time now) {
+  std::vector<job_effect::SendToPeer> messages;
+  for (auto& [name, relay] : relays_) {
+    const Duration period = relay.heard ? options_.keep_alive : options_.probe_period;
+    if (relay.unsent.empty() && now - relay.sent_at < period) continue;
+    const OrderBatch batch{self_.peer_address, relay.stamp, std::exchange(relay.unsent, {})};
+    counters_.Add("cactusshelf_relayed_orders_total", "sent", batch.orders.size());
+    relay.sent_at = now;
+    messages.push_back({relay.host.peer_address, Encode(batch)});
+  }
+  return messages;
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/relay_pool.h
@@ -0,0 +1,100 @@
+#ifndef CACTUSSHELF_JOBS_SRC_RELAY_POOL_H_
+#define CACTUSSHELF_JOBS_SRC_RELAY_POOL_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cactusshelf/base/counters.h"
+#include "cactusshelf/base/log_event.h"
+#include "cactusshelf/jobs/job_record.h"
+#include "cactusshelf/jobs/relay_messages.h"
+
+namespace cactusshelf::jobs {
+
+struct RelayPoolOptions {
+  // A relay that says nothing for so long is not used until it is heard again.
+  Duration silence = std::chrono::milliseconds(700);
+  // A relay in use is sent something at least this often, so that it answers.
+  Duration keep_alive = std::chrono::milliseconds(200);
+  // Between two tries to reach a host that does not answer.
+  Duration probe_period = std::chrono::milliseconds(500);
+  // An order that was sent to a relay is answered within this time besides the time that it may
+  // wait, or its batch was lost.
+  Duration order_patience = std::chrono::milliseconds(1500);
+  // The owner's own part of the orders, relative to its processors: it needs them to decide.
+  double own_share = 0.25;
+};
+
+// The owner's side of relaying: spreads the orders to workers over entry hosts by their strength,
+// and prefers hosts in the worker's failure domain. Orders of one worker go through one relay
+// while that is heard; the owner sends those that no relay takes itself. Not thread-safe.
+class RelayPool {
+ public:
+  // `self` is this host; without a peer address there are no relays.
+  RelayPool(const RelayPoolOptions& options, HostRecord self)
+      : options_(options), self_(std::move(self)) {}
+
+  // Hosts that announced themselves, of which some may be gone.
+  void SetHosts(const std::map<std::string, HostRecord>& hosts);
+
+  // Hands `order` to a relay, or returns it if the owner is to send it itself.
+  std::optional<WorkerOrder> Send(WorkerOrder order, Time now);
+
+  // A relay answered. Returns the answers that are still awaited.
+  std::vector<WorkerAnswer> OnAnswers(AnswerBatch batch, Time now);
+
+  // Answers for orders that their relays will not answer any more.
+  std::vector<WorkerAnswer> TakeOverdue(Time now);
+
+  // This process stood still: what relays sent meanwhile is still to be read.
+  void OnPaused(Time now);
+
+  // Batches to send, at most one to each host.
+  std::vector<job_effect::SendToPeer> TakeMessages(Time now);
+
+  std::vector<LogEvent> TakeLog() { return std::exchange(log_, {}); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  struct Relay {
+    HostRecord host;
+    bool heard = false;  // Within the time of silence.
+    bool leaving = false;
+    Time heard_at;
+    Time sent_at;
+    std::optional<RelayStamp> stamp;
+    std::vector<WorkerOrder> unsent;
+  };
+  // An order without its payload that was handed to a relay.
+  struct Awaited {
+    std::string host;
+    WorkerOrder order;
+    Time expires;
+  };
+  struct Choice {
+    std::uint64_t version = 0;
+    std::string host;  // Empty: the owner itself.
+  };
+
+  const std::string& RelayFor(const WorkerTarget& worker);
+  std::string Choose(const WorkerTarget& worker) const;
+  void SetState(Relay& relay, bool heard, bool leaving, std::string_view reason);
+
+  RelayPoolOptions options_;
+  HostRecord self_;
+  std::map<std::string, Relay> relays_;
+  std::unordered_map<std::uint64_t, Awaited> awaited_;  // By call.
+  std::unordered_map<std::string, Choice> choices_;     // By worker.
+  std::uint64_t version_ = 1;                           // Of the set of relays in use.
+  Time next_check_;
+  std::vector<LogEvent> log_;
+  Counters counters_;
+};
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_RELAY_POOL_H_
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -46,9 +46,9 @@
   placement_wanted_ = true;
 }
 
-void Scheduler::OnCancel(const JobKey& key, const Now& /*now*/) {
+void Scheduler::OnCancel(const JobKey& key, const Now& now) {
   tracker_.Cancel(key);
-  StopRunsOfEndedJobs();
+  StopRunsOfEndedJobs(now);
 }
 
 void Scheduler::OnWorkerListed(WorkerEntry entry, const Now& now) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -108,7 +108,7 @@
   void SendHold(WorkerState& worker, const Now& now);
   void SendStops(const Now& now);
   void SendStop(WorkerState& worker, Run& run, const Now& now);
-  void StopRunsOfEndedJobs();
+  void StopRunsOfEndedJobs(const Now& now);
   void SendPaces(const Now& now);
 
   void Place(const Now& now);
@@ -130,7 +130,11 @@
   void SendWaiting(WorkerState& worker);
   // The order was answered, so that the next may go.
   PendingOrder TakeOrder(CallId call);
-  void DropWaitingStarts(WorkerState& worker, const Now& now);
+  // Takes back starts that wait for earlier orders to the worker.
+  template <typename Unwanted>
+  void DropWaitingStarts(WorkerState& worker, const Unwanted& unwanted, const Now& now);
+  void DropAllWaitingStarts(WorkerState& worker, const Now& now);
+  bool IsWanted(const TaskRef& ref);
 
   void Log(LogEvent event) { log_.push_back(std::move(event)); }
 
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -53,12 +53,12 @@
   return order;
 }
 
-// Starts that were not sent to a worker that does not answer go elsewhere.
-void Scheduler::DropWaitingStarts(WorkerState& worker, const Now& now) {
+template <typename Unwanted>
+void Scheduler::DropWaitingStarts(WorkerState& worker, const Unwanted& unwanted, const Now& now) {
   std::vector<StartOrder> starts;
   std::erase_if(worker.waiting_orders, [&](const WorkerOrder& it) {
     const auto* start = std::get_if<StartOrder>(&it);
-    if (start == nullptr) return false;
+    if (start == nullptr || !unwanted(*start)) return false;
     starts.push_back(*start);
     return true;
   });
@@ -69,6 +69,12 @@
   }
 }
 
+// Starts that were not sent to a worker that does not answer go elsewhere.
+void Scheduler::DropAllWaitingStarts(WorkerState& worker, const Now& now) {
+  DropWaitingStarts(
+      worker, [](const StartOrder&) { return true; }, now);
+}
+
 void Scheduler::SendHolds(const Now& now) {
   for (auto& [id, worker] : workers_) {
     if (worker.hold_in_flight) continue;
@@ -86,7 +92,7 @@
 void Scheduler::SendHold(WorkerState& worker, const Now& now) {
   HoldOrder order;
   order.call = NextCall();
-  order.worker = {worker.entry().id, worker.entry().address};
+  order.worker = worker.entry().Target();
   order.token = token_;
   order.acknowledged_end = worker.end_stored;
   // A worker that does not answer is not granted more time, so that its work is free soon.
@@ -116,7 +122,7 @@
 void Scheduler::SendStop(WorkerState& worker, Run& run, const Now& now) {
   StopOrder order;
   order.call = NextCall();
-  order.worker = {worker.entry().id, worker.entry().address};
+  order.worker = worker.entry().Target();
   order.token = token_;
   order.task = run.task;
   order.run = run.number;
@@ -130,13 +136,17 @@
   Enqueue(worker, std::move(order));
 }
 
-void Scheduler::StopRunsOfEndedJobs() {
+bool Scheduler::IsWanted(const TaskRef& ref) {
+  const TaskStatus* task = tracker_.Find(ref);
+  return task != nullptr && task->phase == TaskPhase::kPlaced;
+}
+
+void Scheduler::StopRunsOfEndedJobs(const Now& now) {
   for (auto& [id, worker] : workers_) {
+    const auto unwanted = [this](const StartOrder& it) { return !IsWanted(it.task); };
+    if (!worker.waiting_orders.empty()) DropWaitingStarts(worker, unwanted, now);
     for (auto& [ref, run] : worker.runs()) {
-      if (run.phase == RunPhase::kStopping) continue;
-      const TaskStatus* task = tracker_.Find(ref);
-      const bool wanted = task != nullptr && task->phase == TaskPhase::kPlaced;
-      if (!wanted) run.phase = RunPhase::kStopping;
+      if (run.phase != RunPhase::kStopping && !IsWanted(ref)) run.phase = RunPhase::kStopping;
     }
   }
 }
@@ -161,7 +171,7 @@
       if (run.pace == run.pace_confirmed || run.pace_in_flight) continue;
       PaceOrder order;
       order.call = NextCall();
-      order.worker = {worker.entry().id, worker.entry().address};
+      order.worker = worker.entry().Target();
       order.token = token_;
       order.task = ref;
       order.run = run.number;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -187,7 +187,7 @@
   const TaskRef ref{job.job->key, task};
   StartOrder order;
   order.call = NextCall();
-  order.worker = {worker.entry().id, worker.entry().address};
+  order.worker = worker.entry().Target();
   order.token = token_;
   order.task = ref;
   order.run = number;
@@ -197,7 +197,7 @@
   worker.Granted(order.lease_end, now.monotonic);
   Run run = MakeRun(*job.job, task, number, now.monotonic);
   run.checkpoint = order.checkpoint;
-  placer_.OnPlaced(worker, job.SpecOf(task), run.image_index);
+  placer_.OnPlaced(worker, job.SpecOf(task));
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
   pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, number, 0};
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -33,6 +33,12 @@
   if (worker == nullptr) return;
   worker->hold_in_flight = false;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
+  if (answer.outcome == OrderOutcome::kRelaySilent) {
+    // It says nothing of the worker, which another relay reaches.
+    counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
+    worker->next_hold = now.monotonic;
+    return;
+  }
   if (answer.outcome != OrderOutcome::kDone) {
     if (worker->reachable) {
       Log(LogEvent(LogLevel::kWarning, "worker_lost")
@@ -43,7 +49,7 @@
     }
     counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
     worker->reachable = false;
-    DropWaitingStarts(*worker, now);
+    DropAllWaitingStarts(*worker, now);
     worker->next_hold = now.monotonic + options_.retry_period;
     return;
   }
@@ -106,7 +112,7 @@
     Log(LogEvent(LogLevel::kInfo, "job_over")
             .With("job", end.task.job.str())
             .With("last_end", std::string(ToString(end.end))));
-    StopRunsOfEndedJobs();
+    StopRunsOfEndedJobs(now);
   }
 }
 
@@ -257,6 +263,7 @@
       tracker_.OnBegun(order.task.job);
       return;
     case OrderOutcome::kNoAnswer:
+    case OrderOutcome::kRelaySilent:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kUnsettled;
       worker->look_now = true;
       return;
--- a/packages/jobs/src/worker_calls.cc
+++ b/packages/jobs/src/worker_calls.cc
@@ -38,6 +38,8 @@
       return "other_instance";
     case OrderOutcome::kNoAnswer:
       return "no_answer";
+    case OrderOutcome::kRelaySilent:
+      return "relay_silent";
   }
   return "unknown";
 }
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -19,6 +19,7 @@
   failures_in_row = 0;
   serving.clear();
   fill_use.clear();
+  pressure_rooms.reset();
 }
 
 Run* WorkerState::FindRun(const TaskRef& task) {
@@ -27,6 +28,7 @@
 }
 
 void WorkerState::Count(const Run& run, int sign) {
+  pressure_rooms.reset();
   used_ += run.need * sign;
   const auto wanted = static_cast<double>(run.milliprocessors);
   const bool serving = run.latency_target > Duration::zero();
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -62,6 +62,12 @@
   Time over_since;          // Start of the present time above the target.
 };
 
+// Pressure that best-effort tasks may still add to the serving tasks of one image on a worker.
+struct PressureRoom {
+  int image = 0;
+  double room = 0;
+};
+
 // What the owner knows of one worker: what runs there, when the lease of that ends, and which of
 // its ends are stored. Not thread-safe.
 class WorkerState {
@@ -129,6 +135,8 @@
   Time no_starts_before;
   std::map<int, ServingState> serving;  // By image index.
   FillUse fill_use;                     // As last reported.
+  // Kept by the placer until the worker's runs, their pace or the report change.
+  std::optional<std::vector<PressureRoom>> pressure_rooms;
   Time reported_at;
   std::string failed_job;   // Of the last failure.
   int failures_in_row = 0;  // Of different jobs.
--- a/packages/jobs/tests/job_world.cc
+++ b/packages/jobs/tests/job_world.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "cactusshelf/jobs/relay_messages.h"
 #include "job_cell.h"
 
 namespace cactusshelf::jobs {
@@ -44,8 +45,9 @@
   return spec;
 }
 
-JobWorld::JobWorld(std::uint64_t seed, int nodes, int workers, const WorldFaults& faults)
-    : random_(seed), faults_(faults) {
+JobWorld::JobWorld(std::uint64_t seed, int nodes, int workers, const WorldFaults& faults,
+                   const WorldOptions& options)
+    : random_(seed), faults_(faults), options_(options) {
   store_.SetConfiguration(MakeQueues());
   for (int i = 0; i < workers; ++i) {
     WorkerEntry entry;
@@ -106,8 +108,9 @@
 void JobWorld::StartNode(int i) {
   Node& node = nodes_[static_cast<std::size_t>(i)];
   ++node.life;
-  JobNodeOptions options;
+  JobNodeOptions options = options_.node;
   options.host = node.host;
+  if (options_.relays) options.peer_address = node.host;
   options.member = node.host + "/" + std::to_string(node.life);
   node.node = std::make_unique<JobNode>(options, random_.Next());
   node.held.clear();
@@ -167,6 +170,27 @@
   }
 }
 
+void JobWorld::NoteGiven(int i, const WorkerOrder& order) {
+  const auto* start = std::get_if<StartOrder>(&order);
+  if (start == nullptr) return;
+  const bool cut = now_ < nodes_[static_cast<std::size_t>(i)].store_cut_until + kInTouchAfter;
+  given_.try_emplace({start->task, start->run}, Given{now_, !cut});
+}
+
+void JobWorld::Perform(int i, const job_effect::SendToPeer& message) {
+  const RelayMessage decoded = DecodeRelayMessage(message.bytes);
+  if (const auto* batch = std::get_if<OrderBatch>(&decoded)) {
+    for (const WorkerOrder& order : batch->orders) NoteGiven(i, order);
+  }
+  if (random_.Chance(faults_.lost_peer_message)) return;
+  const auto to = std::find_if(nodes_.begin(), nodes_.end(),
+                               [&](const Node& it) { return it.host == message.address; });
+  const auto peer = static_cast<int>(to - nodes_.begin());
+  At(now_ + Delay(), [this, peer, bytes = message.bytes] {
+    Deliver(peer, nodes_[static_cast<std::size_t>(peer)].life, job_event::PeerMessage{bytes});
+  });
+}
+
 void JobWorld::Perform(int i, const job_effect::WriteLogEvent& event) {
   const auto ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
   log_.push_back(std::to_string(ms) + " " + nodes_[static_cast<std::size_t>(i)].host + " " +
@@ -244,40 +268,43 @@
 template <typename Order, typename Call, typename Done>
 void JobWorld::PerformOrder(int i, const Order& order, Call call, Done done) {
   const int life = nodes_[static_cast<std::size_t>(i)].life;
-  const bool cut = now_ < nodes_[static_cast<std::size_t>(i)].store_cut_until + kInTouchAfter;
-  At(now_ + Delay(), [this, i, life, order, call, done, sent = now_, in_touch = !cut] {
-    FakeWorker* worker = FindWorker(order.worker.id);
-    const auto no_answer = [this, i, life, order, done] {
-      Deliver(i, life, done(order, std::nullopt));
-    };
-    const bool unreachable = now_ < worker_cut_until_[order.worker.id];
-    if (worker == nullptr || unreachable) {
-      At(now_ + milliseconds(600), no_answer);
-      return;
-    }
-    if (random_.Chance(faults_.late_order)) {
-      At(now_ + random_.Between(milliseconds(500), seconds(5)),
-         [this, worker, order, call, sent, in_touch, life = worker->entry().incarnation] {
-           // An order names the worker that it is for; one that was started anew refuses it.
-           if (worker->entry().incarnation != life) return;
-           order_sent_ = sent;
-           sender_in_touch_ = in_touch;
-           call(*worker, order, now_);
-         });
-      At(now_ + milliseconds(600), no_answer);
-      return;
-    }
-    order_sent_ = sent;
-    sender_in_touch_ = in_touch;
-    const auto answer = call(*worker, order, now_);
-    if (random_.Chance(faults_.lost_worker_answer)) {
-      At(now_ + milliseconds(600), no_answer);
-      return;
-    }
-    At(now_ + Delay(), [this, i, life, order, done, answer] {
-      Deliver(i, life, done(order, std::optional(answer)));
-    });
-  });
+  NoteGiven(i, order);
+  Given given{now_, true};
+  if constexpr (std::is_same_v<Order, StartOrder>) given = given_.at({order.task, order.run});
+  At(now_ + Delay(),
+     [this, i, life, order, call, done, sent = given.at, in_touch = given.in_touch] {
+       FakeWorker* worker = FindWorker(order.worker.id);
+       const auto no_answer = [this, i, life, order, done] {
+         Deliver(i, life, done(order, std::nullopt));
+       };
+       const bool unreachable = now_ < worker_cut_until_[order.worker.id];
+       if (worker == nullptr || unreachable) {
+         At(now_ + milliseconds(600), no_answer);
+         return;
+       }
+       if (random_.Chance(faults_.late_order)) {
+         At(now_ + random_.Between(milliseconds(500), seconds(5)),
+            [this, worker, order, call, sent, in_touch, life = worker->entry().incarnation] {
+              // An order names the worker that it is for; one that was started anew refuses it.
+              if (worker->entry().incarnation != life) return;
+              order_sent_ = sent;
+              sender_in_touch_ = in_touch;
+              call(*worker, order, now_);
+            });
+         At(now_ + milliseconds(600), no_answer);
+         return;
+       }
+       order_sent_ = sent;
+       sender_in_touch_ = in_touch;
+       const auto answer = call(*worker, order, now_);
+       if (random_.Chance(faults_.lost_worker_answer)) {
+         At(now_ + milliseconds(600), no_answer);
+         return;
+       }
+       At(now_ + Delay(), [this, i, life, order, done, answer] {
+         Deliver(i, life, done(order, std::optional(answer)));
+       });
+     });
 }
 
 void JobWorld::Perform(int i, const job_effect::Order& effect) {
@@ -455,6 +482,17 @@
   store_.ListWorker(worker(i).entry());
 }
 
+void JobWorld::FreezeNode(int i, Duration duration) {
+  nodes_[static_cast<std::size_t>(i)].frozen_until = now_ + duration;
+}
+
+int JobWorld::Owner() const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].node != nullptr && nodes_[i].node->owner()) return static_cast<int>(i);
+  }
+  return -1;
+}
+
 void JobWorld::CutWorker(int i, Duration duration) {
   worker_cut_until_[worker(i).entry().id] = now_ + duration;
 }
--- a/packages/jobs/tests/job_world.h
+++ b/packages/jobs/tests/job_world.h
@@ -23,6 +23,7 @@
   double lost_worker_answer = 0;  // The order took effect.
   double late_order = 0;          // No answer; takes effect up to 5 s later.
   double failed_run = 0;
+  double lost_peer_message = 0;
   Duration node_kill_period{};  // 0: never. A node starts again after up to 2 s.
   Duration node_freeze_period{};
   Duration store_cut_period{};  // One node loses the store for up to 5 s.
@@ -30,11 +31,17 @@
   Duration worker_cut_period{};  // One worker is unreachable for up to 6 s and runs on.
 };
 
+struct WorldOptions {
+  bool relays = true;   // Owners may hand orders to other nodes.
+  JobNodeOptions node;  // Without names and addresses.
+};
+
 // Job nodes, a store and workers under virtual time, with seeded delays and faults. Checks with
 // each start what must always hold, and collects what does not.
 class JobWorld {
  public:
-  JobWorld(std::uint64_t seed, int nodes, int workers, const WorldFaults& faults);
+  JobWorld(std::uint64_t seed, int nodes, int workers, const WorldFaults& faults,
+           const WorldOptions& options = {});
   ~JobWorld();
 
   // Submits to a random node until it is accepted or refused five times. Returns its key.
@@ -60,6 +67,9 @@
   void KillAllNodes();
   // Workers that are leaving are listed so.
   void DrainWorker(int i);
+  void FreezeNode(int i, Duration duration);
+  // The first node that owns a cell, or -1.
+  int Owner() const;
   void CutWorker(int i, Duration duration);
   void CrashWorker(int i);
   std::string Log(const std::string& part) const;
@@ -100,8 +110,11 @@
   void Perform(int i, const job_effect::ReadNewest& read);
   void Perform(int i, const job_effect::Append& append);
   void Perform(int i, const job_effect::Order& order);
+  void Perform(int i, const job_effect::SendToPeer& message);
   void Perform(int i, const job_effect::WriteLogEvent& event);
   void Perform(int i, const job_effect::Stop& stop);
+  // Keeps when and by whom starts were decided, unless that is known already.
+  void NoteGiven(int i, const WorkerOrder& order);
   template <typename Order, typename Call, typename Done>
   void PerformOrder(int i, const Order& order, Call call, Done done);
   void Request(const JobKey& key, Verb verb, int tries);
@@ -116,6 +129,7 @@
 
   Random random_;
   WorldFaults faults_;
+  WorldOptions options_;
   Time now_{std::chrono::seconds(1)};
   std::priority_queue<Event> events_;
   std::uint64_t next_order_ = 0;
@@ -135,6 +149,11 @@
   std::map<CallerId, Waiting> waiting_;
   std::map<JobKey, JobState> states_;
   // Of the order that a worker carries out now.
+  struct Given {
+    Time at;
+    bool in_touch = true;
+  };
+  std::map<std::pair<TaskRef, std::int64_t>, Given> given_;  // Starts, by run.
   Time order_sent_;
   bool sender_in_touch_ = true;
   std::uint64_t starts_ = 0;
--- a/packages/jobs/tests/job_world_test.cc
+++ b/packages/jobs/tests/job_world_test.cc
@@ -45,7 +45,10 @@
   faults.store_cut_period = seconds(6);
   faults.worker_crash_period = seconds(9);
   faults.worker_cut_period = seconds(5);
-  auto world = std::make_unique<JobWorld>(seed, 3, 5, faults);
+  faults.lost_peer_message = 0.01;
+  WorldOptions options;
+  options.relays = seed % 2 == 0;
+  auto world = std::make_unique<JobWorld>(seed, 3, 5, faults, options);
   world->RunFor(seconds(3));
   for (int i = 0; i < 30; ++i) {
     const bool lasts = world->random().Chance(0.2);
@@ -186,7 +189,10 @@
 }
 
 TEST_CASE("many workers are divided into cells with owners of their own") {
-  JobWorld world(7, 4, 120, {});
+  WorldOptions options;
+  options.node.workers_of_one_cell = 100;
+  options.node.workers_of_each_cell = 60;
+  JobWorld world(7, 4, 120, {}, options);
   world.RunFor(seconds(6));
   REQUIRE(world.CellsOfWorld() == 2);
   const std::vector<JobKey> keys = SubmitMany(world, 30);
--- /dev/null
+++ b/packages/jobs/tests/relay_test.cc
@@ -0,0 +1,231 @@
+#include <catch2/catch.hpp>
+
+#include "cactusshelf/base/errors.h"
+#include "job_world.h"
+#include "order_relay.h"
+#include "relay_pool.h"
+
+// Orders that owners hand to other entry hosts.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time kStart{seconds(100)};
+
+Now At(Time time) {
+  return {time, WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()))};
+}
+
+HostRecord Host(const std::string& name, const std::string& domain, int milliprocessors = 500) {
+  return {name, name + ":1", domain, milliprocessors};
+}
+
+HoldOrder HoldOf(const std::string& worker, std::uint64_t call) {
+  HoldOrder order;
+  order.call = CallId{call};
+  order.worker = {worker, worker + ":2", "north"};
+  order.token = 7;
+  order.lease_end = WorkerClock(1234);
+  order.wait = milliseconds(500);
+  return order;
+}
+
+StartOrder StartOf(const std::string& worker, std::uint64_t call) {
+  StartOrder order;
+  order.call = CallId{call};
+  order.worker = {worker, worker + ":2", "north"};
+  order.token = 7;
+  order.task = {JobKey("00000000000000aa"), {0, 1, 2}};
+  order.run = 1001;
+  order.payload = "payload";
+  order.checkpoint = "c";
+  order.lease_end = WorkerClock(99);
+  return order;
+}
+
+AnswerBatch SignOfLife(const std::string& host) {
+  AnswerBatch batch;
+  batch.host = host;
+  return batch;
+}
+
+// A pool of an owner in "north" with a relay there and one in "south".
+struct PoolFixture {
+  PoolFixture() : pool({}, Host("self", "north", 0)) {
+    pool.SetHosts({{"north-1", Host("north-1", "north")}, {"south-1", Host("south-1", "south")}});
+  }
+
+  // The addresses that orders were sent to.
+  std::vector<std::string> Addresses(Time now) {
+    std::vector<std::string> addresses;
+    for (const auto& message : pool.TakeMessages(now)) {
+      const RelayMessage decoded = DecodeRelayMessage(message.bytes);
+      if (!std::get<OrderBatch>(decoded).orders.empty()) addresses.push_back(message.address);
+    }
+    return addresses;
+  }
+
+  RelayPool pool;
+};
+
+}  // namespace
+
+TEST_CASE("relay messages keep what they hold") {
+  OrderBatch orders{"o:1", RelayStamp{seconds(3), milliseconds(4)}, {}};
+  orders.orders = {HoldOf("w", 1), StartOf("w", 2)};
+  const auto read_orders = std::get<OrderBatch>(DecodeRelayMessage(Encode(orders)));
+  CHECK(read_orders.owner_address == "o:1");
+  CHECK(read_orders.echo == orders.echo);
+  REQUIRE(read_orders.orders.size() == 2);
+  const auto& hold = std::get<HoldOrder>(read_orders.orders[0]);
+  CHECK(hold.lease_end == WorkerClock(1234));
+  CHECK(hold.wait == milliseconds(500));
+  const auto& start = std::get<StartOrder>(read_orders.orders[1]);
+  CHECK(start.task == StartOf("w", 2).task);
+  CHECK(start.payload == "payload");
+  CHECK(start.worker.address == "w:2");
+
+  AnswerBatch answers = SignOfLife("h");
+  answers.leaving = true;
+  HoldAnswer answer{CallId{1}, "w", OrderOutcome::kDone, "", {}};
+  answer.report.clock = WorkerClock(5);
+  answer.report.running = {{StartOf("w", 2).task, 1001, "c", 40, 77}};
+  answer.report.ended = {{3, StartOf("w", 2).task, 1000, RunEnd::kFailed, "d"}};
+  answers.answers = {job_event::HoldDone{answer},
+                     job_event::StopDone{{CallId{2}, "w", OrderOutcome::kFenced, "why"}}};
+  const auto read = std::get<AnswerBatch>(DecodeRelayMessage(Encode(answers)));
+  CHECK(read.leaving);
+  const HoldReport& report = std::get<job_event::HoldDone>(read.answers.at(0)).answer.report;
+  CHECK(report.running.at(0).load == 77);
+  CHECK(report.ended.at(0).end == RunEnd::kFailed);
+  CHECK(std::get<job_event::StopDone>(read.answers.at(1)).answer.reason == "why");
+}
+
+TEST_CASE("a relay message that cannot be read is an error and not a crash") {
+  const std::string bytes = Encode(OrderBatch{"o:1", std::nullopt, {StartOf("w", 2)}});
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    CHECK_THROWS_AS(DecodeRelayMessage(bytes.substr(0, n)), DecodeError);
+  }
+}
+
+TEST_CASE("an owner sends orders itself until a relay has been heard") {
+  // Guards against: orders to hosts that announced themselves and are gone waited for nothing.
+  PoolFixture fixture;
+  CHECK(fixture.pool.Send(HoldOf("w", 1), kStart).has_value());
+  fixture.pool.OnAnswers(SignOfLife("north-1"), kStart);
+  CHECK_FALSE(fixture.pool.Send(HoldOf("w", 2), kStart).has_value());
+}
+
+TEST_CASE("relays in the worker's failure domain are preferred") {
+  // Guards against: each order and report crossed between failure domains.
+  PoolFixture fixture;
+  fixture.pool.OnAnswers(SignOfLife("north-1"), kStart);
+  fixture.pool.OnAnswers(SignOfLife("south-1"), kStart);
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    fixture.pool.Send(HoldOf("w" + std::to_string(i), i), kStart);
+  }
+  CHECK(fixture.Addresses(kStart) == std::vector<std::string>{"north-1:1"});
+}
+
+TEST_CASE("orders of a relay that falls silent are answered, and the next go elsewhere") {
+  // Guards against: a frozen relay held its workers' orders until their leases had ended.
+  PoolFixture fixture;
+  fixture.pool.OnAnswers(SignOfLife("north-1"), kStart);
+  fixture.pool.Send(HoldOf("w", 1), kStart);
+  const Time later = kStart + milliseconds(800);
+  fixture.pool.OnAnswers(SignOfLife("south-1"), later);
+  const std::vector<WorkerAnswer> overdue = fixture.pool.TakeOverdue(later);
+  REQUIRE(overdue.size() == 1);
+  CHECK(std::get<job_event::HoldDone>(overdue[0]).answer.outcome == OrderOutcome::kRelaySilent);
+  fixture.pool.Send(HoldOf("w", 2), later);
+  CHECK(fixture.Addresses(later) == std::vector<std::string>{"south-1:1"});
+}
+
+TEST_CASE("a relay that is leaving answers what it has and gets no more") {
+  // Guards against: each host that was restarted in turn took orders with it.
+  PoolFixture fixture;
+  fixture.pool.OnAnswers(SignOfLife("north-1"), kStart);
+  fixture.pool.Send(StartOf("w", 1), kStart);
+  AnswerBatch leaving = SignOfLife("north-1");
+  leaving.leaving = true;
+  fixture.pool.OnAnswers(leaving, kStart);
+  CHECK(fixture.pool.TakeOverdue(kStart + milliseconds(100)).empty());
+  CHECK(fixture.pool.Send(HoldOf("w", 2), kStart).has_value());
+  leaving.answers = {job_event::StartDone{{CallId{1}, "w", OrderOutcome::kDone, ""}}};
+  CHECK(fixture.pool.OnAnswers(leaving, kStart + milliseconds(200)).size() == 1);
+}
+
+TEST_CASE("an answer that a relay gives twice or too late is not passed on") {
+  PoolFixture fixture;
+  fixture.pool.OnAnswers(SignOfLife("north-1"), kStart);
+  fixture.pool.Send(StartOf("w", 1), kStart);
+  AnswerBatch batch = SignOfLife("north-1");
+  batch.answers = {job_event::StartDone{{CallId{1}, "w", OrderOutcome::kDone, ""}}};
+  CHECK(fixture.pool.OnAnswers(batch, kStart).size() == 1);
+  CHECK(fixture.pool.OnAnswers(batch, kStart).empty());
+}
+
+TEST_CASE("a relay does not pass on starts that waited while it stood still") {
+  // Guards against: a host that was suspended passes a start on when its owner has long given the
+  // task to another worker, and the worker was started anew and refuses nothing.
+  OrderRelay relay({}, "relay");
+  const RelayStamp stamp{kStart.time_since_epoch(),
+                         std::chrono::duration_cast<milliseconds>(kStart.time_since_epoch())};
+  relay.OnOrders({"o:1", stamp, {StartOf("w", 1)}}, At(kStart + milliseconds(900)));
+  REQUIRE(relay.TakeOrders().size() == 1);
+  // The steady clock does not count the suspension.
+  Now woken = At(kStart + milliseconds(950));
+  woken.wall += seconds(4);
+  relay.OnOrders({"o:1", stamp, {StartOf("w", 2), HoldOf("w", 3)}}, woken);
+  const std::vector<WorkerOrder> passed = relay.TakeOrders();
+  REQUIRE(passed.size() == 1);
+  CHECK(std::holds_alternative<HoldOrder>(passed[0]));
+  const auto messages = relay.TakeMessages(false, At(kStart + seconds(1)));
+  REQUIRE(messages.size() == 1);
+  const auto batch = std::get<AnswerBatch>(DecodeRelayMessage(messages[0].bytes));
+  REQUIRE(batch.answers.size() == 1);
+  CHECK(CallOf(batch.answers[0]) == CallId{2});
+  CHECK(std::get<job_event::StartDone>(batch.answers[0]).answer.outcome == OrderOutcome::kRejected);
+}
+
+TEST_CASE("a long-running task starts wherever a worker has room") {
+  // Guards against: workers were divided into cells of 60, one of which was full while another had
+  // room (caarg-grown, quiet-1: LOST 6).
+  constexpr int kWorkers = 150;
+  JobWorld world(21, 6, kWorkers, {});
+  world.RunFor(seconds(4));
+  for (int i = 0; i < kWorkers; ++i) {
+    JobSpec spec = SimpleJob(1, 8000);
+    spec.steps.front().long_running = true;
+    world.Submit(spec);
+    world.RunFor(milliseconds(20));
+  }
+  world.RunFor(seconds(4));
+  CHECK(world.running_tasks() == kWorkers);
+  for (const std::string& it : world.violations()) FAIL_CHECK(it);
+}
+
+TEST_CASE("what runs outlives relays that freeze or are killed") {
+  // Guards against: leases of workers were renewed through a relay that does not answer.
+  JobWorld world(22, 5, 20, {});
+  world.RunFor(seconds(4));
+  JobSpec spec = SimpleJob(40, 1000);
+  spec.steps.front().long_running = true;
+  world.Submit(spec);
+  world.RunFor(seconds(2));
+  REQUIRE(world.running_tasks() == 40);
+  const std::uint64_t starts = world.starts();
+  const int owner = world.Owner();
+  for (int i = 0; i < 5; ++i) {
+    if (i != owner) world.FreezeNode(i, seconds(6));
+  }
+  world.RunFor(seconds(10));
+  CHECK(world.running_tasks() == 40);
+  CHECK(world.starts() == starts);
+  CHECK(world.Log("relay_lost").find("silent") != std::string::npos);
+  for (const std::string& it : world.violations()) FAIL_CHECK(it);
+}
+
+}  // namespace cactusshelf::jobs
