Send stops and paces when they arise; report the processor time of each process

Change: a report or the end of a job sends what it asks for at once, and a look at all runs every 40 ms repeats what was not answered. The end of a job looks up its own runs only.

--- a/packages/daemon/src/job_daemon.h
+++ b/packages/daemon/src/job_daemon.h
@@ -12,6 +12,7 @@
 #include "cactusshelf/daemon/job_shell.h"
 #include "cactusshelf/daemon/unix_signals.h"
 #include "job_peers.h"
+#include "load_monitor.h"
 
 namespace cactusshelf {
 
@@ -35,6 +36,7 @@
                }),
         operators_(OperatorOptions(settings), MakePages(), metrics_, [](const NodeEvent&) {}),
         shell_(node_, clock_, ports_, peers_, log, metrics_, [this] { OnStop(); }),
+        load_monitor_([this](const LogEvent& event) { Log(event); }),
         stop_timer_([this] { exit_code_ = 0; }),
         stop_signals_({SIGTERM, SIGINT}, [this] { OnSignal(); }),
         reload_signals_({SIGHUP}, std::move(on_reload)) {}
@@ -97,6 +99,7 @@
   JobPeers peers_;
   CallerServer operators_;
   JobShell<SystemClock, P, JobPeers> shell_;
+  LoadMonitor load_monitor_;
   WakeupTimer stop_timer_;
   UnixSignals stop_signals_;
   UnixSignals reload_signals_;
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -64,7 +64,11 @@
 std::optional<Time> JobNode::Impl::NextWakeup() const {
   const Time now = last_event_.value_or(Time{});
   const std::optional<Time> relay_due = relay_.NextDue();
-  if (owner()) return std::min(now + kOwnerTick, std::max(relay_due.value_or(Time::max()), now));
+  if (owner()) {
+    const Time next = now + kOwnerTick;
+    return std::max(now,
+                    std::min({next, relay_due.value_or(next), relays_.NextDue().value_or(next)}));
+  }
   const bool busy =
       !pending_readers_.empty() ||
       std::any_of(cells_.begin(), cells_.end(), [](const auto& it) { return !it->desk().idle(); });
--- a/packages/jobs/src/order_relay.h
+++ b/packages/jobs/src/order_relay.h
@@ -15,7 +15,7 @@
 
 struct OrderRelayOptions {
   // Answers are collected for so long before they are sent.
-  Duration collect = std::chrono::milliseconds(6);
+  Duration collect = std::chrono::milliseconds(12);
   // An owner whose orders are not all answered is sent something at least this often.
   Duration heartbeat = std::chrono::milliseconds(150);
   // An owner that has sent nothing for so long is forgotten.
--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -107,6 +107,7 @@
   awaited_[static_cast<std::uint64_t>(CallOf(order))] = {host, WithoutPayload(order), expires};
   Relay& relay = relays_.at(host);
   relay.unsent.push_back(std::move(order));
+  if (!next_batches_) next_batches_ = now + options_.collect;
   ++relay.awaited;
   return std::nullopt;
 }
@@ -165,10 +166,13 @@
 
 std::vector<job_effect::SendToPeer> RelayPool::TakeMessages(Time now) {
   std::vector<job_effect::SendToPeer> messages;
+  const bool collecting = next_batches_ && now < *next_batches_;
+  if (!collecting) next_batches_.reset();
   for (auto& [name, relay] : relays_) {
     const bool in_use = relay.heard && relay.awaited > 0;
     const Duration period = in_use ? options_.keep_alive : options_.probe_period;
-    if (relay.unsent.empty() && now - relay.sent_at < period) continue;
+    const bool has_orders = !collecting && !relay.unsent.empty();
+    if (!has_orders && now - relay.sent_at < period) continue;
     const OrderBatch batch{self_.peer_address, relay.stamp, std::exchange(relay.unsent, {})};
     counters_.Add("cactusshelf_relayed_orders_total", "sent", batch.orders.size());
     relay.sent_at = now;
--- a/packages/jobs/src/relay_pool.h
+++ b/packages/jobs/src/relay_pool.h
@@ -26,8 +26,10 @@
   // An order that was sent to a relay is answered within this time besides the time that it may
   // wait, or its batch was lost.
   Duration order_patience = std::chrono::milliseconds(1500);
+  // Orders to one relay are collected for so long.
+  Duration collect = std::chrono::milliseconds(5);
   // The owner's own part of the orders, relative to its processors: it needs them to decide.
-  double own_share = 0.1;
+  double own_share = 0.03;
   // Hosts with less than this share of the processors of the strongest host at hand are used only
   // if there is no stronger one: few relays answer in larger batches, and without delay.
   double least_strength = 0.5;
@@ -60,6 +62,9 @@
   // Batches to send, at most one to each host.
   std::vector<job_effect::SendToPeer> TakeMessages(Time now);
 
+  // When orders that wait are to be sent.
+  std::optional<Time> NextDue() const { return next_batches_; }
+
   std::vector<LogEvent> TakeLog() { return std::exchange(log_, {}); }
   const Counters& counters() const { return counters_; }
 
@@ -98,6 +103,7 @@
   std::unordered_map<std::string, Choice> choices_;     // By worker.
   std::uint64_t version_ = 1;                           // Of the set of relays in use.
   Time next_check_;
+  std::optional<Time> next_batches_;  // Set while orders wait.
   std::vector<LogEvent> log_;
   Counters counters_;
 };
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -7,8 +7,10 @@
 
 // Runs of one owner are numbered from here; a task seldom has so many runs under one owner.
 constexpr std::int64_t kRunsPerOwner = 1000;
-// Between two looks at all workers and runs.
-constexpr Duration kReviewPeriod = std::chrono::milliseconds(5);
+// Between two looks at all workers.
+constexpr Duration kReviewPeriod = std::chrono::milliseconds(8);
+// Between two looks at all runs. What a report or the end of a job asks for is sent at once.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(40);
 // Calls of different owners in one process are numbered apart.
 constexpr int kCallNumberBits = 24;
 
@@ -48,7 +50,7 @@
 
 void Scheduler::OnCancel(const JobKey& key, const Now& now) {
   tracker_.Cancel(key);
-  StopRunsOfEndedJobs(now);
+  StopRunsOf(key, now);
 }
 
 void Scheduler::OnWorkerListed(WorkerEntry entry, const Now& now) {
@@ -97,16 +99,24 @@
   next_review_ = now.monotonic + kReviewPeriod;
   ForgetLapsed(now);
   CheckTakeover(now);
-  StopRunsOnLeavingWorkers();
-  SendStops(now);
+  Sweep(now);
   // Without the store, the workers' word that there is no higher token has to do.
   if (in_doubt_ && AllListedVisited()) in_doubt_ = false;
   const bool may_start = !fenced_ && !in_doubt_;
   if (now.monotonic >= next_placement_ && may_start) Place(now);
-  SendPaces(now);
   SendHolds(now);
 }
 
+void Scheduler::Sweep(const Now& now) {
+  if (now.monotonic < next_sweep_) return;
+  next_sweep_ = now.monotonic + kSweepPeriod;
+  for (auto& [id, worker] : workers_) {
+    if (worker.entry().draining) StopRunsOnLeaving(worker);
+    SendStops(worker, now);
+    SendPaces(worker);
+  }
+}
+
 // Work on an unreachable worker is gone once its lease has ended by any clock.
 void Scheduler::ForgetLapsed(const Now& now) {
   for (auto it = workers_.begin(); it != workers_.end();) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -106,10 +106,11 @@
 
   void SendHolds(const Now& now);
   void SendHold(WorkerState& worker, const Now& now);
-  void SendStops(const Now& now);
+  void SendStops(WorkerState& worker, const Now& now);
   void SendStop(WorkerState& worker, Run& run, const Now& now);
-  void StopRunsOfEndedJobs(const Now& now);
-  void SendPaces(const Now& now);
+  // Stops what runs of a job that is over.
+  void StopRunsOf(const JobKey& job, const Now& now);
+  void SendPaces(WorkerState& worker);
 
   void Place(const Now& now);
   std::vector<WorkerState*> PlaceableWorkers();
@@ -134,12 +135,13 @@
   template <typename Unwanted>
   void DropWaitingStarts(WorkerState& worker, const Unwanted& unwanted, const Now& now);
   void DropAllWaitingStarts(WorkerState& worker, const Now& now);
-  bool IsWanted(const TaskRef& ref);
 
   void Log(LogEvent event) { log_.push_back(std::move(event)); }
 
-  // Evacuates workers that are leaving.
-  void StopRunsOnLeavingWorkers();
+  // Looks at all runs: stops and paces that were not answered are due again.
+  void Sweep(const Now& now);
+  // Evacuates a worker that is leaving.
+  void StopRunsOnLeaving(WorkerState& worker);
 
   SchedulerOptions options_;
   const JobLedger& ledger_;
@@ -168,6 +170,7 @@
   // the owner. Nothing starts meanwhile.
   bool in_doubt_ = false;
   Time next_review_;
+  Time next_sweep_;
   Time next_placement_;
   Time forced_placement_;
   Time next_best_effort_;
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -109,13 +109,11 @@
   Enqueue(worker, std::move(order));
 }
 
-void Scheduler::SendStops(const Now& now) {
-  for (auto& [id, worker] : workers_) {
-    for (auto& [ref, run] : worker.runs()) {
-      const bool due = now.monotonic >= run.stop_sent + options_.stop_retry_period;
-      if (run.phase != RunPhase::kStopping || run.stop_in_flight || run.stop_answered) continue;
-      if (due) SendStop(worker, run, now);
-    }
+void Scheduler::SendStops(WorkerState& worker, const Now& now) {
+  for (auto& [ref, run] : worker.runs()) {
+    if (run.phase != RunPhase::kStopping || run.stop_in_flight || run.stop_answered) continue;
+    const bool due = now.monotonic >= run.stop_sent + options_.stop_retry_period;
+    if (due) SendStop(worker, run, now);
   }
 }
 
@@ -136,50 +134,45 @@
   Enqueue(worker, std::move(order));
 }
 
-bool Scheduler::IsWanted(const TaskRef& ref) {
-  const TaskStatus* task = tracker_.Find(ref);
-  return task != nullptr && task->phase == TaskPhase::kPlaced;
-}
-
-void Scheduler::StopRunsOfEndedJobs(const Now& now) {
+void Scheduler::StopRunsOf(const JobKey& job, const Now& now) {
+  const auto unwanted = [&job](const StartOrder& it) { return it.task.job == job; };
   for (auto& [id, worker] : workers_) {
-    const auto unwanted = [this](const StartOrder& it) { return !IsWanted(it.task); };
     if (!worker.waiting_orders.empty()) DropWaitingStarts(worker, unwanted, now);
-    for (auto& [ref, run] : worker.runs()) {
-      if (run.phase != RunPhase::kStopping && !IsWanted(ref)) run.phase = RunPhase::kStopping;
+    bool stopping = false;
+    auto it = worker.runs().lower_bound({job, {}});
+    for (; it != worker.runs().end() && it->first.job == job; ++it) {
+      stopping = stopping || it->second.phase != RunPhase::kStopping;
+      it->second.phase = RunPhase::kStopping;
     }
+    if (stopping) SendStops(worker, now);
   }
 }
 
-void Scheduler::StopRunsOnLeavingWorkers() {
-  for (auto& [id, worker] : workers_) {
-    if (!worker.entry().draining) continue;
-    for (auto& [ref, run] : worker.runs()) {
-      if (run.phase != RunPhase::kRunning) continue;
-      const double left = 1.0 - run.progress_percent / kAllPercent;
-      const auto remaining = std::chrono::duration<double, Duration::period>(run.estimate) * left;
-      if (run.long_running || remaining > kLeavingTime) run.phase = RunPhase::kStopping;
-    }
+void Scheduler::StopRunsOnLeaving(WorkerState& worker) {
+  for (auto& [ref, run] : worker.runs()) {
+    if (run.phase != RunPhase::kRunning) continue;
+    const double left = 1.0 - run.progress_percent / kAllPercent;
+    const auto remaining = std::chrono::duration<double, Duration::period>(run.estimate) * left;
+    if (run.long_running || remaining > kLeavingTime) run.phase = RunPhase::kStopping;
   }
 }
 
-void Scheduler::SendPaces(const Now& /*now*/) {
-  for (auto& [id, worker] : workers_) {
-    if (!worker.reachable) continue;
-    for (auto& [ref, run] : worker.runs()) {
-      if (!run.best_effort || run.phase != RunPhase::kRunning) continue;
-      if (run.pace == run.pace_confirmed || run.pace_in_flight) continue;
-      PaceOrder order;
-      order.call = NextCall();
-      order.worker = worker.entry().Target();
-      order.token = token_;
-      order.task = ref;
-      order.run = run.number;
-      order.percent = run.pace;
-      run.pace_in_flight = true;
-      pending_[static_cast<std::uint64_t>(order.call)] = {id, ref, run.number, run.pace};
-      Enqueue(worker, std::move(order));
-    }
+void Scheduler::SendPaces(WorkerState& worker) {
+  if (!worker.reachable) return;
+  for (auto& [ref, run] : worker.runs()) {
+    if (!run.best_effort || run.phase != RunPhase::kRunning) continue;
+    if (run.pace == run.pace_confirmed || run.pace_in_flight) continue;
+    PaceOrder order;
+    order.call = NextCall();
+    order.worker = worker.entry().Target();
+    order.token = token_;
+    order.task = ref;
+    order.run = run.number;
+    order.percent = run.pace;
+    run.pace_in_flight = true;
+    pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, run.number,
+                                                        run.pace};
+    Enqueue(worker, std::move(order));
   }
 }
 
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -90,6 +90,8 @@
   SettleMissing(worker, report, now);
   worker.look_now = false;
   pace_.Update(worker, neighbours_, now.monotonic);
+  SendStops(worker, now);
+  SendPaces(worker);
 }
 
 void Scheduler::ApplyEnd(WorkerState& worker, const EndedRun& end, const Now& now) {
@@ -112,7 +114,7 @@
     Log(LogEvent(LogLevel::kInfo, "job_over")
             .With("job", end.task.job.str())
             .With("last_end", std::string(ToString(end.end))));
-    StopRunsOfEndedJobs(now);
+    StopRunsOf(end.task.job, now);
   }
 }
 
