--- /dev/null
+++ b/packages/connection/src/router_services.cc
@@ -0,0 +1,144 @@
+#include <algorithm>
+#include <utility>
+
+#include "cactusshelf/base/errors.h"
+#include "router_impl.h"
+
+// What the router serves: the routing table, members, customers and endpoints.
+namespace cactusshelf {
+namespace {
+
+constexpr std::uint32_t kMaxSlots = 64;
+
+}  // namespace
+
+void Router::Impl::ApplyServices(Now now, const RoutingTable& table) {
+  for (const ServiceEntry& entry : table.services) {
+    if (entry.slots > kMaxSlots) {
+      throw Error("service " + entry.id.str() + " has more than 64 slots per endpoint");
+    }
+  }
+  env_.costs.SetLinks(table.links);
+  priorities_.clear();
+  for (const CustomerEntry& customer : table.customers) {
+    priorities_[customer.id] = customer.priority;
+  }
+  accounts_.clear();
+  for (const AccountEntry& account : table.accounts) {
+    accounts_[account.id] = account.customer;
+    limiters_.try_emplace(account.id, account.rate, now.monotonic)
+        .first->second.SetRate(account.rate);
+  }
+  std::erase_if(limiters_, [&](const auto& item) { return !accounts_.contains(item.first); });
+
+  for (auto& [id, service] : services_) {
+    service->configured = false;
+  }
+  // A member that was one before this table knows that no slot of a new endpoint is in use.
+  const bool fresh = member_ && (founder_ || had_table_);
+  for (const ServiceEntry& entry : table.services) {
+    auto& service = services_[entry.id];
+    if (!service) {
+      service = std::make_unique<ServiceState>(env_, next_service_++);
+      services_by_number_[service->number()] = service.get();
+      if (had_members_) {
+        service->pool().SetMembers(now, members_, false);
+      }
+    }
+    service->configured = true;
+    service->SetEntry(entry);
+    for (const EndpointEntry& endpoint : entry.endpoints) {
+      services_by_endpoint_[endpoint.id] = service.get();
+    }
+    service->pool().Apply(now, entry, fresh);
+  }
+  had_table_ = true;
+  for (auto& [id, service] : services_) {
+    if (!service->configured) {
+      ServiceEntry gone = service->entry();
+      gone.endpoints.clear();
+      service->pool().Apply(now, gone, false);
+    }
+  }
+  std::erase_if(services_by_endpoint_,
+                [](const auto& item) { return !item.second->pool().Knows(item.first); });
+  std::vector<RequestToken> unknown;
+  for (const auto& [token, call] : calls_) {
+    if (call.phase == Call::Phase::kQueued && !call.service->configured) {
+      unknown.push_back(token);
+    }
+  }
+  std::ranges::sort(unknown);
+  for (const RequestToken token : unknown) {
+    FinishUnanswered(now, calls_.at(token), Reason::kUnknownService);
+  }
+  Tick(now);
+  Finished(now);
+}
+
+void Router::Impl::SetMembers(Now now, const std::vector<RouterMember>& members) {
+  members_ = members;
+  member_ = std::ranges::any_of(members,
+                                [&](const RouterMember& member) { return member.id == env_.self; });
+  const bool alone = member_ && members.size() == 1;
+  const bool founder = alone && !had_members_;
+  founder_ = alone && (founder || founder_);
+  had_members_ = true;
+  claim_owner_.SetMembers(members);
+  exchange_.SetMembers(members);
+  for (auto& [id, service] : services_) {
+    service->pool().SetMembers(now, members, founder);
+  }
+  claim_client_.SetMembers(now, members);
+  Tick(now);
+  Finished(now);
+}
+
+void Router::Impl::SetCustomerRetired(Now now, const CustomerId& customer) {
+  retired_.insert(customer);
+  std::vector<RequestToken> queued;
+  for (const auto& [token, call] : calls_) {
+    if (call.phase == Call::Phase::kQueued && Retired(call)) {
+      queued.push_back(token);
+    }
+  }
+  std::ranges::sort(queued);
+  for (const RequestToken token : queued) {
+    FinishUnanswered(now, calls_.at(token), Reason::kCustomerRetired);
+  }
+  Finished(now);
+}
+
+void Router::Impl::SetEndpointLeaving(Now now, const EndpointId& endpoint) {
+  MarkLeaving(now, endpoint);
+  Finished(now);
+}
+
+ServiceState* Router::Impl::FindService(const ServiceId& id) {
+  const auto it = services_.find(id);
+  const bool found = it != services_.end() && it->second->configured;
+  return found ? it->second.get() : nullptr;
+}
+
+void Router::Impl::MarkLeaving(Now now, const EndpointId& endpoint) {
+  const auto it = services_by_endpoint_.find(endpoint);
+  if (it != services_by_endpoint_.end()) {
+    it->second->pool().SetLeaving(now, endpoint);
+  }
+}
+
+void Router::Impl::DropUnusedServices(Now /*now*/) {
+  std::erase_if(services_, [&](const auto& item) {
+    ServiceState& service = *item.second;
+    if (service.configured || service.active() > 0 || !service.pool().Empty()) {
+      return false;
+    }
+    services_by_number_.erase(service.number());
+    std::erase_if(services_by_endpoint_,
+                  [&](const auto& endpoint) { return endpoint.second == &service; });
+    env_.timers.Disarm({TimerKind::kQueue, service.number()});
+    return true;
+  });
+}
+
+}  // namespace cactusshelf
