Set the pace of runs that a new owner takes over

Cause: a new owner took adopted best-effort runs to run at full speed, while the earlier one had slowed or paused them at the worker. They stayed so until their pace happened to change.

Change: the pace of an adopted run is unknown, so it is ordered anew.

--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -195,6 +195,7 @@
   run.checkpoint = running.checkpoint;
   run.progress_percent = running.progress_percent;
   run.reported_by = worker.incarnation;
+  run.pace_confirmed = kUnknownPace;
   AddRun(worker, std::move(run));
   Log(LogEvent(LogLevel::kInfo, wanted ? "run_adopted" : "run_unwanted")
           .With("task", jobs::ToString(running.task))
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -22,6 +22,8 @@
   kStopping,
 };
 
+inline constexpr int kUnknownPace = -1;
+
 // One run of a task on one worker, from the decision to start it until it is known to be gone.
 struct Run {
   TaskRef task;
@@ -38,9 +40,9 @@
   std::string checkpoint;
   std::int64_t load = 0;  // RunningTask::load.
   int progress_percent = 0;
-  Time progress_at;  // Of the report that first named this percentage; zero before any.
-  int pace = 100;    // Percent, as last ordered.
-  int pace_confirmed = 100;
+  Time progress_at;          // Of the report that first named this percentage; zero before any.
+  int pace = 100;            // Percent, as last ordered.
+  int pace_confirmed = 100;  // kUnknownPace: of a run that an earlier owner started.
   bool pace_in_flight = false;
   // Of the last report that named the run; 0 if none did.
   std::int64_t reported_by = 0;
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -84,6 +84,7 @@
     Extend(order.lease_end, now);
     const Plan plan = planner_(order);
     observer_(*this, order);
+    paces_.erase(order.task);
     running_[order.task] = {order.run, now, now + plan.duration, plan.end};
   }
   return answer;
@@ -105,6 +106,7 @@
 OrderAnswer FakeWorker::Pace(const PaceOrder& order, Time now) {
   Advance(now);
   const bool accepted = Accepts(order.token);
+  if (accepted) SetPace(order.task, order.percent);
   return {order.call, entry_.id, accepted ? OrderOutcome::kDone : OrderOutcome::kFenced, ""};
 }
 
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -56,6 +56,12 @@
   bool LapsedAfter(const TaskRef& task) const { return lapsed_after_.contains(task); }
 
   const std::map<TaskRef, Active>& running() const { return running_; }
+  // Percent of its speed at which a task runs.
+  int PaceOf(const TaskRef& task) const {
+    const auto it = paces_.find(task);
+    return it == paces_.end() ? 100 : it->second;
+  }
+  void SetPace(const TaskRef& task, int percent) { paces_[task] = percent; }
   // Highest acknowledged end.
   std::int64_t acknowledged() const { return acknowledged_; }
   const std::vector<EndedRun>& ended() const { return ended_; }
@@ -79,6 +85,7 @@
   std::map<TaskRef, Active> running_;
   std::map<TaskRef, std::int64_t> highest_ended_;  // Stopped or ended runs.
   std::vector<EndedRun> ended_;
+  std::map<TaskRef, int> paces_;
   std::set<TaskRef> done_;          // Since the lease last ended.
   std::set<TaskRef> lapsed_after_;  // Done before that.
   std::int64_t next_end_ = 1;
--- a/packages/jobs/tests/job_world_test.cc
+++ b/packages/jobs/tests/job_world_test.cc
@@ -153,6 +153,27 @@
   CheckNothingViolated(world);
 }
 
+TEST_CASE("a new owner sets the pace of what it takes over") {
+  // Guards against: best-effort tasks that the earlier owner had paused stayed paused, since the
+  // new one took them to run at full speed (caarg-grown, trouble-1: worth 0.9 before a change of
+  // the owner and 0.6 after it).
+  JobWorld world(11, 3, 2, {});
+  world.RunFor(seconds(3));
+  JobSpec spec = Lasting(1);
+  spec.steps.front().best_effort = true;
+  const JobKey key = world.Submit(spec);
+  world.RunFor(seconds(2));
+  const TaskRef task{key, {0, 0, 0}};
+  const int busy = world.worker(0).running().contains(task) ? 0 : 1;
+  REQUIRE(world.worker(busy).running().contains(task));
+  world.worker(busy).SetPace(task, 0);
+  world.KillAllNodes();
+  world.RunFor(seconds(6));
+  REQUIRE(world.worker(busy).running().contains(task));
+  CHECK(world.worker(busy).PaceOf(task) == 100);
+  CheckNothingViolated(world);
+}
+
 TEST_CASE("what runs outlives the loss of all nodes") {
   JobWorld world(6, 4, 4, {});
   world.RunFor(seconds(3));
