Stop second runs of tasks that are done; wait after a refusal by the store; drop unsent orders

Since only the ended job's runs are looked at, a second run of a task that turned out to be done on a worker that came back worked on in vain. Now that end stops it at once. - Requests that an owner may have stored were appended again as soon as the store refused. A refusal is now followed by a pause of 150 ms. - Orders that waited for a relay that announced itself anew were answered as lost and yet sent once it was heard again. A relay that is not heard keeps no orders, whatever the reason.

--- a/packages/jobs/src/entry_desk.cc
+++ b/packages/jobs/src/entry_desk.cc
@@ -239,6 +239,9 @@
                                                         .With("requests", stored_.size())});
     return;
   }
+  if (result == BatchWriter::Result::kRefused) {
+    next_batch_ = now.monotonic + options_.append_retry_delay;
+  }
   for (Waiter& waiter : std::exchange(stored_, {})) {
     if (result == BatchWriter::Result::kStored) {
       ReplyStored(waiter, done.offset, now.monotonic);
@@ -281,7 +284,7 @@
       return true;
     });
   }
-  if (!writer_.busy() && !waiting_.empty()) BeginBatch(now);
+  if (!writer_.busy() && !waiting_.empty() && time >= next_batch_) BeginBatch(now);
   if (auto append = writer_.Next(time)) effects_.emplace_back(std::move(*append));
 }
 
--- a/packages/jobs/src/entry_desk.h
+++ b/packages/jobs/src/entry_desk.h
@@ -28,6 +28,8 @@
   Duration owner_patience = std::chrono::milliseconds(1000);
   // Nothing is handed to an owner that did not confirm for so long.
   Duration owner_doubt = std::chrono::seconds(3);
+  // Between a refusal by the store and the next append.
+  Duration append_retry_delay = std::chrono::milliseconds(150);
   // When to come back after a refusal.
   Duration retry_after = std::chrono::seconds(1);
   std::size_t max_waiting = 4096;  // Requests.
@@ -143,6 +145,7 @@
   std::uint64_t next_submission_ = 1;
   std::string owner_;
   Time owner_doubted_until_;
+  Time next_batch_;
   std::vector<Reader> readers_;
   std::vector<JobKey> cancelled_;
   bool store_usable_ = true;
--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -50,6 +50,8 @@
   const bool in_use = heard && !leaving;
   relay.heard = heard;
   relay.leaving = leaving;
+  // They are answered as lost, and others follow through another relay.
+  if (!heard) relay.unsent.clear();
   ++version_;
   counters_.Add(in_use ? "cactusshelf_relays_gained_total" : "cactusshelf_relays_lost_total",
                 reason);
@@ -150,7 +152,6 @@
     const bool silent = relay.unanswered_since && now - *relay.unanswered_since > options_.silence;
     if (!relay.heard || !silent) continue;
     SetState(relay, false, false, "silent");
-    relay.unsent.clear();
   }
   for (auto it = awaited_.begin(); it != awaited_.end();) {
     const Awaited& awaited = it->second;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -53,7 +53,7 @@
 
 void Scheduler::OnCancel(const JobKey& key, const Now& now) {
   tracker_.Cancel(key);
-  StopRunsOf(key, now);
+  StopUnwantedRuns(key, now);
 }
 
 void Scheduler::OnWorkerListed(WorkerEntry entry, const Now& now) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -110,8 +110,9 @@
   void SendHold(WorkerState& worker, const Now& now);
   void SendStops(WorkerState& worker, const Now& now);
   void SendStop(WorkerState& worker, Run& run, const Now& now);
-  // Stops what runs of a job that is over.
-  void StopRunsOf(const JobKey& job, const Now& now);
+  bool IsWanted(const TaskRef& ref);
+  // Stops runs of a job that is over, or of its tasks that are done.
+  void StopUnwantedRuns(const JobKey& job, const Now& now);
   void SendPaces(WorkerState& worker);
 
   void Place(const Now& now);
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -134,15 +134,23 @@
   Enqueue(worker, std::move(order));
 }
 
-void Scheduler::StopRunsOf(const JobKey& job, const Now& now) {
-  const auto unwanted = [&job](const StartOrder& it) { return it.task.job == job; };
+bool Scheduler::IsWanted(const TaskRef& ref) {
+  const TaskStatus* task = tracker_.Find(ref);
+  return task != nullptr && task->phase == TaskPhase::kPlaced;
+}
+
+void Scheduler::StopUnwantedRuns(const JobKey& job, const Now& now) {
+  const auto unwanted = [this, &job](const StartOrder& it) {
+    return it.task.job == job && !IsWanted(it.task);
+  };
   for (auto& [id, worker] : workers_) {
     if (!worker.waiting_orders.empty()) DropWaitingStarts(worker, unwanted, now);
     bool stopping = false;
     auto it = worker.runs().lower_bound({job, {}});
     for (; it != worker.runs().end() && it->first.job == job; ++it) {
-      stopping = stopping || it->second.phase != RunPhase::kStopping;
+      if (it->second.phase == RunPhase::kStopping || IsWanted(it->first)) continue;
       it->second.phase = RunPhase::kStopping;
+      stopping = true;
     }
     if (stopping) SendStops(worker, now);
   }
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -113,12 +113,16 @@
   JudgeWorker(worker, end, now);
   const bool was_tracked = tracker_.Find(end.task.job) != nullptr;
   tracker_.OnEnd(end.task, end.run, end.end, end.checkpoint, now.monotonic);
-  if (was_tracked && tracker_.Find(end.task.job) == nullptr) {
+  const bool over = was_tracked && tracker_.Find(end.task.job) == nullptr;
+  if (over) {
     Log(LogEvent(LogLevel::kInfo, "job_over")
             .With("job", end.task.job.str())
             .With("last_end", std::string(ToString(end.end))));
-    StopRunsOf(end.task.job, now);
   }
+  // A task of a worker that was given up may be done there, and run again elsewhere.
+  const TaskStatus* task = tracker_.Find(end.task);
+  const bool runs_on = task != nullptr && task->phase == TaskPhase::kDone && task->runs_present > 0;
+  if (over || runs_on) StopUnwantedRuns(end.task.job, now);
 }
 
 // Tells a worker that fails everything from a job that fails everywhere: only failures of different
--- a/packages/jobs/tests/job_world_test.cc
+++ b/packages/jobs/tests/job_world_test.cc
@@ -153,6 +153,30 @@
   CheckNothingViolated(world);
 }
 
+TEST_CASE("a second run of a task is stopped when the first turns out to be done") {
+  // Guards against: only the end of the whole job stopped such a run, which worked on in vain until
+  // then (seed 60: tasks of a worker that came back after their lease had ended).
+  JobWorld world(12, 2, 2, {});
+  world.RunFor(seconds(3));
+  JobSpec spec = SimpleJob(1, 1000);
+  spec.steps.push_back(Lasting(1).steps.front());  // Keeps the job from ending.
+  const JobKey key = world.Submit(spec);
+  const TaskRef task{key, {0, 0, 0}};
+  world.RunFor(milliseconds(120));
+  const int first = world.worker(0).running().contains(task) ? 0 : 1;
+  REQUIRE(world.worker(first).running().contains(task));
+  world.CutWorker(first, seconds(60));
+  const int second = 1 - first;
+  for (int i = 0; i < 1000 && !world.worker(second).running().contains(task); ++i) {
+    world.RunFor(milliseconds(10));
+  }
+  REQUIRE(world.worker(second).running().contains(task));
+  world.CutWorker(first, Duration::zero());
+  world.RunFor(milliseconds(900));
+  CHECK(world.Log("run_stop").find(ToString(task)) != std::string::npos);
+  CheckNothingViolated(world);
+}
+
 TEST_CASE("a new owner sets the pace of what it takes over") {
   // Guards against: best-effort tasks that the earlier owner had paused stayed paused, since the
   // new one took them to run at full speed (caarg-grown, trouble-1: worth 0.9 before a change of
--- a/packages/jobs/tests/relay_test.cc
+++ b/packages/jobs/tests/relay_test.cc
@@ -184,6 +184,19 @@
   CHECK(fixture.pool.OnAnswers(leaving).size() == 1);
 }
 
+TEST_CASE("orders that wait for a host that announces itself anew are not sent to it") {
+  // Guards against: they were answered as lost, and yet sent once the host was heard again.
+  PoolFixture fixture;
+  fixture.pool.OnAnswers(SignOfLife("north-1"));
+  fixture.pool.Send(StartOf("w", 1), kStart);
+  HostRecord moved = Host("north-1", "north");
+  moved.peer_address = "elsewhere:1";
+  fixture.pool.SetHosts({{"north-1", moved}});
+  CHECK(fixture.pool.TakeOverdue(kStart).size() == 1);
+  fixture.pool.OnAnswers(SignOfLife("north-1"));
+  CHECK(fixture.Addresses(kStart).empty());
+}
+
 TEST_CASE("an answer that a relay gives twice or too late is not passed on") {
   PoolFixture fixture;
   fixture.pool.OnAnswers(SignOfLife("north-1"));
--- a/packages/jobs/tests/submission_test.cc
+++ b/packages/jobs/tests/submission_test.cc
@@ -115,6 +115,18 @@
   CHECK(fixture.replies[0].kind == ReplyKind::kUnknown);
 }
 
+TEST_CASE("a store that refuses is not asked again at once") {
+  // Guards against: what an owner may have stored was appended again as soon as the store refused,
+  // some hundred times a second by each host.
+  Fixture fixture;
+  const std::vector<job_effect::Append> appends = fixture.Pass(milliseconds(1100));
+  REQUIRE(appends.size() == 1);
+  fixture.EndAppend(appends[0], job_event::AppendOutcome::kRefused);
+  CHECK(fixture.TakeAppends().empty());
+  CHECK(fixture.Pass(milliseconds(100)).empty());
+  CHECK(fixture.Pass(milliseconds(100)).size() == 1);
+}
+
 TEST_CASE("nothing is handed to an owner that did not confirm, until another one follows") {
   Fixture fixture;
   fixture.desk.TakeSubmissions();
