Remove work done twice and repeated code of the relays and the desk

- The relay pool copied each order, payload included, and cleared the payload; it keeps the answer to give if the order is lost instead.
- The owner compared the records of all hosts with each event; it does so when the log has a new announcement.
- Orders about a run share one encoder and one decoder of their first fields; whole percent is one constant; both relay tests and the world share one clock.
- The desk asks one question whether anything can be stored, and no longer takes as an argument what it keeps.
- relay_messages is named peer_messages, since it also holds submissions.

--- a/packages/jobs/include/cactusshelf/jobs/job_ledger.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_ledger.h
@@ -41,6 +41,8 @@
   const NeighbourRecord& neighbours() const { return neighbours_; }
   // Entry hosts that ever announced themselves, by name. Only the first cell's log holds them.
   const std::map<std::string, HostRecord>& hosts() const { return hosts_; }
+  // Grows with each announcement.
+  std::uint64_t host_announcements() const { return host_announcements_; }
   // Number of cells; 0 while it is not decided. Only the first cell's log holds it.
   int layout() const { return layout_; }
 
@@ -65,6 +67,7 @@
   std::vector<std::string> roster_;
   NeighbourRecord neighbours_;
   std::map<std::string, HostRecord> hosts_;
+  std::uint64_t host_announcements_ = 0;
   int layout_ = 0;
 };
 
--- a/packages/jobs/include/cactusshelf/jobs/relay_messages.h
+++ b/packages/jobs/include/cactusshelf/jobs/peer_messages.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSSHELF_JOBS_RELAY_MESSAGES_H_
-#define CACTUSSHELF_JOBS_RELAY_MESSAGES_H_
+#ifndef CACTUSSHELF_JOBS_PEER_MESSAGES_H_
+#define CACTUSSHELF_JOBS_PEER_MESSAGES_H_
 
 #include <chrono>
 #include <optional>
@@ -56,7 +56,7 @@
   std::int64_t offset = 0;  // Of the first record.
 };
 
-using RelayMessage = std::variant<OrderBatch, AnswerBatch, Submission, SubmissionStored>;
+using PeerMessageBody = std::variant<OrderBatch, AnswerBatch, Submission, SubmissionStored>;
 
 // Thread-safe.
 std::string Encode(const OrderBatch& batch);
@@ -65,7 +65,7 @@
 std::string Encode(const SubmissionStored& stored);
 
 // Throws DecodeError for anything that Encode does not produce. Thread-safe.
-RelayMessage DecodeRelayMessage(std::string_view bytes);
+PeerMessageBody DecodePeerMessage(std::string_view bytes);
 
 // The call that an order or an answer belongs to, and the worker.
 CallId CallOf(const WorkerOrder& order);
@@ -76,9 +76,11 @@
 void SetCall(WorkerOrder& order, CallId call);
 void SetCall(WorkerAnswer& answer, CallId call);
 
+void SetReason(WorkerAnswer& answer, const std::string& reason);
+
 // The answer to `order` when no worker gave one.
 WorkerAnswer MakeAnswer(const WorkerOrder& order, OrderOutcome outcome, const std::string& reason);
 
 }  // namespace cactusshelf::jobs
 
-#endif  // CACTUSSHELF_JOBS_RELAY_MESSAGES_H_
+#endif  // CACTUSSHELF_JOBS_PEER_MESSAGES_H_
--- a/packages/jobs/src/entry_desk.cc
+++ b/packages/jobs/src/entry_desk.cc
@@ -21,14 +21,14 @@
   store_usable_ = store_usable;
   request.patience = std::min(request.patience, options_.longest_wait);
   if (request.verb == Verb::kSubmit) {
-    Submit(request, route, key, store_usable, now);
+    Submit(request, route, key, now);
   } else {
     Read(request, key, now);
   }
 }
 
 void EntryDesk::Submit(const job_event::CallerRequest& request, const QueueRoute& route,
-                       const JobKey& key, bool store_usable, const Now& now) {
+                       const JobKey& key, const Now& now) {
   const Time arrived = now.monotonic;
   if (const auto* malformed = std::get_if<MalformedBody>(&request.body)) {
     Reply(request.caller, key, ReplyKind::kMalformed, arrived, arrived, malformed->message);
@@ -43,7 +43,7 @@
     Reply(request.caller, key, ReplyKind::kAccepted, arrived, arrived, "known");
     return;
   }
-  if (!store_usable && !OwnerUsable(arrived)) {
+  if (!CanStore(arrived)) {
     Reply(request.caller, key, ReplyKind::kNotAccepted, arrived, arrived, "store_unreachable");
     return;
   }
@@ -101,7 +101,7 @@
 }
 
 void EntryDesk::Cancel(const Reader& reader, const Now& now) {
-  if (!store_usable_ && !OwnerUsable(now.monotonic)) {
+  if (!CanStore(now.monotonic)) {
     Reply(reader.caller, reader.key, ReplyKind::kNotAccepted, reader.arrived, now.monotonic,
           "store_unreachable");
     return;
--- a/packages/jobs/src/entry_desk.h
+++ b/packages/jobs/src/entry_desk.h
@@ -11,7 +11,7 @@
 #include "cactusshelf/base/counters.h"
 #include "cactusshelf/base/distribution.h"
 #include "cactusshelf/jobs/job_ledger.h"
-#include "cactusshelf/jobs/relay_messages.h"
+#include "cactusshelf/jobs/peer_messages.h"
 #include "stream_follower.h"
 
 namespace cactusshelf::jobs {
@@ -120,12 +120,14 @@
   };
 
   void Submit(const job_event::CallerRequest& request, const QueueRoute& route, const JobKey& key,
-              bool store_usable, const Now& now);
+              const Now& now);
   void Read(const job_event::CallerRequest& request, const JobKey& key, const Now& now);
   void Cancel(const Reader& reader, const Now& now);
   void Store(Waiter waiter, const Now& now);
   bool StoreBlocked(Time now) const;
   bool OwnerUsable(Time now) const { return !owner_.empty() && now >= owner_doubted_until_; }
+  // Something that is to be stored can be handed to the owner or the store.
+  bool CanStore(Time now) const { return store_usable_ || OwnerUsable(now); }
   void ReplyStored(const Waiter& waiter, std::int64_t offset, Time now);
   void HandToOwner(Time now);
   void TakeBackUnconfirmed(Time now);
--- a/packages/jobs/src/job_ledger.cc
+++ b/packages/jobs/src/job_ledger.cc
@@ -41,6 +41,7 @@
 void JobLedger::ApplyRecord(HostRecord record, std::int64_t /*offset*/) {
   const std::string host = record.host;
   hosts_[host] = std::move(record);
+  ++host_announcements_;
 }
 
 void JobLedger::ApplyRecord(SubmittedJob record, std::int64_t /*offset*/) {
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -288,7 +288,7 @@
 
 void JobNode::Impl::On(const job_event::PeerMessage& message, const Now& now) {
   try {
-    RelayMessage decoded = DecodeRelayMessage(message.bytes);
+    PeerMessageBody decoded = DecodePeerMessage(message.bytes);
     if (auto* orders = std::get_if<OrderBatch>(&decoded)) {
       relay_.OnOrders(std::move(*orders), now);
       for (WorkerOrder& order : relay_.TakeOrders()) Emit(job_effect::Order{std::move(order)});
@@ -353,7 +353,11 @@
   if (options_.peer_address.empty()) return;
   Announce(now);
   if (owner()) {
-    relays_.SetHosts(cells_.front()->ledger().hosts());
+    const JobLedger& ledger = cells_.front()->ledger();
+    const std::uint64_t announcements = ledger.host_announcements();
+    if (std::exchange(announcements_seen_, announcements) != announcements) {
+      relays_.SetHosts(ledger.hosts());
+    }
     for (auto& message : relays_.TakeMessages(now.monotonic)) Emit(std::move(message));
   }
   for (auto& message : relay_.TakeMessages(state_.draining, now)) Emit(std::move(message));
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -98,6 +98,7 @@
   enum class Announcement : std::uint8_t { kWanted, kInFlight, kStored };
   Announcement announcement_ = Announcement::kWanted;
   Time next_announcement_;
+  std::uint64_t announcements_seen_ = 0;  // By `relays_`.
 
   std::optional<Time> last_event_;
   WallTime last_wall_{};
--- a/packages/jobs/src/order_relay.h
+++ b/packages/jobs/src/order_relay.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "cactusshelf/base/counters.h"
-#include "cactusshelf/jobs/relay_messages.h"
+#include "cactusshelf/jobs/peer_messages.h"
 
 namespace cactusshelf::jobs {
 
--- a/packages/jobs/src/relay_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -1,4 +1,4 @@
-#include "cactusshelf/jobs/relay_messages.h"
+#include "cactusshelf/jobs/peer_messages.h"
 
 #include <nlohmann/json.hpp>
 
@@ -51,6 +51,25 @@
   return order;
 }
 
+// What all orders about a run begin with.
+template <typename Order>
+json RunHead(Kind kind, const Order& order) {
+  json value = Head(kind, order);
+  value.push_back(ToJson(order.task));
+  value.push_back(order.run);
+  return value;
+}
+
+constexpr std::size_t kRunHeadFields = kHeadFields + 2;
+
+template <typename Order>
+Order OrderFromRunHead(const json& value) {
+  auto order = OrderFromHead<Order>(value);
+  order.task = TaskFromJson(value.at(kHeadFields));
+  order.run = value.at(kHeadFields + 1);
+  return order;
+}
+
 json ToJson(const HoldOrder& order) {
   json value = Head(kHold, order);
   value.push_back(order.acknowledged_end);
@@ -60,26 +79,17 @@
 }
 
 json ToJson(const StartOrder& order) {
-  json value = Head(kStart, order);
-  value.push_back(ToJson(order.task));
-  value.push_back(order.run);
+  json value = RunHead(kStart, order);
   value.push_back(order.payload);
   value.push_back(order.checkpoint);
   value.push_back(order.lease_end.count());
   return value;
 }
 
-json ToJson(const StopOrder& order) {
-  json value = Head(kStop, order);
-  value.push_back(ToJson(order.task));
-  value.push_back(order.run);
-  return value;
-}
+json ToJson(const StopOrder& order) { return RunHead(kStop, order); }
 
 json ToJson(const PaceOrder& order) {
-  json value = Head(kPace, order);
-  value.push_back(ToJson(order.task));
-  value.push_back(order.run);
+  json value = RunHead(kPace, order);
   value.push_back(order.percent);
   return value;
 }
@@ -95,20 +105,16 @@
 }
 
 WorkerOrder DecodeStart(const json& value) {
-  auto order = OrderFromHead<StartOrder>(value);
-  order.task = TaskFromJson(value.at(kHeadFields));
-  order.run = value.at(kHeadFields + 1);
-  order.payload = value.at(kHeadFields + 2);
-  order.checkpoint = value.at(kHeadFields + 3);
-  order.lease_end = WorkerClock(value.at(kHeadFields + 4).get<std::int64_t>());
+  auto order = OrderFromRunHead<StartOrder>(value);
+  order.payload = value.at(kRunHeadFields);
+  order.checkpoint = value.at(kRunHeadFields + 1);
+  order.lease_end = WorkerClock(value.at(kRunHeadFields + 2).get<std::int64_t>());
   return order;
 }
 
-template <typename Order>
-Order DecodeRunOrder(const json& value) {
-  auto order = OrderFromHead<Order>(value);
-  order.task = TaskFromJson(value.at(kHeadFields));
-  order.run = value.at(kHeadFields + 1);
+WorkerOrder DecodePace(const json& value) {
+  auto order = OrderFromRunHead<PaceOrder>(value);
+  order.percent = value.at(kRunHeadFields);
   return order;
 }
 
@@ -119,14 +125,11 @@
     case kStart:
       return DecodeStart(value);
     case kStop:
-      return DecodeRunOrder<StopOrder>(value);
-    case kPace: {
-      auto order = DecodeRunOrder<PaceOrder>(value);
-      order.percent = value.at(kHeadFields + 2);
-      return order;
-    }
+      return OrderFromRunHead<StopOrder>(value);
+    case kPace:
+      return DecodePace(value);
     default:
-      throw DecodeError("relay message: unknown order");
+      throw DecodeError("peer message: unknown order");
   }
 }
 
@@ -150,7 +153,7 @@
 Enum EnumFromJson(const json& value, Enum last) {
   const int n = value.get<int>();
   if (n < 0 || n > static_cast<int>(last)) {
-    throw DecodeError("relay message: enumerator out of range");
+    throw DecodeError("peer message: enumerator out of range");
   }
   return static_cast<Enum>(n);
 }
@@ -211,7 +214,7 @@
     case kPace:
       return AnswerFromHead<PaceDone>(value);
     default:
-      throw DecodeError("relay message: unknown answer");
+      throw DecodeError("peer message: unknown answer");
   }
 }
 
@@ -233,7 +236,7 @@
   return submission;
 }
 
-RelayMessage DecodeMessage(const json& value) {
+PeerMessageBody DecodeMessage(const json& value) {
   const int type = value.at(0);
   if (type == kSubmission) return DecodeSubmission(value);
   if (type == kSubmissionStored) return SubmissionStored{value.at(1), value.at(2), value.at(3)};
@@ -244,7 +247,7 @@
     for (const json& it : value.at(3)) batch.orders.push_back(DecodeOrder(it));
     return batch;
   }
-  if (type != kAnswerBatch) throw DecodeError("relay message: unknown type");
+  if (type != kAnswerBatch) throw DecodeError("peer message: unknown type");
   AnswerBatch batch;
   batch.host = value.at(1);
   batch.stamp = StampFromJson(value.at(2));
@@ -293,11 +296,11 @@
   return ToBytes(json::array({kSubmissionStored, stored.cell, stored.id, stored.offset}));
 }
 
-RelayMessage DecodeRelayMessage(std::string_view bytes) {
+PeerMessageBody DecodePeerMessage(std::string_view bytes) {
   try {
     return DecodeMessage(DecodeCbor(bytes, kMaxDepth));
   } catch (const json::exception& error) {
-    throw DecodeError(std::string("malformed relay message: ") + error.what());
+    throw DecodeError(std::string("malformed peer message: ") + error.what());
   }
 }
 
@@ -321,6 +324,10 @@
   std::visit([call](auto& it) { it.answer.call = call; }, answer);
 }
 
+void SetReason(WorkerAnswer& answer, const std::string& reason) {
+  std::visit([&reason](auto& it) { it.answer.reason = reason; }, answer);
+}
+
 WorkerAnswer MakeAnswer(const WorkerOrder& order, OrderOutcome outcome, const std::string& reason) {
   const CallId call = CallOf(order);
   const std::string& worker = TargetOf(order).id;
--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -21,13 +21,6 @@
   return -weight / std::log(uniform);
 }
 
-// What is kept of an order until its answer needs no payload.
-WorkerOrder WithoutPayload(const WorkerOrder& order) {
-  WorkerOrder kept = order;
-  if (auto* start = std::get_if<StartOrder>(&kept)) start->payload.clear();
-  return kept;
-}
-
 Duration WaitOf(const WorkerOrder& order) {
   const auto* hold = std::get_if<HoldOrder>(&order);
   return hold == nullptr ? Duration::zero() : hold->wait;
@@ -106,7 +99,8 @@
   const std::string& host = RelayFor(TargetOf(order));
   if (host.empty()) return order;
   const Time expires = now + WaitOf(order) + options_.order_patience;
-  awaited_[static_cast<std::uint64_t>(CallOf(order))] = {host, WithoutPayload(order), expires};
+  awaited_[static_cast<std::uint64_t>(CallOf(order))] = {
+      host, MakeAnswer(order, OrderOutcome::kRelaySilent, ""), expires};
   Relay& relay = relays_.at(host);
   if (const auto* stop = std::get_if<StopOrder>(&order)) Recall(relay, *stop);
   relay.unsent.push_back(std::move(order));
@@ -154,17 +148,17 @@
     SetState(relay, false, false, "silent");
   }
   for (auto it = awaited_.begin(); it != awaited_.end();) {
-    const Awaited& awaited = it->second;
+    Awaited& awaited = it->second;
     Relay& relay = relays_.at(awaited.host);
     const bool silent = !relay.heard;
     if (!silent && now < awaited.expires) {
       ++it;
       continue;
     }
-    const std::string reason =
-        "relay " + awaited.host + (silent ? " is silent" : " lost the order");
     counters_.Add("cactusshelf_relayed_orders_lost_total", silent ? "silent" : "lost");
-    overdue.push_back(MakeAnswer(awaited.order, OrderOutcome::kRelaySilent, reason));
+    SetReason(awaited.answer_if_lost,
+              "relay " + awaited.host + (silent ? " is silent" : " lost the order"));
+    overdue.push_back(std::move(awaited.answer_if_lost));
     --relay.awaited;
     it = awaited_.erase(it);
   }
--- a/packages/jobs/src/relay_pool.h
+++ b/packages/jobs/src/relay_pool.h
@@ -11,7 +11,7 @@
 #include "cactusshelf/base/counters.h"
 #include "cactusshelf/base/log_event.h"
 #include "cactusshelf/jobs/job_record.h"
-#include "cactusshelf/jobs/relay_messages.h"
+#include "cactusshelf/jobs/peer_messages.h"
 
 namespace cactusshelf::jobs {
 
@@ -45,6 +45,7 @@
       : options_(options), self_(std::move(self)) {}
 
   // Hosts that announced themselves, of which some may be gone.
+  // Compares all of them: call when they have changed.
   void SetHosts(const std::map<std::string, HostRecord>& hosts);
 
   // Hands `order` to a relay, or returns it if the owner is to send it itself.
@@ -79,10 +80,10 @@
     std::optional<RelayStamp> stamp;
     std::vector<WorkerOrder> unsent;
   };
-  // An order without its payload that was handed to a relay.
+  // An order that was handed to a relay.
   struct Awaited {
     std::string host;
-    WorkerOrder order;
+    WorkerAnswer answer_if_lost;
     Time expires;
   };
   struct Choice {
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -11,7 +11,6 @@
 // A worker that is leaving runs on for at least about this time; a task that needs longer is
 // started again elsewhere.
 constexpr Duration kLeavingTime = std::chrono::milliseconds(1500);
-constexpr double kAllPercent = 100.0;
 
 }  // namespace
 
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -10,7 +10,6 @@
 // Failures of different jobs in a row after which a worker is suspected of failing everything.
 constexpr int kSuspiciousFailures = 2;
 constexpr int kMaxQuarantineFactor = 4;
-constexpr double kAllPercent = 100.0;
 // Progress is reported in whole percent; over a shorter time it says little.
 constexpr Duration kLeastObservation = std::chrono::milliseconds(150);
 
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -23,6 +23,7 @@
 };
 
 inline constexpr int kUnknownPace = -1;
+inline constexpr double kAllPercent = 100.0;  // Of a run's progress.
 
 // One run of a task on one worker, from the decision to start it until it is known to be gone.
 struct Run {
--- a/packages/jobs/tests/job_world.cc
+++ b/packages/jobs/tests/job_world.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cactusshelf/jobs/relay_messages.h"
+#include "cactusshelf/jobs/peer_messages.h"
 #include "job_cell.h"
 
 namespace cactusshelf::jobs {
@@ -34,6 +34,10 @@
 
 }  // namespace
 
+Now NowAt(Time time) {
+  return {time, WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()))};
+}
+
 JobSpec SimpleJob(int count, std::int64_t milliprocessors) {
   StepSpec step;
   step.count = count;
@@ -89,9 +93,7 @@
 
 Duration JobWorld::Delay() { return random_.Between(milliseconds(1), milliseconds(12)); }
 
-Now JobWorld::Clock() const {
-  return {now_, WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()))};
-}
+Now JobWorld::Clock() const { return NowAt(now_); }
 
 void JobWorld::Violation(const std::string& text) {
   const auto ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
@@ -178,7 +180,7 @@
 }
 
 void JobWorld::Perform(int i, const job_effect::SendToPeer& message) {
-  const RelayMessage decoded = DecodeRelayMessage(message.bytes);
+  const PeerMessageBody decoded = DecodePeerMessage(message.bytes);
   if (const auto* batch = std::get_if<OrderBatch>(&decoded)) {
     for (const WorkerOrder& order : batch->orders) NoteGiven(i, order);
   }
--- a/packages/jobs/tests/job_world.h
+++ b/packages/jobs/tests/job_world.h
@@ -168,6 +168,9 @@
   std::vector<std::string> log_;
 };
 
+// Both clocks of a host at `time`, started together.
+Now NowAt(Time time);
+
 // A job of one step of `count` tasks with the given processors.
 JobSpec SimpleJob(int count, std::int64_t milliprocessors);
 
--- a/packages/jobs/tests/relay_test.cc
+++ b/packages/jobs/tests/relay_test.cc
@@ -15,10 +15,6 @@
 
 constexpr Time kStart{seconds(100)};
 
-Now At(Time time) {
-  return {time, WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()))};
-}
-
 HostRecord Host(const std::string& name, const std::string& domain, int milliprocessors = 500) {
   return {name, name + ":1", domain, milliprocessors};
 }
@@ -62,7 +58,7 @@
   std::vector<std::string> Addresses(Time now) {
     std::vector<std::string> addresses;
     for (const auto& message : pool.TakeMessages(now + RelayPoolOptions{}.collect)) {
-      const RelayMessage decoded = DecodeRelayMessage(message.bytes);
+      const PeerMessageBody decoded = DecodePeerMessage(message.bytes);
       if (!std::get<OrderBatch>(decoded).orders.empty()) addresses.push_back(message.address);
     }
     return addresses;
@@ -73,10 +69,10 @@
 
 }  // namespace
 
-TEST_CASE("relay messages keep what they hold") {
+TEST_CASE("peer messages keep what they hold") {
   OrderBatch orders{"o:1", RelayStamp{seconds(3), milliseconds(4)}, {}};
   orders.orders = {HoldOf("w", 1), StartOf("w", 2)};
-  const auto read_orders = std::get<OrderBatch>(DecodeRelayMessage(Encode(orders)));
+  const auto read_orders = std::get<OrderBatch>(DecodePeerMessage(Encode(orders)));
   CHECK(read_orders.owner_address == "o:1");
   CHECK(read_orders.echo == orders.echo);
   REQUIRE(read_orders.orders.size() == 2);
@@ -96,7 +92,7 @@
   answer.report.ended = {{3, StartOf("w", 2).task, 1000, RunEnd::kFailed, "d"}};
   answers.answers = {job_event::HoldDone{answer},
                      job_event::StopDone{{CallId{2}, "w", OrderOutcome::kFenced, "why"}}};
-  const auto read = std::get<AnswerBatch>(DecodeRelayMessage(Encode(answers)));
+  const auto read = std::get<AnswerBatch>(DecodePeerMessage(Encode(answers)));
   CHECK(read.leaving);
   const HoldReport& report = std::get<job_event::HoldDone>(read.answers.at(0)).answer.report;
   CHECK(report.running.at(0).load == 77);
@@ -104,10 +100,10 @@
   CHECK(std::get<job_event::StopDone>(read.answers.at(1)).answer.reason == "why");
 }
 
-TEST_CASE("a relay message that cannot be read is an error and not a crash") {
+TEST_CASE("a peer message that cannot be read is an error and not a crash") {
   const std::string bytes = Encode(OrderBatch{"o:1", std::nullopt, {StartOf("w", 2)}});
   for (std::size_t n = 0; n < bytes.size(); ++n) {
-    CHECK_THROWS_AS(DecodeRelayMessage(bytes.substr(0, n)), DecodeError);
+    CHECK_THROWS_AS(DecodePeerMessage(bytes.substr(0, n)), DecodeError);
   }
 }
 
@@ -158,7 +154,7 @@
       pool.Send(HoldOf("w" + std::to_string(i), i), kStart);
     }
     for (const auto& message : pool.TakeMessages(kStart + RelayPoolOptions{}.collect)) {
-      const auto batch = std::get<OrderBatch>(DecodeRelayMessage(message.bytes));
+      const auto batch = std::get<OrderBatch>(DecodePeerMessage(message.bytes));
       if (!batch.orders.empty()) addresses.insert(message.address);
     }
     return addresses;
@@ -213,18 +209,18 @@
   OrderRelay relay({}, "relay");
   const RelayStamp stamp{kStart.time_since_epoch(),
                          std::chrono::duration_cast<milliseconds>(kStart.time_since_epoch())};
-  relay.OnOrders({"o:1", stamp, {StartOf("w", 1)}}, At(kStart + milliseconds(900)));
+  relay.OnOrders({"o:1", stamp, {StartOf("w", 1)}}, NowAt(kStart + milliseconds(900)));
   REQUIRE(relay.TakeOrders().size() == 1);
   // The steady clock does not count the suspension.
-  Now woken = At(kStart + milliseconds(950));
+  Now woken = NowAt(kStart + milliseconds(950));
   woken.wall += seconds(4);
   relay.OnOrders({"o:1", stamp, {StartOf("w", 2), HoldOf("w", 3)}}, woken);
   const std::vector<WorkerOrder> passed = relay.TakeOrders();
   REQUIRE(passed.size() == 1);
   CHECK(std::holds_alternative<HoldOrder>(passed[0]));
-  const auto messages = relay.TakeMessages(false, At(kStart + seconds(1)));
+  const auto messages = relay.TakeMessages(false, NowAt(kStart + seconds(1)));
   REQUIRE(messages.size() == 1);
-  const auto batch = std::get<AnswerBatch>(DecodeRelayMessage(messages[0].bytes));
+  const auto batch = std::get<AnswerBatch>(DecodePeerMessage(messages[0].bytes));
   REQUIRE(batch.answers.size() == 1);
   CHECK(CallOf(batch.answers[0]) == CallId{2});
   CHECK(std::get<job_event::StartDone>(batch.answers[0]).answer.outcome == OrderOutcome::kRejected);
--- a/packages/jobs/tests/submission_test.cc
+++ b/packages/jobs/tests/submission_test.cc
@@ -12,10 +12,6 @@
 
 constexpr Time kStart{seconds(100)};
 
-Now At(Time time) {
-  return {time, WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()))};
-}
-
 // A desk that one caller has submitted a job to.
 struct Fixture {
   explicit Fixture(const std::string& owner = "owner/1", bool store_usable = true)
@@ -28,14 +24,14 @@
     request.body = SimpleJob(1, 1000);
     QueueRoute route;
     route.policy.name = "q";
-    desk.OnRequest(request, route, JobKey("00000000000000aa"), store_usable, At(kStart));
-    desk.Decide(At(kStart));
+    desk.OnRequest(request, route, JobKey("00000000000000aa"), store_usable, NowAt(kStart));
+    desk.Decide(NowAt(kStart));
   }
 
   // Lets time pass; returns the appends of this host.
   std::vector<job_effect::Append> Pass(Duration duration) {
     now += duration;
-    desk.Decide(At(now));
+    desk.Decide(NowAt(now));
     return TakeAppends();
   }
 
@@ -49,8 +45,8 @@
   }
 
   void EndAppend(const job_effect::Append& append, job_event::AppendOutcome outcome) {
-    desk.OnAppendDone({append.append, outcome, 5, "test"}, At(now));
-    desk.Decide(At(now));
+    desk.OnAppendDone({append.append, outcome, 5, "test"}, NowAt(now));
+    desk.Decide(NowAt(now));
   }
 
   JobLedger ledger;
@@ -70,7 +66,7 @@
   CHECK(submissions[0].records.size() == 1);
   CHECK(fixture.Pass(milliseconds(500)).empty());
   CHECK(fixture.replies.empty());
-  fixture.desk.OnSubmissionStored({0, submissions[0].id, 9}, At(fixture.now));
+  fixture.desk.OnSubmissionStored({0, submissions[0].id, 9}, NowAt(fixture.now));
   CHECK(fixture.TakeAppends().empty());
   REQUIRE(fixture.replies.size() == 1);
   CHECK(fixture.replies[0].kind == ReplyKind::kAccepted);
@@ -136,18 +132,18 @@
   request.verb = Verb::kSubmit;
   request.patience = seconds(3);
   request.body = SimpleJob(1, 1000);
-  fixture.desk.OnRequest(request, {}, JobKey("00000000000000ab"), true, At(fixture.now));
+  fixture.desk.OnRequest(request, {}, JobKey("00000000000000ab"), true, NowAt(fixture.now));
   fixture.Pass(milliseconds(1));
   CHECK(fixture.desk.TakeSubmissions().empty());
   fixture.desk.SetOwner("owner/2");
-  fixture.desk.OnRequest(request, {}, JobKey("00000000000000ac"), true, At(fixture.now));
+  fixture.desk.OnRequest(request, {}, JobKey("00000000000000ac"), true, NowAt(fixture.now));
   fixture.Pass(milliseconds(1));
   CHECK(fixture.desk.TakeSubmissions().size() == 1);
 }
 
 TEST_CASE("submissions are kept as they are on their way") {
   const Submission sent{"h:1", 2, 77, {{"j/a", std::string("\0\xff", 2), 0}}};
-  const auto read = std::get<Submission>(DecodeRelayMessage(Encode(sent)));
+  const auto read = std::get<Submission>(DecodePeerMessage(Encode(sent)));
   CHECK(read.reply_address == "h:1");
   CHECK(read.cell == 2);
   CHECK(read.id == 77);
@@ -155,7 +151,7 @@
   CHECK(read.records[0].key == "j/a");
   CHECK(read.records[0].value == sent.records[0].value);
   const auto stored =
-      std::get<SubmissionStored>(DecodeRelayMessage(Encode(SubmissionStored{1, 2, 3})));
+      std::get<SubmissionStored>(DecodePeerMessage(Encode(SubmissionStored{1, 2, 3})));
   CHECK(stored.cell == 1);
   CHECK(stored.id == 2);
   CHECK(stored.offset == 3);
