Log why tasks wait

The owner now logs task_waiting once a second for up to four tasks that wait for 2 s and more, with the obstacle on each worker, and counts the reasons. The pause after a refused start and the quarantine are kept apart for that; when a start is allowed is unchanged.

The fake worker read a task reference after the run that held it was removed; it is passed by value now.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -37,6 +37,24 @@
 
 }  // namespace
 
+std::string_view ToString(PlacementObstacle obstacle) {
+  switch (obstacle) {
+    case PlacementObstacle::kCapacity:
+      return "no_capacity";
+    case PlacementObstacle::kConstraint:
+      return "constraint";
+    case PlacementObstacle::kStartsPaused:
+      return "starts_paused";
+    case PlacementObstacle::kQuarantine:
+      return "quarantined";
+    case PlacementObstacle::kReserved:
+      return "reserved";
+    case PlacementObstacle::kNeighbourLoad:
+      return "neighbour_load";
+  }
+  return "unknown";
+}
+
 Resources CapacityNeed(const StepSpec& step) {
   Resources need = step.need;
   if (step.best_effort) need.milliprocessors = 0;
@@ -96,12 +114,29 @@
          worker.CountRunsOfStep(request.job->key, task.occurrence, task.step) < step.max_per_worker;
 }
 
-bool Placer::CanPlace(WorkerState& worker, const PlacementRequest& request, Time now) const {
+std::optional<PlacementObstacle> Placer::FindObstacle(WorkerState& worker,
+                                                      const PlacementRequest& request,
+                                                      Time now) const {
   const StepSpec& step = request.step();
-  if (now < worker.no_starts_before || !Fits(CapacityNeed(step), worker.Free())) return false;
-  if (!MatchesConstraints(worker, request)) return false;
-  if (step.best_effort) return KeepsNeighbourHeadroom(worker, request);
-  return step.long_running || !IsReserved(worker);
+  if (!Fits(CapacityNeed(step), worker.Free())) return PlacementObstacle::kCapacity;
+  if (!MatchesConstraints(worker, request)) return PlacementObstacle::kConstraint;
+  if (now < worker.starts_paused_until) return PlacementObstacle::kStartsPaused;
+  if (now < worker.quarantined_until) return PlacementObstacle::kQuarantine;
+  if (step.best_effort) {
+    if (!KeepsNeighbourHeadroom(worker, request)) return PlacementObstacle::kNeighbourLoad;
+  } else if (!step.long_running && IsReserved(worker)) {
+    return PlacementObstacle::kReserved;
+  }
+  return std::nullopt;
+}
+
+ObstacleCounts Placer::CountObstacles(const PlacementRequest& request, Time now) const {
+  ObstacleCounts counts{};
+  for (WorkerState* worker : workers_) {
+    const auto obstacle = FindObstacle(*worker, request, now);
+    if (obstacle) ++counts[static_cast<std::size_t>(*obstacle)];
+  }
+  return counts;
 }
 
 bool Placer::IsReserved(const WorkerState& worker) const {
@@ -178,7 +213,7 @@
   WorkerState* best = nullptr;
   double best_score = 0;
   for (WorkerState* worker : workers_) {
-    if (!CanPlace(*worker, request, now)) continue;
+    if (FindObstacle(*worker, request, now)) continue;
     const double score = Score(*worker, request, now);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -1,7 +1,10 @@
 #ifndef CACTUSSHELF_JOBS_SRC_PLACER_H_
 #define CACTUSSHELF_JOBS_SRC_PLACER_H_
 
+#include <array>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +26,23 @@
   const StepSpec& step() const { return job->spec.steps[static_cast<std::size_t>(task.step)]; }
 };
 
+// Why a task cannot start on a worker now.
+enum class PlacementObstacle : std::uint8_t {
+  kCapacity,
+  kConstraint,     // Pool, rack, label or limit per worker.
+  kStartsPaused,   // The worker has just refused a start.
+  kQuarantine,     // Runs of several jobs have failed on the worker.
+  kReserved,       // For a long-running task that has waited long.
+  kNeighbourLoad,  // A best-effort task would bring a serving neighbour near its target.
+};
+inline constexpr std::size_t kPlacementObstacleCount = 6;
+
+// Name of the field of a log line that counts workers with this obstacle.
+std::string_view ToString(PlacementObstacle obstacle);
+
+// Number of workers by the obstacle that rules each out.
+using ObstacleCounts = std::array<int, kPlacementObstacleCount>;
+
 // Chooses the worker on which a task starts.
 //
 // Serving tasks are packed on workers with tasks of the same image, to keep the number of different
@@ -43,6 +63,9 @@
   // Returns the best worker for one task, or null if no worker can run the task now.
   WorkerState* Choose(const PlacementRequest& request, Time now);
 
+  // Counts, for a task that fits nowhere, the workers of the pass by the obstacle on each.
+  ObstacleCounts CountObstacles(const PlacementRequest& request, Time now) const;
+
   // Reserves a worker for a long-running task that fits nowhere: no short task is placed on this
   // worker for the rest of the pass, so that its capacity becomes free as running tasks end.
   void ReserveWorker(const PlacementRequest& request);
@@ -69,7 +92,9 @@
   bool IsReserved(const WorkerState& worker) const;
   // Checks the pool, rack, label and limit per worker, but neither capacity nor interference.
   bool MatchesConstraints(const WorkerState& worker, const PlacementRequest& request) const;
-  bool CanPlace(WorkerState& worker, const PlacementRequest& request, Time now) const;
+  // Returns nothing if the task can start on the worker.
+  std::optional<PlacementObstacle> FindObstacle(WorkerState& worker,
+                                                const PlacementRequest& request, Time now) const;
   // True if a best-effort task finds enough idle processors and leaves its serving neighbours
   // headroom to their latency targets.
   bool KeepsNeighbourHeadroom(WorkerState& worker, const PlacementRequest& request) const;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -109,6 +109,7 @@
   if (ownership_unconfirmed_ && AllListedWorkersAcceptedToken()) ownership_unconfirmed_ = false;
   const bool may_start = !fenced_ && !ownership_unconfirmed_;
   if (now.monotonic >= next_placement_ && may_start) PlaceReadySteps(now);
+  ReportWaitingTasks(now);
   SendHolds(now);
 }
 
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -119,6 +119,10 @@
   void StopObsoleteRuns(const JobKey& job, const Now& now);
   void SendPaceOrders(WorkerState& worker);
 
+  // Logs why tasks wait, for the tasks that have waited longest.
+  void ReportWaitingTasks(const Now& now);
+  LogEvent ExplainWait(const ReadyStep& ready, int index, const Now& now);
+
   void PlaceReadySteps(const Now& now);
   std::vector<WorkerState*> PlaceableWorkers();
   void PlaceStep(const ReadyStep& ready, const Now& now);
@@ -183,6 +187,7 @@
   Time next_decision_;
   Time next_interference_export_;  // Next time to store the interference model.
   Time next_sweep_;
+  Time next_wait_report_;
   Time next_placement_;
   Time placement_deadline_;
   Time next_best_effort_placement_;
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -139,7 +139,7 @@
   if (worker.consecutive_failures < kQuarantineFailureCount) return;
   const int factor =
       std::min(worker.consecutive_failures - kQuarantineFailureCount + 1, kMaxQuarantineFactor);
-  worker.no_starts_before = now.monotonic + options_.quarantine * factor;
+  worker.quarantined_until = now.monotonic + options_.quarantine * factor;
   counters_.Add("cactusshelf_quarantines_total", "failures_of_several_jobs");
   Log(LogEvent(LogLevel::kWarning, "worker_quarantined")
           .With("worker", worker.entry().id)
@@ -307,7 +307,7 @@
       return;
     case OrderOutcome::kRejected:
     case OrderOutcome::kNoRoom:
-      worker->no_starts_before = now.monotonic + options_.retry_period;
+      worker->starts_paused_until = now.monotonic + options_.retry_period;
       break;
     case OrderOutcome::kOtherInstance:
       worker->token_accepted = false;
--- /dev/null
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -0,0 +1,110 @@
+#include <algorithm>
+
+#include "scheduler.h"
+
+// Log lines that explain why tasks wait.
+namespace cactusshelf::jobs {
+namespace {
+
+constexpr Duration kReportPeriod = std::chrono::seconds(1);
+// Shorter waits are usual on a full pool.
+constexpr Duration kMinReportedWait = std::chrono::seconds(2);
+constexpr std::size_t kMaxReportedTasks = 4;
+
+struct WaitingTask {
+  ReadyStep step;
+  int index = 0;
+  bool long_running = false;
+  Time since;
+
+  // Long-running tasks first, since nothing but a start ends their wait; then by time.
+  bool operator<(const WaitingTask& other) const {
+    return std::tuple(!long_running, since) < std::tuple(!other.long_running, other.since);
+  }
+};
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+StepStatus& StatusOf(const ReadyStep& ready) {
+  return ready.job->StepOf({ready.occurrence, ready.step, 0});
+}
+
+// Appends the first task of a step that has no run although all it depends on is done.
+void CollectWaitingTask(const ReadyStep& ready, Time now, std::vector<WaitingTask>& waiting) {
+  const StepStatus& step = StatusOf(ready);
+  const bool long_running = ready.job->SpecOf({ready.occurrence, ready.step, 0}).long_running;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskStatus& task = step.tasks[i];
+    const bool without_run = task.phase == TaskPhase::kPlaced && task.present_runs == 0;
+    if (task.phase != TaskPhase::kWaiting && !without_run) continue;
+    const Time since = std::max(step.ready_since, task.retry_at);
+    if (now - since < kMinReportedWait) continue;
+    waiting.push_back({ready, static_cast<int>(i), long_running, since});
+    return;
+  }
+}
+
+}  // namespace
+
+void Scheduler::ReportWaitingTasks(const Now& now) {
+  if (now.monotonic < next_wait_report_) return;
+  next_wait_report_ = now.monotonic + kReportPeriod;
+  std::vector<ReadyStep> ready;
+  tracker_.CollectReady(now, ready);
+  std::vector<WaitingTask> waiting;
+  for (const ReadyStep& it : ready) CollectWaitingTask(it, now.monotonic, waiting);
+  if (waiting.empty()) return;
+  const std::size_t n = std::min(waiting.size(), kMaxReportedTasks);
+  std::partial_sort(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(n),
+                    waiting.end());
+  placer_.BeginPass(PlaceableWorkers());
+  for (std::size_t i = 0; i < n; ++i) {
+    const WaitingTask& it = waiting[i];
+    Log(ExplainWait(it.step, it.index, now)
+            .With("waited_ms", Milliseconds(now.monotonic - it.since))
+            .With("waiting_steps", waiting.size()));
+  }
+}
+
+LogEvent Scheduler::ExplainWait(const ReadyStep& ready, int index, const Now& now) {
+  TrackedJob& job = *ready.job;
+  const TaskId id{ready.occurrence, ready.step, index};
+  const TaskRef ref{job.job->key, id};
+  const TaskStatus& task = StatusOf(ready).tasks[static_cast<std::size_t>(index)];
+  LogEvent event(LogLevel::kInfo, "task_waiting");
+  event.With("task", jobs::ToString(ref)).With("last_run", task.last_run);
+  const auto with_reason = [&](const std::string& reason) -> LogEvent& {
+    counters_.Add("cactusshelf_waiting_steps_total", reason);
+    return event.With("reason", reason);
+  };
+  if (job.may_run_unreported) {
+    with_reason("takeover").With("unreported", unreported_workers_.size());
+  } else if (task.phase == TaskPhase::kPlaced) {
+    with_reason("placed_without_run");
+  } else if (task.present_runs != 0) {
+    with_reason("earlier_run").With("runs", task.present_runs);
+    for (const auto& [name, worker] : workers_) {
+      const auto run = worker.runs().find(ref);
+      if (run == worker.runs().end()) continue;
+      event.With("worker", name)
+          .With("phase", std::string(ToString(run->second.phase)))
+          .With("reachable", static_cast<int>(worker.reachable))
+          .With("lease_ms", Milliseconds(worker.lease_expiry() - now.monotonic));
+      break;
+    }
+  } else if (ownership_unconfirmed_) {
+    with_reason("ownership_unconfirmed");
+  } else {
+    const PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
+    const ObstacleCounts counts = placer_.CountObstacles(request, now.monotonic);
+    with_reason("no_worker").With("workers", workers_.size());
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+      event.With(std::string(ToString(static_cast<PlacementObstacle>(i))), counts[i]);
+    }
+  }
+  return event;
+}
+
+}  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -6,6 +6,20 @@
 
 using std::chrono::duration_cast;
 
+std::string_view ToString(RunPhase phase) {
+  switch (phase) {
+    case RunPhase::kStarting:
+      return "starting";
+    case RunPhase::kStartUnconfirmed:
+      return "start_unconfirmed";
+    case RunPhase::kRunning:
+      return "running";
+    case RunPhase::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
 void WorkerState::Reset(std::int64_t new_incarnation, Time now) {
   const auto longest = std::chrono::duration<double, Duration::period>(options_->longest_lease) /
                        (1.0 - options_->max_clock_drift);
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cactusshelf/jobs/scheduler_options.h"
@@ -22,6 +23,8 @@
   kStopping,
 };
 
+std::string_view ToString(RunPhase phase);
+
 // Run::confirmed_cpu_share_percent of a run that an earlier owner started.
 inline constexpr int kUnknownCpuShare = -1;
 inline constexpr double kFullProgressPercent = 100.0;
@@ -138,7 +141,8 @@
   std::deque<WorkerOrder> queued_orders;
   // The state of a run is unclear: the next hold is sent at once and does not wait for an end.
   bool report_needed_now = false;
-  Time no_starts_before;
+  Time starts_paused_until;                      // The worker has refused a start.
+  Time quarantined_until;                        // Runs of several jobs have failed in a row.
   std::map<int, ServingState> serving_by_image;  // By image index.
   BestEffortUsage best_effort_usage;             // As last reported.
   // Cached by the placer until the worker's runs, their CPU share or the report change.
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -20,7 +20,8 @@
   return true;
 }
 
-void FakeWorker::EndRun(const TaskRef& task, RunEnd end) {
+// `task` is passed by value, since callers pass the key of the entry that is removed.
+void FakeWorker::EndRun(TaskRef task, RunEnd end) {  // NOLINT
   const std::int64_t run = running_.at(task).run;
   running_.erase(task);
   highest_ended_[task] = std::max(highest_ended_[task], run);
@@ -110,6 +111,16 @@
   return {order.call, entry_.id, accepted ? OrderOutcome::kDone : OrderOutcome::kFenced, ""};
 }
 
+void FakeWorker::FailRun(const TaskRef& task, Time now) {
+  Advance(now);
+  if (running_.contains(task)) EndRun(task, RunEnd::kFailed);
+}
+
+void FakeWorker::FailAllRuns(Time now) {
+  Advance(now);
+  while (!running_.empty()) EndRun(running_.begin()->first, RunEnd::kFailed);
+}
+
 void FakeWorker::Crash(Time now) {
   Advance(now);
   running_.clear();
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -50,6 +50,10 @@
   // Loses all state; a new incarnation answers from now on.
   void Crash(Time now);
 
+  // Ends one run, or everything that runs, as failed.
+  void FailRun(const TaskRef& task, Time now);
+  void FailAllRuns(Time now);
+
   // From now on runs make no progress and do not end by themselves, but can be stopped.
   void Hang(Time now) { hung_since_ = now; }
 
@@ -76,7 +80,7 @@
   int ProgressPercentOf(const ActiveRun& active, Time now) const;
   void ExtendLease(WorkerClock lease_end, Time now);
   bool AcceptToken(std::int64_t token);
-  void EndRun(const TaskRef& task, RunEnd end);
+  void EndRun(TaskRef task, RunEnd end);
 
   WorkerEntry entry_;
   double clock_rate_;
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -24,6 +24,9 @@
 // Maximum delay of starts that were ordered before the owner knew of a cancellation.
 constexpr Duration kMaxCancelDelay = seconds(3);
 
+// Duration of each run on a worker that fails all its runs.
+constexpr Duration kFailingRunTime = milliseconds(100);
+
 QueueTable MakeQueues() {
   QueueRoute route;
   route.host = kHost;
@@ -72,6 +75,7 @@
           plan.duration =
               long_running ? seconds(1'000'000) : random_.Between(milliseconds(200), seconds(2));
           if (random_.Chance(faults_.failed_run)) plan.end = RunEnd::kFailed;
+          if (failing_workers_.contains(order.worker.id)) plan = {kFailingRunTime, RunEnd::kFailed};
           return plan;
         },
         [this](const FakeWorker& worker, const StartOrder& order) { CheckStart(worker, order); }));
@@ -508,6 +512,13 @@
   store_.ListWorker(worker(i).entry());
 }
 
+void JobSimulation::StartFailingRuns(int i) {
+  failing_workers_.insert(worker(i).entry().id);
+  worker(i).FailAllRuns(now_);
+}
+
+void JobSimulation::StopFailingRuns(int i) { failing_workers_.erase(worker(i).entry().id); }
+
 void JobSimulation::FreezeNode(int i, Duration duration) {
   nodes_[static_cast<std::size_t>(i)].frozen_until = now_ + duration;
 }
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,9 @@
   int OwnerIndex() const;
   void PartitionWorker(int i, Duration duration);
   void CrashWorker(int i);
+  // The worker fails what runs there, and all that is started there until StopFailingRuns.
+  void StartFailingRuns(int i);
+  void StopFailingRuns(int i);
   void HangWorker(int i) { worker(i).Hang(now_); }
   // All log lines that contain `part`.
   std::string LogLines(const std::string& part) const;
@@ -148,6 +152,7 @@
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
   std::map<std::string, Time> worker_partitioned_until_;
+  std::set<std::string> failing_workers_;
   std::map<JobKey, Submitted> jobs_;
   std::map<JobKey, bool> accepted_;
   std::uint64_t next_caller_ = 1;
