Name the number of awaited workers in task_waiting after what it counts

The test 'a worker that never returns delays only the first takeover' failed since task_waiting was added: it searches all lines for unreported=1, which is the number of workers that a takeover gave up waiting for. The new line used that name for the workers that it still waits for. The check stays as it is.

--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -80,7 +80,7 @@
     return event.With("reason", reason);
   };
   if (job.may_run_unreported) {
-    with_reason("takeover").With("unreported", unreported_workers_.size());
+    with_reason("takeover").With("awaited_workers", unreported_workers_.size());
   } else if (task.phase == TaskPhase::kPlaced) {
     with_reason("placed_without_run");
   } else if (task.present_runs != 0) {
