Let waiting tasks probe a worker in quarantine

Cause: a quarantine was a ban without a bound on the wait. Two failures of different jobs in a row kept a worker from all starts for 4 to 16 s. Long-running tasks never end as done, so nothing ended the row: their usual single failures, seconds or minutes apart, put sound workers into quarantine. On a full pool the room is where a task has just failed, that is on the worker in quarantine.

Now a failure of a long-running task counts only soon after its start. A run that is done, or at work for 1.5 s, releases the worker if it started after the last failure. A task that fits nowhere else may start on a worker in quarantine after 1 s, a short one after 2.5 s and never with its last attempt; one probe a second and worker, so that a worker that fails everything costs little. The wait is bounded by the age of the task and no longer by the failures of others.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -23,6 +23,8 @@
 // bonus.
 constexpr double kSlowWorkerSpeed = 0.45;
 constexpr double kSlowWorkerCost = 20.0;
+// Penalty for a worker in quarantine, which outweighs all other terms.
+constexpr double kQuarantineCost = 1000.0;
 // Penalty for a best-effort task that uses up the whole headroom of a serving neighbour.
 constexpr double kHeadroomUseCost = 1.0;
 
@@ -83,6 +85,7 @@
   return std::any_of(unplaceable_.begin(), unplaceable_.end(), [&](const UnplaceableRequest& it) {
     const bool same_kind = it.best_effort == step.best_effort &&
                            it.long_running == step.long_running &&
+                           (it.may_probe || !request.may_probe) &&
                            (!step.best_effort || it.image_index == request.image_index);
     return same_kind && it.service == request.service && it.rack == request.rack &&
            it.label == step.required_label && Fits(it.need, step.need);
@@ -121,7 +124,8 @@
   if (!Fits(CapacityNeed(step), worker.Free())) return PlacementObstacle::kCapacity;
   if (!MatchesConstraints(worker, request)) return PlacementObstacle::kConstraint;
   if (now < worker.starts_paused_until) return PlacementObstacle::kStartsPaused;
-  if (now < worker.quarantined_until) return PlacementObstacle::kQuarantine;
+  const bool may_probe = request.may_probe && worker.quarantine.CanProbe(now);
+  if (worker.quarantine.active(now) && !may_probe) return PlacementObstacle::kQuarantine;
   if (step.best_effort) {
     if (!KeepsNeighbourHeadroom(worker, request)) return PlacementObstacle::kNeighbourLoad;
   } else if (!step.long_running && IsReserved(worker)) {
@@ -196,6 +200,7 @@
   const StepSpec& step = request.step();
   const std::int64_t capacity = entry.capacity.milliprocessors;
   double score = -kSlowWorkerCost * std::max(0.0, kSlowWorkerSpeed - worker.speed.SpeedAt(now));
+  if (worker.quarantine.active(now)) score -= kQuarantineCost;
   if (!step.preferred_rack.empty() && entry.rack == step.preferred_rack) score += kRackBonus;
   if (step.best_effort) {
     return score + Fraction(worker.IdleMilliprocessors(), capacity) -
@@ -223,7 +228,7 @@
   // A request that failed because of its own step's limit per worker does not rule out others.
   if (best == nullptr && step.max_per_worker == 0) {
     unplaceable_.push_back({request.service, request.rack, step.required_label, request.image_index,
-                            step.best_effort, step.long_running, step.need});
+                            step.best_effort, step.long_running, request.may_probe, step.need});
   }
   return best;
 }
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -22,6 +22,7 @@
   std::string rack;     // Required rack; empty: any.
   int image_index = 0;
   Duration waited{};
+  bool may_probe = false;  // The task may start on a worker in quarantine.
 
   const StepSpec& step() const { return job->spec.steps[static_cast<std::size_t>(task.step)]; }
 };
@@ -82,6 +83,7 @@
     int image_index = 0;
     bool best_effort = false;
     bool long_running = false;
+    bool may_probe = false;
     Resources need;
   };
 
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -102,7 +102,7 @@
   void ApplyProgress(WorkerState& worker, Run& run, int percent, const Now& now);
   void AdoptRun(WorkerState& worker, const RunningTask& running);
   void ResolveUnreportedRuns(WorkerState& worker, const HoldReport& report, const Now& now);
-  void UpdateQuarantine(WorkerState& worker, const EndedRun& end, const Now& now);
+  void UpdateQuarantine(WorkerState& worker, const Run& run, RunEnd end, const Now& now);
   void MarkRunLost(WorkerState& worker, TaskRef task, std::string_view reason, const Now& now);
   void MarkRunsOfEarlierIncarnationLost(WorkerState& worker, const Now& now);
   void MarkAllRunsLost(WorkerState& worker, std::string_view reason, const Now& now);
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -13,6 +13,9 @@
 constexpr double kMaxObjectiveFactor = 3.0;
 // A worker is reserved for a long-running task that has waited for this time.
 constexpr Duration kStarvationDelay = std::chrono::milliseconds(2500);
+// A task that fits only on workers in quarantine waits for this time before it is tried there.
+constexpr Duration kMaxQuarantineWait = std::chrono::seconds(1);
+constexpr Duration kMaxShortTaskQuarantineWait = std::chrono::milliseconds(2500);
 // Maximum time between two placement passes. Retry delays end and jobs become due without an event
 // that requests a pass.
 constexpr Duration kMaxPlacementInterval = std::chrono::milliseconds(100);
@@ -62,6 +65,15 @@
   });
 }
 
+// True if the task may start on a worker in quarantine. Long-running tasks have any number of
+// attempts; a short task must not lose its last one on a worker that is likely to fail it.
+bool MayProbe(TrackedJob& job, const TaskId& id, Duration waited) {
+  if (job.SpecOf(id).long_running) return waited >= kMaxQuarantineWait;
+  const TaskStatus& task = job.StepOf(id).tasks[static_cast<std::size_t>(id.index)];
+  return waited >= kMaxShortTaskQuarantineWait && task.failed_runs.empty() &&
+         job.job->queue.max_attempts > 1;
+}
+
 }  // namespace
 
 void Scheduler::PlaceReadySteps(const Now& now) {
@@ -176,6 +188,7 @@
   const StepStatus& step = job.StepOf(task);
   request.waited = now - WaitingSince(step, step.tasks[static_cast<std::size_t>(task.index)]);
   request.image_index = interference_.ImageIndex(job.SpecOf(task).image);
+  request.may_probe = MayProbe(job, task, request.waited);
   return request;
 }
 
@@ -210,7 +223,9 @@
   worker.OnLeaseGranted(order.lease_end, now.monotonic);
   Run run = MakeRun(*job.job, task, number);
   run.checkpoint = order.checkpoint;
+  run.started_at = now.monotonic;
   placer_.OnPlaced(worker, job.SpecOf(task));
+  worker.quarantine.OnPlaced(ref, now.monotonic);
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
   pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, number, 0};
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -7,9 +7,6 @@
 namespace cactusshelf::jobs {
 namespace {
 
-// Number of consecutive failures of different jobs after which a worker is quarantined.
-constexpr int kQuarantineFailureCount = 2;
-constexpr int kMaxQuarantineFactor = 4;
 // Progress is reported in whole percent, which is too coarse to measure speed over a shorter time.
 constexpr Duration kMinObservationTime = std::chrono::milliseconds(150);
 
@@ -106,10 +103,12 @@
           .With("worker", worker.entry().id)
           .With("end", std::string(ToString(end.end))));
   counters_.Add("cactusshelf_run_ends_total", ToString(end.end));
-  Run* run = worker.FindRun(end.task);
-  if (run != nullptr && run->number <= end.run) RemoveRun(worker, end.task);
+  const Run* run = worker.FindRun(end.task);
+  if (run != nullptr && run->number <= end.run) {
+    if (run->number == end.run) UpdateQuarantine(worker, *run, end.end, now);
+    RemoveRun(worker, end.task);
+  }
   tracker_.OnRunStarted(end.task.job);
-  UpdateQuarantine(worker, end, now);
   const bool was_tracked = tracker_.Find(end.task.job) != nullptr;
   tracker_.OnRunEnded(end.task, end.run, end.end, end.checkpoint, now.monotonic);
   const bool job_ended = was_tracked && tracker_.Find(end.task.job) == nullptr;
@@ -126,24 +125,12 @@
   if (job_ended || second_run_present) StopObsoleteRuns(end.task.job, now);
 }
 
-// Quarantines a worker on which runs of several jobs fail in a row. Failures of one job do not
-// count more than once, since that job may fail on every worker.
-void Scheduler::UpdateQuarantine(WorkerState& worker, const EndedRun& end, const Now& now) {
-  if (end.end == RunEnd::kDone) {
-    worker.consecutive_failures = 0;
-    worker.last_failed_job.clear();
-  }
-  if (end.end != RunEnd::kFailed || worker.last_failed_job == end.task.job.str()) return;
-  worker.last_failed_job = end.task.job.str();
-  ++worker.consecutive_failures;
-  if (worker.consecutive_failures < kQuarantineFailureCount) return;
-  const int factor =
-      std::min(worker.consecutive_failures - kQuarantineFailureCount + 1, kMaxQuarantineFactor);
-  worker.quarantined_until = now.monotonic + options_.quarantine * factor;
+void Scheduler::UpdateQuarantine(WorkerState& worker, const Run& run, RunEnd end, const Now& now) {
+  if (!worker.quarantine.OnRunEnded(run, end, options_.quarantine, now.monotonic)) return;
   counters_.Add("cactusshelf_quarantines_total", "failures_of_several_jobs");
   Log(LogEvent(LogLevel::kWarning, "worker_quarantined")
           .With("worker", worker.entry().id)
-          .With("failures_in_row", worker.consecutive_failures));
+          .With("failures_in_row", worker.quarantine.consecutive_failures()));
 }
 
 void Scheduler::ApplyRunning(WorkerState& worker, const RunningTask& running, const Now& now) {
@@ -161,6 +148,7 @@
   ApplyProgress(worker, *run, running.progress_percent, now);
   run->load = running.load;
   run->checkpoint = running.checkpoint;
+  worker.quarantine.OnRunReported(*run, now.monotonic);
 }
 
 void Scheduler::ApplyProgress(WorkerState& worker, Run& run, int percent, const Now& now) {
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -30,7 +30,7 @@
   last_stored_end = 0;
   processed_ends_batch = 0;
   clock_known_ = false;
-  consecutive_failures = 0;
+  quarantine.Reset();
   speed.Reset();
   serving_by_image.clear();
   best_effort_usage.clear();
@@ -71,6 +71,7 @@
   const auto it = runs_.find(task);
   if (it == runs_.end()) return;
   AdjustUsage(it->second, -1);
+  quarantine.OnRunRemoved(task);
   runs_.erase(it);
 }
 
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -42,6 +42,8 @@
   std::string image;
   int image_index = 0;  // InterferenceModel::ImageIndex.
   Duration latency_target{};
+  // When the run was placed; zero if an earlier owner did so.
+  Time started_at;
   std::string checkpoint;
   std::int64_t load = 0;  // RunningTask::load.
   int progress_percent = 0;
@@ -75,6 +77,42 @@
   double headroom = 0;
 };
 
+// Decides from the failures on a worker whether tasks may start there. Failures of one job count
+// once, since that job may fail on every worker. A worker in quarantine gets one task at a time as
+// a probe, and is released once a run that started after the last failure has ended as done or has
+// been at work for kProbationTime. Not thread-safe.
+class WorkerQuarantine {
+ public:
+  // A long-running task that fails later than this after its start says nothing about its worker.
+  static constexpr Duration kProbationTime = std::chrono::milliseconds(1500);
+
+  // Records the end of `run`. Returns true if it put the worker into quarantine or extended the
+  // quarantine, whose initial duration is `quarantine`.
+  bool OnRunEnded(const Run& run, RunEnd end, Duration quarantine, Time now);
+  // Records that `run` is reported as at work.
+  void OnRunReported(const Run& run, Time now);
+  // Records that a task was placed on the worker.
+  void OnPlaced(const TaskRef& task, Time now);
+  // Records that a run has left the worker, whether it ended or was lost.
+  void OnRunRemoved(const TaskRef& task);
+  // Forgets all failures, for a new incarnation of the worker.
+  void Reset() { *this = {}; }
+
+  bool active(Time now) const { return now < until_; }
+  bool CanProbe(Time now) const { return !probe_ && now >= next_probe_; }
+  int consecutive_failures() const { return consecutive_failures_; }
+
+ private:
+  void OnSuccess(const Run& run);
+
+  std::string last_failed_job_;
+  int consecutive_failures_ = 0;  // Of runs of different jobs.
+  Time last_failure_at_;
+  Time until_;
+  std::optional<TaskRef> probe_;
+  Time next_probe_;
+};
+
 // The owner's view of one worker: its runs, the expiry of its lease, and which ends of runs are
 // stored. Not thread-safe.
 class WorkerState {
@@ -141,16 +179,14 @@
   std::deque<WorkerOrder> queued_orders;
   // The state of a run is unclear: the next hold is sent at once and does not wait for an end.
   bool report_needed_now = false;
-  Time starts_paused_until;                      // The worker has refused a start.
-  Time quarantined_until;                        // Runs of several jobs have failed in a row.
+  Time starts_paused_until;  // The worker has refused a start.
+  WorkerQuarantine quarantine;
   std::map<int, ServingState> serving_by_image;  // By image index.
   BestEffortUsage best_effort_usage;             // As last reported.
   // Cached by the placer until the worker's runs, their CPU share or the report change.
   std::optional<std::vector<PressureHeadroom>> pressure_headrooms;
   Time reported_at;
-  std::string last_failed_job;   // Job of the last failed run.
-  int consecutive_failures = 0;  // Of runs of different jobs.
-  WorkerSpeed speed;             // Observed on short tasks.
+  WorkerSpeed speed;  // Observed on short tasks.
 
  private:
   void AdjustUsage(const Run& run, int sign);
