--- a/packages/daemon/bench/proxy_bench.cc
+++ b/packages/daemon/bench/proxy_bench.cc
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "cactusshelf/daemon/acceptor.h"
+#include "cactusshelf/daemon/socket_address.h"
 #include "daemon.h"
 #include "http_headers.h"
-#include "socket_address.h"
 #include "socket_stream.h"
 
 namespace cactusshelf {
--- a/packages/daemon/src/socket_address.h
+++ b/packages/daemon/include/cactusshelf/daemon/socket_address.h
@@ -13,6 +13,10 @@
 // Parses "IP:port" or "[IPv6]:port". Returns null if `text` has neither form. Thread-safe.
 GObjectPtr<GInetSocketAddress> ParseSocketAddress(const std::string& text);
 
+// Returns whether `text` is "IPv4:port" or "[IPv6]:port", with a port other than 0 and an address
+// of a single host, and can be the authority of a URL as it is. Thread-safe.
+bool IsConnectableAddress(const std::string& text);
+
 // Formats `address` in the form that ParseSocketAddress() accepts.
 std::string FormatSocketAddress(GInetSocketAddress* address);
 
--- a/packages/daemon/src/caller_connections.cc
+++ b/packages/daemon/src/caller_connections.cc
@@ -5,8 +5,8 @@
 
 #include <utility>
 
+#include "cactusshelf/daemon/socket_address.h"
 #include "http_headers.h"
-#include "socket_address.h"
 
 namespace cactusshelf {
 namespace {
--- a/packages/daemon/src/peer_transport.cc
+++ b/packages/daemon/src/peer_transport.cc
@@ -13,8 +13,8 @@
 
 #include "cactusshelf/base/random.h"
 #include "cactusshelf/daemon/acceptor.h"
+#include "cactusshelf/daemon/socket_address.h"
 #include "cactusshelf/daemon/wakeup_timer.h"
-#include "socket_address.h"
 #include "socket_stream.h"
 
 namespace cactusshelf {
--- a/packages/daemon/src/socket_address.cc
+++ b/packages/daemon/src/socket_address.cc
@@ -1,4 +1,4 @@
-#include "socket_address.h"
+#include "cactusshelf/daemon/socket_address.h"
 
 #include <charconv>
 
@@ -35,6 +35,18 @@
   return GObjectPtr<GInetSocketAddress>(G_INET_SOCKET_ADDRESS(address));
 }
 
+bool IsConnectableAddress(const std::string& text) {
+  // A zero byte would end the text for GLib, and the scope of an IPv6 address is not part of a URL.
+  if (text.find('\0') != std::string::npos || text.find('%') != std::string::npos) return false;
+  const GObjectPtr<GInetSocketAddress> address = ParseSocketAddress(text);
+  if (address == nullptr || g_inet_socket_address_get_port(address.get()) == 0) return false;
+  GInetAddress* ip = g_inet_socket_address_get_address(address.get());
+  const bool is_ipv6 = g_inet_address_get_family(ip) == G_SOCKET_FAMILY_IPV6;
+  const bool is_bracketed = text.front() == '[';
+  return is_ipv6 == is_bracketed && !g_inet_address_get_is_any(ip) &&
+         !g_inet_address_get_is_multicast(ip);
+}
+
 std::string FormatSocketAddress(GInetSocketAddress* address) {
   GInetAddress* ip = g_inet_socket_address_get_address(address);
   gchar* text = g_inet_address_to_string(ip);
--- a/packages/daemon/src/table_reader.cc
+++ b/packages/daemon/src/table_reader.cc
@@ -9,7 +9,7 @@
 #include <span>
 #include <utility>
 
-#include "socket_address.h"
+#include "cactusshelf/daemon/socket_address.h"
 
 namespace cactusshelf {
 namespace {
--- a/packages/daemon/tests/program_test.cc
+++ b/packages/daemon/tests/program_test.cc
@@ -7,7 +7,7 @@
 #include <fstream>
 
 #include "cactusshelf/daemon/log_writer.h"
-#include "socket_address.h"
+#include "cactusshelf/daemon/socket_address.h"
 #include "test_support.h"
 
 namespace cactusshelf {
--- a/packages/daemon/tests/test_support.cc
+++ b/packages/daemon/tests/test_support.cc
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <utility>
 
-#include "socket_address.h"
+#include "cactusshelf/daemon/socket_address.h"
 
 namespace cactusshelf {
 namespace {
