Bound the objective by which jobs are ranked

A configuration with an excessive "stretch" or "targetLatencyMs", or a negative "stretch", gave the jobs of its queue a negative objective, so that they were placed before all other jobs.

Cause: the product and the sum were converted to Duration without a check of the range. They are now computed as a real number and brought into the range from zero to a year.

--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -10,6 +10,10 @@
 constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration kLongRunningRetryDelay = std::chrono::milliseconds(100);
 
+// A configured factor or latency target may be so large that the objective exceeds this, beyond
+// which the order of jobs no longer matters and a multiple would not fit into Duration.
+constexpr Duration kMaxObjective = std::chrono::hours(24 * 365);
+
 std::size_t Index(int n) { return static_cast<std::size_t>(n); }
 
 OccurrenceStatus MakeOccurrence(const JobSpec& spec, Time now) {
@@ -46,8 +50,11 @@
 }
 
 Duration CompletionObjective(const SubmittedJob& job) {
-  const auto chain = std::chrono::duration<double, Duration::period>(CriticalPath(job.spec));
-  return std::chrono::duration_cast<Duration>(chain * job.queue.stretch) + job.queue.latency_target;
+  using RealDuration = std::chrono::duration<double, Duration::period>;
+  const RealDuration objective =
+      RealDuration(CriticalPath(job.spec)) * job.queue.stretch + job.queue.latency_target;
+  return std::chrono::duration_cast<Duration>(
+      std::clamp<RealDuration>(objective, Duration::zero(), kMaxObjective));
 }
 
 WallTime DueTime(const JobSpec& spec, int occurrence) {
