Test that an unlisted worker keeps its runs and gets no new ones

It passes without a change of the scheduler. The stand-in for the store reports removed workers, which it left out before.

--- a/packages/jobs/tests/fake_store.cc
+++ b/packages/jobs/tests/fake_store.cc
@@ -43,6 +43,7 @@
   if (stream == Stream::kConfiguration) result.configuration = configuration_;
   if (stream != Stream::kWorkers) return;
   for (const auto& [id, entry] : workers_) result.workers.push_back(entry);
+  result.unlisted_workers.assign(unlisted_workers_.begin(), unlisted_workers_.end());
 }
 
 StreamRead FakeStore::Read(const job_effect::ReadRecords& read) {
--- a/packages/jobs/tests/fake_store.h
+++ b/packages/jobs/tests/fake_store.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,14 @@
   job_event::StreamRead Read(const job_effect::ReadNewest& read);
 
   void SetConfiguration(QueueTable table) { configuration_ = std::move(table); }
-  void ListWorker(const WorkerEntry& entry) { workers_[entry.id] = entry; }
-  void UnlistWorker(const std::string& id) { workers_.erase(id); }
+  void ListWorker(const WorkerEntry& entry) {
+    workers_[entry.id] = entry;
+    unlisted_workers_.erase(entry.id);
+  }
+  void UnlistWorker(const std::string& id) {
+    workers_.erase(id);
+    unlisted_workers_.insert(id);
+  }
 
   const std::vector<KeyedRecord>& log(int cell) { return logs_[cell]; }
 
@@ -38,6 +45,7 @@
   std::map<std::pair<int, std::string>, Producer> producers_;
   QueueTable configuration_;
   std::map<std::string, WorkerEntry> workers_;
+  std::set<std::string> unlisted_workers_;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -212,6 +212,30 @@
   CheckNoViolations(simulation);
 }
 
+// The entry of a live worker is missing for a while, for example because an unreadable one replaced
+// it.
+TEST_CASE("the runs of a worker end, or new ones start there, although it is not listed") {
+  JobSimulation simulation(8, 3, 1, {});
+  simulation.RunFor(seconds(3));
+  simulation.Submit(LongRunningJob(1, 500));
+  simulation.RunFor(seconds(3));
+  const FakeWorker& worker = simulation.worker(0);
+  REQUIRE(worker.running().size() == 1);
+  const std::int64_t run = worker.running().begin()->second.run;
+  simulation.store().UnlistWorker(worker.entry().id);
+  simulation.RunFor(seconds(1));
+  const std::uint64_t starts = simulation.starts();
+  const JobKey key = simulation.Submit(SimpleJob(1, 500));
+  simulation.RunFor(seconds(20));
+  REQUIRE(worker.running().size() == 1);
+  CHECK(worker.running().begin()->second.run == run);
+  CHECK(simulation.starts() == starts);
+  simulation.store().ListWorker(worker.entry());
+  simulation.RunFor(seconds(3));
+  CHECK(simulation.StateOf(key) == JobState::kCompleted);
+  CheckNoViolations(simulation);
+}
+
 TEST_CASE("a worker that never returns delays only the first takeover") {
   // Guards against repeated waiting: the stored roster kept workers that had not reported to a new
   // owner, so each later owner waited for them again, 6 s each time.
