Tell new owners of the workers that are listed already

Callers saw: with a list of workers that does not change, the first owner ever starts nothing; every accepted job stays queued.

Cause: entries read while the number of cells was not stored yet were counted, but passed to no scheduler, since the cell of a worker is unknown until then. They came again only when a worker's entry was written anew (on the users' platform with the next heartbeat, about 1.1 s later). FakeStore hid this: it returned all workers with each read. It now keeps the list as a log of keyed records, with pages, reads from an offset, removals and trimmed records.

The process keeps the entries, not only their ids, and tells schedulers of them once the number of cells is known and a cell was gained. So the list is read anew only when a process becomes an owner, not for each further cell; between ownerships nothing is kept, as it would be out of date.

Ruled out: that a cell gained later lacks its workers ("a cell that is gained later gets its workers from the list that was read before").

--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -234,11 +234,12 @@
   for (const auto& cell : cells_) cell->OnQueuesChanged(node_state_.queues);
 }
 
-void JobNode::Impl::OnWorkersRead(job_event::StreamRead& read, const Now& now) {
-  for (WorkerEntry& entry : read.workers) {
-    if (listed_workers_.insert(entry.id).second) worker_list_changed_at_ = now.monotonic;
-    Scheduler* scheduler = SchedulerOf(entry.id);
-    if (scheduler != nullptr) scheduler->OnWorkerListed(std::move(entry), now);
+void JobNode::Impl::OnWorkersRead(const job_event::StreamRead& read, const Now& now) {
+  for (const WorkerEntry& entry : read.workers) {
+    if (listed_workers_.insert_or_assign(entry.id, entry).second) {
+      worker_list_changed_at_ = now.monotonic;
+    }
+    AnnounceWorker(entry, now);
   }
   for (const std::string& id : read.unlisted_workers) {
     listed_workers_.erase(id);
@@ -247,6 +248,31 @@
   }
 }
 
+void JobNode::Impl::AnnounceWorker(const WorkerEntry& entry, const Now& now) {
+  Scheduler* scheduler = SchedulerOf(entry.id);
+  if (scheduler != nullptr) scheduler->OnWorkerListed(entry, now);
+}
+
+// A scheduler is told of a worker when its entry is read. Entries that were read before the
+// scheduler or the number of cells was there are passed on here.
+void JobNode::Impl::AnnounceWorkersToNewOwners(const Now& now) {
+  if (cells_.front()->log_view().cell_count() == 0) return;
+  bool gained = false;
+  for (const auto& cell : cells_) gained = cell->TakeOwnershipGained() || gained;
+  if (!gained) return;
+  for (const auto& [id, entry] : listed_workers_) AnnounceWorker(entry, now);
+  Log(LogEvent(LogLevel::kInfo, "workers_announced")
+          .With("owned_cells", node_state_.owned_cells)
+          .With("workers", listed_workers_.size()));
+}
+
+// The list is followed only while this process owns a cell, so that what was read under an earlier
+// ownership may be out of date.
+void JobNode::Impl::ForgetWorkerList(const Now& now) {
+  listed_workers_.clear();
+  workers_follower_.Restart(now.monotonic);
+}
+
 void JobNode::Impl::OnEvent(const job_event::AppendDone& done, const Now& now) {
   if (done.append_id == kAnnouncementAppendId) {
     const bool stored = done.outcome == job_event::AppendOutcome::kDone;
@@ -336,11 +362,12 @@
   for (const auto& cell : cells_) {
     cell->Advance(node_state_, now);
     CollectEffects(*cell, now);
-    // A new owner needs the full list of workers.
-    if (cell->TakeOwnershipGained()) workers_follower_.Restart(now.monotonic);
   }
+  const bool was_owner = is_owner();
   node_state_.owned_cells = static_cast<int>(std::count_if(
       cells_.begin(), cells_.end(), [](const auto& it) { return it->scheduler() != nullptr; }));
+  if (is_owner() != was_owner) ForgetWorkerList(now);
+  AnnounceWorkersToNewOwners(now);
   ReplyToPendingReads(now);
   IssueReads(now);
   AdvanceRelaying(now);
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -1,9 +1,9 @@
 #ifndef CACTUSSHELF_JOBS_SRC_JOB_NODE_IMPL_H_
 #define CACTUSSHELF_JOBS_SRC_JOB_NODE_IMPL_H_
 
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -53,7 +53,11 @@
   void OnLocalAnswer(WorkerAnswer answer, const Now& now);
 
   void OnConfigurationRead(job_event::StreamRead& read);
-  void OnWorkersRead(job_event::StreamRead& read, const Now& now);
+  void OnWorkersRead(const job_event::StreamRead& read, const Now& now);
+  // Tells the scheduler of a listed worker, if this process owns the worker's cell.
+  void AnnounceWorker(const WorkerEntry& entry, const Now& now);
+  void AnnounceWorkersToNewOwners(const Now& now);
+  void ForgetWorkerList(const Now& now);
   // Null unless this process owns the cell of `worker`.
   Scheduler* SchedulerOf(const std::string& worker);
   // Cell of a job or worker; null while the number of cells is not known.
@@ -88,7 +92,7 @@
   std::vector<std::unique_ptr<JobCell>> cells_;
   StreamFollower configuration_follower_{Stream::kConfiguration};
   StreamFollower workers_follower_{Stream::kWorkers};
-  std::set<std::string> listed_workers_;
+  std::map<std::string, WorkerEntry> listed_workers_;  // By ID; empty unless this is an owner.
   Time worker_list_changed_at_;
   Counters counters_;
   std::vector<JobEffect> effects_;
--- a/packages/jobs/tests/fake_store.cc
+++ b/packages/jobs/tests/fake_store.cc
@@ -1,5 +1,7 @@
 #include "fake_store.h"
 
+#include <algorithm>
+
 namespace cactusshelf::jobs {
 
 using job_event::AppendDone;
@@ -7,7 +9,7 @@
 using job_event::StreamRead;
 
 AppendDone FakeStore::Append(const job_effect::Append& append) {
-  std::vector<KeyedRecord>& log = logs_[append.cell];
+  std::vector<KeyedRecord>& log = logs_[{Stream::kJobs, append.cell}].records;
   AppendDone done;
   done.append_id = append.append_id;
   done.outcome = AppendOutcome::kDone;
@@ -39,43 +41,72 @@
   return done;
 }
 
-void FakeStore::FillListings(Stream stream, StreamRead& result) const {
-  if (stream == Stream::kConfiguration) result.configuration = configuration_;
-  if (stream != Stream::kWorkers) return;
-  for (const auto& [id, entry] : workers_) result.workers.push_back(entry);
+void FakeStore::ListWorker(const WorkerEntry& entry) {
+  Log& log = logs_[{Stream::kWorkers, 0}];
+  log.records.push_back({entry.id, std::to_string(worker_entries_.size()), log.end()});
+  worker_entries_.push_back(entry);
+}
+
+void FakeStore::UnlistWorker(const std::string& id) {
+  Log& log = logs_[{Stream::kWorkers, 0}];
+  log.records.push_back({id, "", log.end()});
+}
+
+// Of the records of one worker, only the effect of the newest one remains.
+void FakeStore::AddRecord(const KeyedRecord& record, StreamRead& result) const {
+  if (result.stream == Stream::kJobs) {
+    result.job_records.push_back(record);
+    return;
+  }
+  std::erase(result.unlisted_workers, record.key);
+  std::erase_if(result.workers, [&](const WorkerEntry& it) { return it.id == record.key; });
+  if (record.value.empty()) {
+    result.unlisted_workers.push_back(record.key);
+  } else {
+    result.workers.push_back(worker_entries_.at(std::stoul(record.value)));
+  }
 }
 
 StreamRead FakeStore::Read(const job_effect::ReadRecords& read) {
-  const std::vector<KeyedRecord>& log = logs_[read.cell];
+  const Log& log = logs_[{read.stream, read.cell}];
   StreamRead result;
   result.stream = read.stream;
   result.cell = read.cell;
+  if (read.stream == Stream::kConfiguration) result.configuration = configuration_;
+  if (read.from < log.first_offset) {
+    result.outcome = ReadOutcome::kTrimmed;
+    return result;
+  }
   result.outcome = ReadOutcome::kDone;
-  result.next_offset = read.from;
-  FillListings(read.stream, result);
-  if (read.stream != Stream::kJobs) return result;
-  for (auto i = static_cast<std::size_t>(read.from); i < log.size(); ++i) {
-    result.job_records.push_back(log[i]);
+  for (auto i = read.from; i < log.end(); ++i) {
+    AddRecord(log.records[static_cast<std::size_t>(i)], result);
   }
-  result.next_offset = static_cast<std::int64_t>(log.size());
+  result.next_offset = log.end();
   return result;
 }
 
 StreamRead FakeStore::Read(const job_effect::ReadNewest& read) {
-  const std::vector<KeyedRecord>& log = logs_[read.cell];
+  const Log& log = logs_[{read.stream, read.cell}];
   StreamRead result;
   result.stream = read.stream;
   result.cell = read.cell;
   result.newest = true;
   result.outcome = ReadOutcome::kDone;
-  FillListings(read.stream, result);
-  if (read.stream != Stream::kJobs) return result;
+  result.next_offset = log.end();
+  if (read.stream == Stream::kConfiguration) result.configuration = configuration_;
   std::map<std::string, KeyedRecord> newest;
-  for (const KeyedRecord& record : log) newest[record.key] = record;
+  for (const KeyedRecord& record : log.records) newest[record.key] = record;
+  std::erase_if(newest, [&](const auto& it) {
+    return it.second.value.empty() || it.first <= read.after_key;
+  });
   for (const auto& [key, record] : newest) {
-    if (!record.value.empty()) result.job_records.push_back(record);
+    if (result.job_records.size() + result.workers.size() == max_page_records_) {
+      result.has_more = true;
+      break;
+    }
+    AddRecord(record, result);
+    result.last_key = key;
   }
-  result.next_offset = static_cast<std::int64_t>(log.size());
   return result;
 }
 
--- /dev/null
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -0,0 +1,49 @@
+#include <catch2/catch.hpp>
+
+#include "job_simulation.h"
+
+// Tests of how an owner follows the list of workers.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::seconds;
+
+void CheckNoViolations(const JobSimulation& simulation) {
+  for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
+}
+
+}  // namespace
+
+TEST_CASE("the first owner ever is given the workers of a list that does not change") {
+  // Guards against entries that were read before the number of cells was stored: they were not
+  // passed on, and came again only if the worker's entry was written again.
+  JobSimulation simulation(21, 2, 5, {});
+  simulation.store().SetMaxPageRecords(2);
+  simulation.RunFor(seconds(3));
+  const JobKey key = simulation.Submit(SimpleJob(5, 8000));
+  simulation.RunFor(seconds(4));
+  CHECK(simulation.StateOf(key) == JobState::kCompleted);
+  CHECK(simulation.LogLines("workers_announced").find("workers=5") != std::string::npos);
+  CheckNoViolations(simulation);
+}
+
+TEST_CASE("a cell that is gained later gets its workers from the list that was read before") {
+  // Guards against workers that are known to the process but not to the new cell's scheduler.
+  SimulationOptions options;
+  options.node.single_cell_max_workers = 10;
+  options.node.multi_cell_target_workers = 6;
+  JobSimulation simulation(22, 2, 12, {}, options);
+  simulation.store().SetMaxPageRecords(5);
+  simulation.RunFor(seconds(10));
+  REQUIRE(simulation.CellCount() == 2);
+  REQUIRE_FALSE(simulation.LogLines("workers_announced owned_cells=1 workers=12").empty());
+  REQUIRE_FALSE(simulation.LogLines("workers_announced owned_cells=2 workers=12").empty());
+  const std::string reached = simulation.LogLines("event=worker_reached");
+  for (int i = 0; i < 12; ++i) {
+    CAPTURE(i);
+    CHECK(reached.find("worker=w" + std::to_string(i) + " ") != std::string::npos);
+  }
+  CheckNoViolations(simulation);
+}
+
+}  // namespace cactusshelf::jobs
