Remove workers that are missing from a full listing

Callers saw: nothing by itself; tasks were started on workers that the platform had removed, and the owner went on asking them.

Cause: after its read position was trimmed the process reads the newest entry of each worker again. A worker removed meanwhile is in no record that is read, so it stayed listed: its scheduler placed tasks on it while it answered, asked it for ever afterwards, and waited for it whenever all listed workers have to accept the token (a takeover, or a pause without the store).

On the old code "a worker whose removal was trimmed from the list gets no more tasks" printed CHECK( simulation.worker(1).running().empty() ) with expansion: false and the same for worker 4.

The follower numbers its listings, and each entry keeps the number of the listing in which it was last read. When a listing is complete, what has a lower number is removed like a worker whose removal was read. A worker that is removed and added during the listing is in the records read after it. One line a listing, workers_listed, tells how many workers it found and removed.

Ruled out: that a change of owner keeps removed workers in the scheduler.

--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -235,17 +235,33 @@
 }
 
 void JobNode::Impl::OnWorkersRead(const job_event::StreamRead& read, const Now& now) {
+  const std::uint64_t listing = workers_follower_.listing();
   for (const WorkerEntry& entry : read.workers) {
-    if (listed_workers_.insert_or_assign(entry.id, entry).second) {
+    if (listed_workers_.insert_or_assign(entry.id, ListedWorker{entry, listing}).second) {
       worker_list_changed_at_ = now.monotonic;
     }
     AnnounceWorker(entry, now);
   }
-  for (const std::string& id : read.unlisted_workers) {
-    listed_workers_.erase(id);
-    Scheduler* scheduler = SchedulerOf(id);
-    if (scheduler != nullptr) scheduler->OnWorkerUnlisted(id, now);
+  for (const std::string& id : read.unlisted_workers) RemoveWorker(id, now);
+  if (read.newest && workers_follower_.loaded()) RemoveWorkersMissingFromListing(now);
+}
+
+void JobNode::Impl::RemoveWorker(const std::string& id, const Now& now) {
+  listed_workers_.erase(id);
+  Scheduler* scheduler = SchedulerOf(id);
+  if (scheduler != nullptr) scheduler->OnWorkerUnlisted(id, now);
+}
+
+void JobNode::Impl::RemoveWorkersMissingFromListing(const Now& now) {
+  std::vector<std::string> missing;
+  for (const auto& [id, worker] : listed_workers_) {
+    if (worker.listing != workers_follower_.listing()) missing.push_back(id);
   }
+  for (const std::string& id : missing) RemoveWorker(id, now);
+  Log(LogEvent(LogLevel::kInfo, "workers_listed")
+          .With("listing", workers_follower_.listing())
+          .With("workers", listed_workers_.size())
+          .With("removed", missing.size()));
 }
 
 void JobNode::Impl::AnnounceWorker(const WorkerEntry& entry, const Now& now) {
@@ -260,7 +276,7 @@
   bool gained = false;
   for (const auto& cell : cells_) gained = cell->TakeOwnershipGained() || gained;
   if (!gained) return;
-  for (const auto& [id, entry] : listed_workers_) AnnounceWorker(entry, now);
+  for (const auto& [id, worker] : listed_workers_) AnnounceWorker(worker.entry, now);
   Log(LogEvent(LogLevel::kInfo, "workers_announced")
           .With("owned_cells", node_state_.owned_cells)
           .With("workers", listed_workers_.size()));
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -56,6 +56,8 @@
   void OnWorkersRead(const job_event::StreamRead& read, const Now& now);
   // Tells the scheduler of a listed worker, if this process owns the worker's cell.
   void AnnounceWorker(const WorkerEntry& entry, const Now& now);
+  void RemoveWorker(const std::string& id, const Now& now);
+  void RemoveWorkersMissingFromListing(const Now& now);
   void AnnounceWorkersToNewOwners(const Now& now);
   void ForgetWorkerList(const Now& now);
   // Null unless this process owns the cell of `worker`.
@@ -92,7 +94,11 @@
   std::vector<std::unique_ptr<JobCell>> cells_;
   StreamFollower configuration_follower_{Stream::kConfiguration};
   StreamFollower workers_follower_{Stream::kWorkers};
-  std::map<std::string, WorkerEntry> listed_workers_;  // By ID; empty unless this is an owner.
+  struct ListedWorker {
+    WorkerEntry entry;
+    std::uint64_t listing = 0;  // StreamFollower::listing when the entry was last read.
+  };
+  std::map<std::string, ListedWorker> listed_workers_;  // By ID; empty unless this is an owner.
   Time worker_list_changed_at_;
   Counters counters_;
   std::vector<JobEffect> effects_;
--- a/packages/jobs/src/stream_follower.cc
+++ b/packages/jobs/src/stream_follower.cc
@@ -57,6 +57,7 @@
 }
 
 void StreamFollower::Restart(Time now) {
+  ++listing_;
   loaded_ = false;
   next_offset_ = -1;
   after_key_.clear();
--- a/packages/jobs/src/stream_follower.h
+++ b/packages/jobs/src/stream_follower.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_JOBS_SRC_STREAM_FOLLOWER_H_
 #define CACTUSSHELF_JOBS_SRC_STREAM_FOLLOWER_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -32,7 +33,12 @@
   // Discards the read position and starts again from the newest record of each key.
   void Restart(Time now);
 
+  // True once the newest record of each key has been read.
   bool loaded() const { return loaded_; }
+  // Number of the current listing, which rises with each restart. Once loaded, a key that was last
+  // read under a lower number is no longer in the stream: its removal may be in no record that is
+  // left to read.
+  std::uint64_t listing() const { return listing_; }
   bool in_flight() const { return in_flight_; }
   // Offset after the last record read.
   std::int64_t next_offset() const { return next_offset_; }
@@ -46,6 +52,7 @@
   Stream stream_;
   Duration period_{};
   Duration wait_{};
+  std::uint64_t listing_ = 0;
   bool loaded_ = false;
   bool in_flight_ = false;
   std::int64_t next_offset_ = -1;  // -1: no page has been read.
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -8,6 +8,12 @@
 
 using std::chrono::seconds;
 
+JobSpec LongRunningJob(int count) {
+  JobSpec spec = SimpleJob(count, 1500);
+  spec.steps.front().long_running = true;
+  return spec;
+}
+
 void CheckNoViolations(const JobSimulation& simulation) {
   for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
 }
@@ -46,4 +52,24 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("a worker whose removal was trimmed from the list gets no more tasks") {
+  // Guards against workers that stay listed for ever: after the read position was trimmed, the list
+  // is read anew, and a worker that was removed meanwhile is in no record that is read.
+  JobSimulation simulation(23, 2, 5, {});
+  simulation.store().SetMaxPageRecords(2);
+  simulation.RunFor(seconds(4));
+  for (const int removed : {1, 4}) {
+    simulation.store().UnlistWorker(simulation.worker(removed).entry().id);
+  }
+  simulation.store().TrimWorkers();
+  simulation.RunFor(seconds(2));
+  simulation.Submit(LongRunningJob(25));
+  simulation.RunFor(seconds(3));
+  CHECK(simulation.worker(0).running().size() == 5);
+  CHECK(simulation.worker(1).running().empty());
+  CHECK(simulation.worker(4).running().empty());
+  CHECK_FALSE(simulation.LogLines("event=workers_listed listing=2 workers=3 removed=2").empty());
+  CheckNoViolations(simulation);
+}
+
 }  // namespace cactusshelf::jobs
