Discard the read in flight when a follower restarts

Callers would see: an owner that does not know some of its workers, so that their tasks count as lost and their room is not used.

Cause: StreamFollower::Restart did not tell the read in flight from those of the new listing. The answer of the earlier listing moved the key after which the next page begins, and if it was the last page the new listing counted as complete without its first pages. Restart came with each cell gained while the list was being read.

On the old code "a page that was requested before a restart does not complete the new listing" printed CHECK_FALSE( follower.loaded() ) with expansion: !true and the next request was no page of newest records.

The follower notes the listing in which a read was sent, and OnRead tells its caller whether the records belong to the current one; records of an earlier one are not applied.

Ruled out: the same for the job log and the configuration. Their followers restart only when a read was answered as trimmed, so that none is in flight.

--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -95,8 +95,7 @@
 }
 
 void JobCell::OnRead(job_event::StreamRead& read, const NodeState& state, const Now& now) {
-  follower_.OnRead(read, now.monotonic);
-  if (read.outcome != ReadOutcome::kDone) return;
+  if (!follower_.OnRead(read, now.monotonic)) return;
   bool owner_active = false;
   for (const KeyedRecord& record : read.job_records) {
     const bool of_owner = ApplyRecord(record, now);
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -214,12 +214,10 @@
       cells_[static_cast<std::size_t>(read.cell)]->OnRead(read, node_state_, now);
       return;
     case Stream::kConfiguration:
-      configuration_follower_.OnRead(read, now.monotonic);
-      OnConfigurationRead(read);
+      if (configuration_follower_.OnRead(read, now.monotonic)) OnConfigurationRead(read);
       return;
     case Stream::kWorkers:
-      workers_follower_.OnRead(read, now.monotonic);
-      OnWorkersRead(read, now);
+      if (workers_follower_.OnRead(read, now.monotonic)) OnWorkersRead(read, now);
       return;
   }
 }
--- a/packages/jobs/src/stream_follower.h
+++ b/packages/jobs/src/stream_follower.h
@@ -28,9 +28,12 @@
   // Makes the next read due no later than `now`.
   void ScheduleReadNow(Time now) { next_read_at_ = std::min(next_read_at_, now); }
 
-  void OnRead(const job_event::StreamRead& read, Time now);
+  // Handles the result of the read in flight. Returns true if its records are to be applied; false
+  // if it has none, or was sent before the last restart and so belongs to an earlier listing.
+  bool OnRead(const job_event::StreamRead& read, Time now);
 
-  // Discards the read position and starts again from the newest record of each key.
+  // Discards the read position, and the read in flight if there is one, and starts again from the
+  // newest record of each key.
   void Restart(Time now);
 
   // True once the newest record of each key has been read.
@@ -55,7 +58,8 @@
   std::uint64_t listing_ = 0;
   bool loaded_ = false;
   bool in_flight_ = false;
-  std::int64_t next_offset_ = -1;  // -1: no page has been read.
+  std::uint64_t listing_in_flight_ = 0;  // The current listing when the read in flight was sent.
+  std::int64_t next_offset_ = -1;        // -1: no page has been read.
   std::string after_key_;
   int consecutive_failures_ = 0;
   Time failing_since_;
--- a/packages/jobs/tests/job_log_test.cc
+++ b/packages/jobs/tests/job_log_test.cc
@@ -192,6 +192,33 @@
   CHECK(std::holds_alternative<job_effect::ReadNewest>(*follower.NextRequest(kStart)));
 }
 
+TEST_CASE("a page that was requested before a restart does not complete the new listing") {
+  // Guards against a listing without its first pages: the last page of the earlier listing was
+  // taken for a page of the new one, so that the workers on the earlier pages were unknown to a new
+  // owner.
+  StreamFollower follower(Stream::kWorkers);
+  follower.NextRequest(kStart);
+  job_event::StreamRead page;
+  page.newest = true;
+  page.outcome = ReadOutcome::kDone;
+  page.next_offset = 20;
+  page.has_more = true;
+  page.last_key = "m";
+  follower.OnRead(page, kStart);
+  REQUIRE(std::get<job_effect::ReadNewest>(*follower.NextRequest(kStart)).after_key == "m");
+  follower.Restart(kStart);
+  page.has_more = false;
+  page.last_key = "z";
+  follower.OnRead(page, kStart);
+  CHECK_FALSE(follower.loaded());
+  const auto first = follower.NextRequest(kStart);
+  REQUIRE(first);
+  REQUIRE(std::holds_alternative<job_effect::ReadNewest>(*first));
+  CHECK(std::get<job_effect::ReadNewest>(*first).after_key.empty());
+  follower.OnRead(page, kStart);
+  CHECK(follower.loaded());
+}
+
 TEST_CASE("the longest prefix of a path selects the queue, and the host's port does not matter") {
   QueueRoute shorter{"h.example", "/a/", {}};
   QueueRoute longer{"h.example", "/a/b/", {}};
