Drop jobs that are missing from a full listing of the log

Callers saw: a job that had ended and was no longer known was started again, and pending or running was reported for it, after a node became the owner that had not read the log for longer than its records are kept.

Cause: after its read position was trimmed the node reads the newest record of each key again. The records of a job that ended and was dropped meanwhile are gone, so the job stayed in the node's view in its last known state, and a scheduler that is made from this view started its tasks.

Each job in the view keeps the number of the listing in which a record of it was last applied, as for the workers; what a complete listing did not contain is dropped. An owner's own submissions are applied when they are stored, under the number in force, so that a job stored during the listing stays. One line a listing, jobs_listed, tells how many jobs it found and dropped.

Ruled out: that a restart loses records (the listing has the newest record of each key, and what follows its first page is read after it). Owners, hosts, the roster and the number of cells are never removed from the log. The configuration is one key, and its version only rises.

--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -21,11 +21,20 @@
     std::shared_ptr<const SubmittedJob> job;  // Null until the submission has been read.
     bool cancelled = false;
     JobProgress progress;
+    std::uint64_t listing = 0;  // Listing in force when a record of the job was last applied.
   };
 
   // `offset` is the offset of the record in the log.
   void Apply(JobLogRecord record, std::int64_t offset);
 
+  // Sets the number of the listing that the records applied from now on belong to. A listing reads
+  // the newest record of each key.
+  void SetListing(std::uint64_t listing) { listing_ = listing; }
+
+  // Drops the jobs of which no record was applied in the current listing, and returns their keys.
+  // Call once the listing is complete: the records that dropped these jobs can no longer be read.
+  std::vector<JobKey> DropJobsMissingFromListing();
+
   // Null if the job was not accepted or has been dropped.
   const Entry* Find(const JobKey& key) const;
 
@@ -59,7 +68,10 @@
   void ApplyRecord(ProgressRecord record, std::int64_t offset);
   void ApplyRecord(const DropRecord& record, std::int64_t offset);
 
+  Entry& EntryOf(const JobKey& key);
+
   std::unordered_map<JobKey, Entry> entries_;
+  std::uint64_t listing_ = 0;
   struct Claim {
     OwnerRecord record;
     std::int64_t offset = 0;
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -95,13 +95,16 @@
 }
 
 void JobCell::OnRead(job_event::StreamRead& read, const NodeState& state, const Now& now) {
-  if (!follower_.OnRead(read, now.monotonic)) return;
+  const bool current = follower_.OnRead(read, now.monotonic);
+  log_view_.SetListing(follower_.listing());
+  if (!current) return;
   bool owner_active = false;
   for (const KeyedRecord& record : read.job_records) {
     const bool of_owner = ApplyRecord(record, now);
     owner_active = owner_active || (of_owner && !read.newest);
   }
   if (!follower_.loaded()) return;
+  if (read.newest) DropJobsMissingFromListing();
   refresh_requested_ = false;
   election_.OnRead(owner_active, now.monotonic);
   if (scheduler_ && log_view_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
@@ -110,6 +113,20 @@
   request_handler_.OnLogViewFresh(follower_.fresh_at(), now.monotonic);
 }
 
+void JobCell::DropJobsMissingFromListing() {
+  const std::vector<JobKey> missing = log_view_.DropJobsMissingFromListing();
+  for (const JobKey& key : missing) ForgetDroppedJob(key);
+  Log(LogEvent(LogLevel::kInfo, "jobs_listed")
+          .With("listing", follower_.listing())
+          .With("jobs", log_view_.entries().size())
+          .With("dropped", missing.size()));
+}
+
+void JobCell::ForgetDroppedJob(const JobKey& key) {
+  finished_at_.erase(key);
+  if (scheduler_) scheduler_->OnJobDropped(key);
+}
+
 bool JobCell::ApplyRecord(const KeyedRecord& record, const Now& now) {
   try {
     JobLogRecord decoded = DecodeJobLogRecord(record);
@@ -120,10 +137,7 @@
     if (progress != nullptr && IsFinal(progress->progress.state)) {
       finished_at_.try_emplace(progress->key, now.monotonic);
     }
-    if (dropped != nullptr) {
-      finished_at_.erase(dropped->key);
-      if (scheduler_) scheduler_->OnJobDropped(dropped->key);
-    }
+    if (dropped != nullptr) ForgetDroppedJob(dropped->key);
     const bool of_host = std::holds_alternative<HostRecord>(decoded);
     const JobKey submitted_key = submitted != nullptr ? submitted->key : JobKey();
     const JobKey cancelled_key = cancelled != nullptr ? cancelled->key : JobKey();
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -77,6 +77,9 @@
   // Applies `record` to the view and the scheduler. Returns true if only an owner writes such
   // records.
   bool ApplyRecord(const KeyedRecord& record, const Now& now);
+  // Drops the jobs that were dropped from the log while this process did not read it.
+  void DropJobsMissingFromListing();
+  void ForgetDroppedJob(const JobKey& key);
   void AdvanceElection(const NodeState& state, const Now& now);
   void AdvanceOwnerWrites(const NodeState& state, const Now& now);
   void RouteSubmissions(const NodeState& state);
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -45,24 +45,39 @@
 }
 
 void JobLogView::ApplyRecord(SubmittedJob record, std::int64_t /*offset*/) {
-  Entry& entry = entries_[record.key];
+  Entry& entry = EntryOf(record.key);
   // A submission may be stored more than once; only the first counts.
   if (entry.job != nullptr) return;
   entry.job = std::make_shared<const SubmittedJob>(std::move(record));
 }
 
 void JobLogView::ApplyRecord(const CancelRecord& record, std::int64_t /*offset*/) {
-  entries_[record.key].cancelled = true;
+  EntryOf(record.key).cancelled = true;
 }
 
 void JobLogView::ApplyRecord(ProgressRecord record, std::int64_t /*offset*/) {
-  entries_[record.key].progress = std::move(record.progress);
+  EntryOf(record.key).progress = std::move(record.progress);
 }
 
 void JobLogView::ApplyRecord(const DropRecord& record, std::int64_t /*offset*/) {
   entries_.erase(record.key);
 }
 
+JobLogView::Entry& JobLogView::EntryOf(const JobKey& key) {
+  Entry& entry = entries_[key];
+  entry.listing = listing_;
+  return entry;
+}
+
+std::vector<JobKey> JobLogView::DropJobsMissingFromListing() {
+  std::vector<JobKey> missing;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.listing != listing_) missing.push_back(key);
+  }
+  for (const JobKey& key : missing) entries_.erase(key);
+  return missing;
+}
+
 const JobLogView::Entry* JobLogView::Find(const JobKey& key) const {
   const auto it = entries_.find(key);
   if (it == entries_.end() || it->second.job == nullptr) return nullptr;
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -2,10 +2,11 @@
 
 #include "job_simulation.h"
 
-// Tests of how an owner follows the list of workers.
+// Tests of nodes that read the list of workers or the job log anew.
 namespace cactusshelf::jobs {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 JobSpec LongRunningJob(int count) {
@@ -72,4 +73,31 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("a job whose end and removal were trimmed from the log is not started again") {
+  // Guards against a node that missed both: the job stayed in its view as running, and was started
+  // when the node became the owner.
+  SimulationOptions options;
+  options.node.status_retention = seconds(2);
+  JobSimulation simulation(24, 2, 3, {}, options);
+  simulation.store().SetMaxPageRecords(3);
+  simulation.RunFor(seconds(3));
+  const int owner = simulation.OwnerIndex();
+  simulation.SubmitTo(owner, SimpleJob(2, 1000));
+  simulation.SubmitTo(owner, LongRunningJob(2));
+  simulation.RunFor(milliseconds(100));
+  simulation.PartitionNodeFromStore(1 - owner, seconds(8));
+  simulation.RunFor(seconds(6));
+  simulation.store().TrimJobs(0);
+  simulation.RunFor(seconds(4));
+  const std::uint64_t starts = simulation.starts();
+  simulation.FreezeNode(owner, seconds(30));
+  simulation.RunFor(seconds(12));
+  REQUIRE(simulation.owners() == 2);  // The frozen one does not know that it was replaced.
+  CHECK(simulation.starts() == starts);
+  CHECK(simulation.running_tasks() == 2);
+  CHECK(simulation.LogLines("event=jobs_listed listing=1 jobs=1 dropped=1").find('\n') !=
+        std::string::npos);
+  CheckNoViolations(simulation);
+}
+
 }  // namespace cactusshelf::jobs
