Test that the owner follows entries that return or change

Three changes of a worker's entry were suspected to be lost; each is ruled out by a test that passes without a change of the code: an entry that expires and comes back keeps its runs (the worker is still asked, so its lease is renewed) and gets new ones, a worker that is listed as draining and then as ready gets tasks again, and one that starts again at another address gets its tasks there within 3 s.

By reading: orders in flight or queued for the earlier address are not answered; the hold that fails with them cancels the queued starts, and all later orders take the address of the newest entry. The simulation now answers no order that is sent to an address other than the worker's.

--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -47,6 +47,9 @@
   OrderAnswer Stop(const StopOrder& order, Time now);
   OrderAnswer Pace(const PaceOrder& order, Time now);
 
+  // Orders to any other address do not reach the worker.
+  void SetAddress(std::string address) { entry_.address = std::move(address); }
+
   // Loses all state; a new incarnation answers from now on.
   void Crash(Time now);
 
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -285,8 +285,9 @@
     const auto no_answer = [this, i, incarnation, order, done] {
       Deliver(i, incarnation, done(order, std::nullopt));
     };
-    const bool unreachable = now_ < worker_partitioned_until_[order.worker.id];
-    if (worker == nullptr || unreachable) {
+    const bool unreachable = now_ < worker_partitioned_until_[order.worker.id] ||
+                             worker == nullptr || order.worker.address != worker->entry().address;
+    if (unreachable) {
       Schedule(now_ + milliseconds(600), no_answer);
       return;
     }
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -100,4 +100,53 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("a worker whose entry expires and comes back keeps its runs and gets new ones") {
+  // Guards against runs that are given up while the platform's store was away, and against a worker
+  // that stays without tasks after its entry is back.
+  JobSimulation simulation(25, 2, 1, {});
+  simulation.RunFor(seconds(4));
+  simulation.Submit(LongRunningJob(2));
+  simulation.RunFor(seconds(2));
+  REQUIRE(simulation.starts() == 2);
+  simulation.store().UnlistWorker("w0");
+  simulation.RunFor(seconds(7));
+  CHECK(simulation.running_tasks() == 2);
+  simulation.Submit(LongRunningJob(1));
+  simulation.RunFor(seconds(1));
+  CHECK(simulation.starts() == 2);
+  simulation.store().ListWorker(simulation.worker(0).entry());
+  simulation.RunFor(seconds(1));
+  CHECK(simulation.running_tasks() == 3);
+  CHECK(simulation.starts() == 3);
+  CheckNoViolations(simulation);
+}
+
+TEST_CASE("a worker that is listed as draining and then as ready gets tasks again") {
+  JobSimulation simulation(26, 2, 1, {});
+  simulation.RunFor(seconds(4));
+  simulation.DrainWorker(0);
+  simulation.RunFor(seconds(1));
+  simulation.Submit(LongRunningJob(2));
+  simulation.RunFor(seconds(2));
+  REQUIRE(simulation.running_tasks() == 0);
+  simulation.store().ListWorker(simulation.worker(0).entry());
+  simulation.RunFor(seconds(1));
+  CHECK(simulation.running_tasks() == 2);
+  CheckNoViolations(simulation);
+}
+
+TEST_CASE("a worker that starts again at another address gets its tasks there") {
+  // Guards against orders that go on to the address of the worker's earlier life.
+  JobSimulation simulation(27, 2, 1, {});
+  simulation.RunFor(seconds(4));
+  simulation.Submit(LongRunningJob(5));
+  simulation.RunFor(seconds(2));
+  REQUIRE(simulation.running_tasks() == 5);
+  simulation.worker(0).SetAddress("elsewhere");
+  simulation.CrashWorker(0);
+  simulation.RunFor(seconds(3));
+  CHECK(simulation.running_tasks() == 5);
+  CheckNoViolations(simulation);
+}
+
 }  // namespace cactusshelf::jobs
