Decide the number of cells from the full list of workers

Callers would see: a site of more than 640 workers that is one cell for ever, with one owner for all of them, if the platform's store did not answer for 0.6 s while the very first owner read the list.

Cause: the number of cells was decided once the list had not changed for 0.6 s, also while further pages of it were missing (a page holds up to 500 entries). It is never decided again.

The decision now waits until the listing is complete as well. Found while looking for entries that are not passed on.

--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -443,11 +443,13 @@
   }
 }
 
-// The owner of the first cell decides the number of cells once; it does not change afterwards.
+// The owner of the first cell decides the number of cells once, from the full list of workers; it
+// does not change afterwards.
 void JobNode::Impl::ChooseCellCount(const Now& now) {
   JobCell& first = *cells_.front();
   if (first.scheduler() == nullptr || first.log_view().cell_count() > 0 || listed_workers_.empty())
     return;
+  if (!workers_follower_.loaded()) return;
   if (now.monotonic - worker_list_changed_at_ < kWorkerListSettleTime) return;
   first.StoreLayout(CellCountFor(listed_workers_.size(), options_));
 }
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -53,6 +53,24 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("the number of cells is not decided from a part of the list of workers") {
+  // Guards against one cell for a large site: the pages after the first were not answered for
+  // longer than the list has to be unchanged, and the number of cells is never decided again.
+  SimulationOptions options;
+  options.node.single_cell_max_workers = 10;
+  options.node.multi_cell_target_workers = 6;
+  for (int delay = 1; delay <= 40; ++delay) {
+    CAPTURE(delay);
+    JobSimulation simulation(28, 1, 12, {}, options);
+    simulation.store().SetMaxPageRecords(5);
+    while (simulation.owners() == 0) simulation.RunFor(milliseconds(1));
+    simulation.RunFor(milliseconds(delay));
+    simulation.PartitionNodeFromStore(0, milliseconds(900));
+    simulation.RunFor(seconds(8));
+    CHECK(simulation.CellCount() == 2);
+  }
+}
+
 TEST_CASE("a worker whose removal was trimmed from the list gets no more tasks") {
   // Guards against workers that stay listed for ever: after the read position was trimmed, the list
   // is read anew, and a worker that was removed meanwhile is in no record that is read.
