--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -214,12 +214,10 @@
       cells_[static_cast<std::size_t>(read.cell)]->OnRead(read, node_state_, now);
       return;
     case Stream::kConfiguration:
-      configuration_follower_.OnRead(read, now.monotonic);
-      OnConfigurationRead(read);
+      if (configuration_follower_.OnRead(read, now.monotonic)) OnConfigurationRead(read);
       return;
     case Stream::kWorkers:
-      workers_follower_.OnRead(read, now.monotonic);
-      OnWorkersRead(read, now);
+      if (workers_follower_.OnRead(read, now.monotonic)) OnWorkersRead(read, now);
       return;
   }
 }
@@ -234,17 +232,59 @@
   for (const auto& cell : cells_) cell->OnQueuesChanged(node_state_.queues);
 }
 
-void JobNode::Impl::OnWorkersRead(job_event::StreamRead& read, const Now& now) {
-  for (WorkerEntry& entry : read.workers) {
-    if (listed_workers_.insert(entry.id).second) worker_list_changed_at_ = now.monotonic;
-    Scheduler* scheduler = SchedulerOf(entry.id);
-    if (scheduler != nullptr) scheduler->OnWorkerListed(std::move(entry), now);
+void JobNode::Impl::OnWorkersRead(const job_event::StreamRead& read, const Now& now) {
+  const std::uint64_t listing = workers_follower_.listing();
+  for (const WorkerEntry& entry : read.workers) {
+    if (listed_workers_.insert_or_assign(entry.id, ListedWorker{entry, listing}).second) {
+      worker_list_changed_at_ = now.monotonic;
+    }
+    AnnounceWorker(entry, now);
   }
-  for (const std::string& id : read.unlisted_workers) {
-    listed_workers_.erase(id);
-    Scheduler* scheduler = SchedulerOf(id);
-    if (scheduler != nullptr) scheduler->OnWorkerUnlisted(id, now);
+  for (const std::string& id : read.unlisted_workers) RemoveWorker(id, now);
+  if (read.newest && workers_follower_.loaded()) RemoveWorkersMissingFromListing(now);
+}
+
+void JobNode::Impl::RemoveWorker(const std::string& id, const Now& now) {
+  listed_workers_.erase(id);
+  Scheduler* scheduler = SchedulerOf(id);
+  if (scheduler != nullptr) scheduler->OnWorkerUnlisted(id, now);
+}
+
+void JobNode::Impl::RemoveWorkersMissingFromListing(const Now& now) {
+  std::vector<std::string> missing;
+  for (const auto& [id, worker] : listed_workers_) {
+    if (worker.listing != workers_follower_.listing()) missing.push_back(id);
   }
+  for (const std::string& id : missing) RemoveWorker(id, now);
+  Log(LogEvent(LogLevel::kInfo, "workers_listed")
+          .With("listing", workers_follower_.listing())
+          .With("workers", listed_workers_.size())
+          .With("removed", missing.size()));
+}
+
+void JobNode::Impl::AnnounceWorker(const WorkerEntry& entry, const Now& now) {
+  Scheduler* scheduler = SchedulerOf(entry.id);
+  if (scheduler != nullptr) scheduler->OnWorkerListed(entry, now);
+}
+
+// A scheduler is told of a worker when its entry is read. Entries that were read before the
+// scheduler or the number of cells was there are passed on here.
+void JobNode::Impl::AnnounceWorkersToNewOwners(const Now& now) {
+  if (cells_.front()->log_view().cell_count() == 0) return;
+  bool gained = false;
+  for (const auto& cell : cells_) gained = cell->TakeOwnershipGained() || gained;
+  if (!gained) return;
+  for (const auto& [id, worker] : listed_workers_) AnnounceWorker(worker.entry, now);
+  Log(LogEvent(LogLevel::kInfo, "workers_announced")
+          .With("owned_cells", node_state_.owned_cells)
+          .With("workers", listed_workers_.size()));
+}
+
+// The list is followed only while this process owns a cell, so that what was read under an earlier
+// ownership may be out of date.
+void JobNode::Impl::ForgetWorkerList(const Now& now) {
+  listed_workers_.clear();
+  workers_follower_.Restart(now.monotonic);
 }
 
 void JobNode::Impl::OnEvent(const job_event::AppendDone& done, const Now& now) {
@@ -336,11 +376,12 @@
   for (const auto& cell : cells_) {
     cell->Advance(node_state_, now);
     CollectEffects(*cell, now);
-    // A new owner needs the full list of workers.
-    if (cell->TakeOwnershipGained()) workers_follower_.Restart(now.monotonic);
   }
+  const bool was_owner = is_owner();
   node_state_.owned_cells = static_cast<int>(std::count_if(
       cells_.begin(), cells_.end(), [](const auto& it) { return it->scheduler() != nullptr; }));
+  if (is_owner() != was_owner) ForgetWorkerList(now);
+  AnnounceWorkersToNewOwners(now);
   ReplyToPendingReads(now);
   IssueReads(now);
   AdvanceRelaying(now);
@@ -402,11 +443,13 @@
   }
 }
 
-// The owner of the first cell decides the number of cells once; it does not change afterwards.
+// The owner of the first cell decides the number of cells once, from the full list of workers; it
+// does not change afterwards.
 void JobNode::Impl::ChooseCellCount(const Now& now) {
   JobCell& first = *cells_.front();
   if (first.scheduler() == nullptr || first.log_view().cell_count() > 0 || listed_workers_.empty())
     return;
+  if (!workers_follower_.loaded()) return;
   if (now.monotonic - worker_list_changed_at_ < kWorkerListSettleTime) return;
   first.StoreLayout(CellCountFor(listed_workers_.size(), options_));
 }
