--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -68,6 +68,12 @@
   }
 }
 
+std::int64_t Scheduler::MaxFreeMilliprocessors() const {
+  std::int64_t most = 0;
+  for (const auto& [id, worker] : workers_) most = std::max(most, worker.Free().milliprocessors);
+  return most;
+}
+
 LogEvent Scheduler::ExplainWait(const ReadyStep& ready, int index, const Now& now) {
   TrackedJob& job = *ready.job;
   const TaskId id{ready.occurrence, ready.step, index};
@@ -99,7 +105,10 @@
   } else {
     const PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
     const ObstacleCounts counts = placer_.CountObstacles(request, now.monotonic);
-    with_reason("no_worker").With("workers", workers_.size());
+    with_reason("no_worker")
+        .With("need_milliprocessors", CapacityNeed(request.step()).milliprocessors)
+        .With("max_free_milliprocessors", MaxFreeMilliprocessors())
+        .With("workers", workers_.size());
     for (std::size_t i = 0; i < counts.size(); ++i) {
       event.With(std::string(ToString(static_cast<PlacementObstacle>(i))), counts[i]);
     }
