Reserve a part of the workers for long-running tasks that wait, instead of two

Cause: what becomes free on a full pool is a fragment of the size of a short task, and the next short task takes it. Each pass also chose anew by what was free at the moment, so a worker that was half cleared could lose its reservation.

Now a sixteenth of the workers, at least two, is reserved while such tasks wait, and a worker that was reserved in the pass before comes first. With 66 workers that is four, with 48 three.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -1,6 +1,7 @@
 #include "placer.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "best_effort_throttle.h"
 
@@ -28,8 +29,10 @@
 // Penalty for a best-effort task that uses up the whole headroom of a serving neighbour.
 constexpr double kHeadroomUseCost = 1.0;
 
-// Maximum number of workers reserved at a time for waiting long-running tasks.
-constexpr std::size_t kMaxReservedWorkers = 2;
+// Up to this part of the workers, and at least two, are reserved at a time for waiting long-running
+// tasks. The part has to be large enough to start all tasks of a failed rack within seconds.
+constexpr std::size_t kReservableDivisor = 16;
+constexpr std::size_t kMinReservableWorkers = 2;
 // A long-running task that has waited for this time may use the reserve for short tasks.
 constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
 
@@ -66,7 +69,7 @@
 void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
   workers_ = workers;
   unplaceable_.clear();
-  reserved_workers_.clear();
+  previously_reserved_ = std::exchange(reserved_workers_, {});
   pool_free_.clear();
   pool_capacity_.clear();
   for (const WorkerState* worker : workers_) {
@@ -134,9 +137,10 @@
   return std::nullopt;
 }
 
-ObstacleCounts Placer::CountObstacles(const PlacementRequest& request, Time now) const {
+ObstacleCounts Placer::CountObstacles(const PlacementRequest& request,
+                                      const std::vector<WorkerState*>& workers, Time now) const {
   ObstacleCounts counts{};
-  for (WorkerState* worker : workers_) {
+  for (WorkerState* worker : workers) {
     const auto obstacle = FindObstacle(*worker, request, now);
     if (obstacle) ++counts[static_cast<std::size_t>(*obstacle)];
   }
@@ -149,16 +153,21 @@
 }
 
 void Placer::ReserveWorker(const PlacementRequest& request) {
-  if (reserved_workers_.size() >= kMaxReservedWorkers) return;
+  const std::size_t limit = std::max(kMinReservableWorkers, workers_.size() / kReservableDivisor);
+  if (reserved_workers_.size() >= limit) return;
   const WorkerState* best = nullptr;
+  auto best_rank = std::pair(false, std::int64_t{0});
   for (const WorkerState* worker : workers_) {
     if (!MatchesConstraints(*worker, request) || IsReserved(*worker)) continue;
     Resources eventually_free = worker->Free();
     eventually_free.milliprocessors += worker->short_task_milliprocessors();
     if (!Fits(CapacityNeed(request.step()), eventually_free)) continue;
-    const bool is_better =
-        best == nullptr || worker->Free().milliprocessors > best->Free().milliprocessors;
-    if (is_better) best = worker;
+    const bool again = std::find(previously_reserved_.begin(), previously_reserved_.end(),
+                                 worker) != previously_reserved_.end();
+    const auto rank = std::pair(again, worker->Free().milliprocessors);
+    if (best != nullptr && rank <= best_rank) continue;
+    best = worker;
+    best_rank = rank;
   }
   if (best != nullptr) reserved_workers_.push_back(best);
 }
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -64,8 +64,9 @@
   // Returns the best worker for one task, or null if no worker can run the task now.
   WorkerState* Choose(const PlacementRequest& request, Time now);
 
-  // Counts, for a task that fits nowhere, the workers of the pass by the obstacle on each.
-  ObstacleCounts CountObstacles(const PlacementRequest& request, Time now) const;
+  // Counts, for a task that fits nowhere, the given workers by the obstacle on each.
+  ObstacleCounts CountObstacles(const PlacementRequest& request,
+                                const std::vector<WorkerState*>& workers, Time now) const;
 
   // Reserves a worker for a long-running task that fits nowhere: no short task is placed on this
   // worker for the rest of the pass, so that its capacity becomes free as running tasks end.
@@ -113,6 +114,8 @@
   std::unordered_map<std::string, Resources> pool_capacity_;  // By pool.
   std::vector<UnplaceableRequest> unplaceable_;
   std::vector<const WorkerState*> reserved_workers_;
+  // Of the pass before. May hold workers that are gone; used for comparison only.
+  std::vector<const WorkerState*> previously_reserved_;
 };
 
 // Resources that a task of `step` reserves of a worker's capacity. Best-effort tasks reserve no
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -59,7 +59,6 @@
   const std::size_t n = std::min(waiting.size(), kMaxReportedTasks);
   std::partial_sort(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(n),
                     waiting.end());
-  placer_.BeginPass(PlaceableWorkers());
   for (std::size_t i = 0; i < n; ++i) {
     const WaitingTask& it = waiting[i];
     Log(ExplainWait(it.step, it.index, now)
@@ -104,7 +103,8 @@
     with_reason("ownership_unconfirmed");
   } else {
     const PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
-    const ObstacleCounts counts = placer_.CountObstacles(request, now.monotonic);
+    const ObstacleCounts counts =
+        placer_.CountObstacles(request, PlaceableWorkers(), now.monotonic);
     with_reason("no_worker")
         .With("need_milliprocessors", CapacityNeed(request.step()).milliprocessors)
         .With("max_free_milliprocessors", MaxFreeMilliprocessors())
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -464,6 +464,11 @@
   return n;
 }
 
+bool JobSimulation::IsRunning(const TaskRef& task) const {
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [&](const auto& it) { return it->running().contains(task); });
+}
+
 void JobSimulation::RunFor(Duration duration) {
   const Time end = now_ + duration;
   while (!events_.empty() && events_.top().at <= end) {
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -62,6 +62,7 @@
   std::vector<JobKey> accepted_jobs() const;
   int owners() const;
   int running_tasks() const;
+  bool IsRunning(const TaskRef& task) const;
   std::uint64_t starts() const { return starts_; }
   const std::vector<std::string>& violations() const { return violations_; }
   FakeWorker& worker(int i) { return *workers_[static_cast<std::size_t>(i)]; }
--- a/packages/jobs/tests/task_wait_test.cc
+++ b/packages/jobs/tests/task_wait_test.cc
@@ -6,6 +6,7 @@
 namespace cactusshelf::jobs {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 JobSpec LongRunningJob(int count, std::int64_t milliprocessors) {
@@ -38,4 +39,26 @@
         std::string::npos);
 }
 
+TEST_CASE("long-running tasks of a large pool starve since two workers are reserved at a time") {
+  // Guards against waits of 20 s and more: on a pool full of short tasks two workers at a time were
+  // kept for waiting long-running tasks, however many tasks waited and workers there were.
+  JobSimulation simulation(23, 2, 96, {});
+  simulation.RunFor(seconds(3));
+  const auto submit_short = [&](int jobs) {
+    for (int i = 0; i < jobs; ++i) simulation.Submit(SimpleJob(8, 1000));
+  };
+  submit_short(110);
+  simulation.RunFor(milliseconds(300));
+  std::vector<JobKey> keys(32);
+  for (JobKey& key : keys) key = simulation.Submit(LongRunningJob(1, 5000));
+  for (int i = 0; i < 32; ++i) {
+    submit_short(25);
+    simulation.RunFor(milliseconds(250));
+  }
+  int running = 0;
+  for (const JobKey& key : keys) running += simulation.IsRunning({key, {0, 0, 0}}) ? 1 : 0;
+  CHECK(running == 32);
+  for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
+}
+
 }  // namespace cactusshelf::jobs
