Guard against a job that counts as running while one of its long-running tasks waits for ever

Callers of long-running jobs were shown 'running' as soon as one task ran, and the seeded schedules checked no more than that. They now let long-running tasks fail, and check after the faults that each long-running task of an accepted job that nobody asked to cancel runs.

--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -71,7 +71,10 @@
           FakeWorker::RunPlan plan;
           plan.duration =
               long_running ? seconds(1'000'000) : random_.Between(milliseconds(200), seconds(2));
-          if (random_.Chance(faults_.failed_run)) plan.end = RunEnd::kFailed;
+          if (random_.Chance(faults_.failed_run)) {
+            plan.end = RunEnd::kFailed;
+            if (long_running) plan.duration = random_.Between(milliseconds(200), seconds(10));
+          }
           return plan;
         },
         [this](const FakeWorker& worker, const StartOrder& order) { CheckStart(worker, order); }));
@@ -370,7 +373,10 @@
   return key;
 }
 
-void JobSimulation::Cancel(const JobKey& key) { SendRequest(key, Verb::kCancel, 1); }
+void JobSimulation::Cancel(const JobKey& key) {
+  jobs_.at(key).cancel_sent = true;
+  SendRequest(key, Verb::kCancel, 1);
+}
 
 void JobSimulation::SendRequest(const JobKey& key, Verb verb, int tries) {
   SendRequestTo(static_cast<int>(random_.Below(nodes_.size())), key, verb, tries);
@@ -454,6 +460,24 @@
   }));
 }
 
+std::vector<TaskRef> JobSimulation::AbsentLongRunningTasks() const {
+  std::vector<TaskRef> absent;
+  for (const auto& [key, submitted] : jobs_) {
+    if (!accepted(key) || submitted.cancel_sent) continue;
+    for (std::size_t s = 0; s < submitted.spec.steps.size(); ++s) {
+      const StepSpec& step = submitted.spec.steps[s];
+      if (!step.long_running) continue;
+      for (int i = 0; i < step.count; ++i) {
+        const TaskRef task{key, {0, static_cast<int>(s), i}};
+        const bool runs = std::any_of(workers_.begin(), workers_.end(),
+                                      [&](const auto& it) { return it->running().contains(task); });
+        if (!runs) absent.push_back(task);
+      }
+    }
+  }
+  return absent;
+}
+
 int JobSimulation::running_tasks() const {
   int n = 0;
   for (const auto& worker : workers_) n += static_cast<int>(worker->running().size());
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -61,6 +61,9 @@
   std::vector<JobKey> accepted_jobs() const;
   int owners() const;
   int running_tasks() const;
+  // Long-running tasks of accepted jobs that run on no worker although nobody asked to cancel them.
+  // Precondition: the steps that they depend on are done.
+  std::vector<TaskRef> AbsentLongRunningTasks() const;
   std::uint64_t starts() const { return starts_; }
   const std::vector<std::string>& violations() const { return violations_; }
   FakeWorker& worker(int i) { return *workers_[static_cast<std::size_t>(i)]; }
@@ -94,7 +97,8 @@
   };
   struct Submitted {
     JobSpec spec;
-    Time cancelled;            // When a cancellation was acknowledged; zero if none was.
+    Time cancelled;  // When a cancellation was acknowledged; zero if none was.
+    bool cancel_sent = false;
     bool refused_only = true;  // Every submission of the job was answered with a refusal.
   };
   struct Event {
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -282,6 +282,8 @@
       if (state == JobState::kQueued)
         FAIL_CHECK("seed " << seed << ": " << key.str() << " is still queued");
     }
+    for (const TaskRef& it : simulation->AbsentLongRunningTasks())
+      FAIL_CHECK("seed " << seed << ": " << ToString(it) << " does not run");
     for (const std::string& it : simulation->violations())
       FAIL_CHECK("seed " << seed << ": " << it);
   }
