Guard against two runs of a task after a late order renewed the lease on a restarted worker

Callers could have a task run twice at the same time: the owner started it elsewhere although it still ran on an unreachable worker (TWICE).

Cause: w1 restarted under its id at 7458 ms. The owner did not know yet, and at 7855 ms sent a hold with a lease by the old clock, which got no answer. The new incarnation carried it out at 12081 ms, and by its clock the lease ended after 19300 ms. The owner had assumed the longest lease from the time at which it saw the new incarnation, 8726 ms, so it took the runs for lost at 18933 ms. The users' protocol allows both: a call without an answer may be carried out seconds later, and a worker may start again under its id with a new clock, which the expected instance does not tell apart.

Ruled out: the simulation's worker (it took the order as the protocol says; it even refuses orders that reached the earlier incarnation), the clock drift (rate 0.999), and an earlier owner (same owner since 6200 ms).

The owner now records unanswered orders with a lease. The new test failed before: 'CHECK_FALSE( fixture.TakeOrder<StartOrder>("w2").has_value() ) with expansion: !true'.

--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -86,9 +86,14 @@
     TaskRef task;
     std::int64_t run = 0;
     int percent = 0;
+    std::int64_t incarnation = 0;       // Of the worker when the order was made.
+    std::optional<Time> lease_sent_at;  // When the order was sent, if it is a hold with a lease.
   };
 
   WorkerState* FindWorker(const std::string& id);
+  // Records an order that is to be answered. `task` and `run` are empty for a hold.
+  PendingOrder& AddPendingOrder(CallId call, const WorkerState& worker, const TaskRef& task,
+                                std::int64_t run);
   PendingOrder TakePendingOrder(CallId call);
   CallId NextCall() { return CallId{next_call_++}; }
 
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -26,6 +26,16 @@
   worker.RemoveRun(ref);
 }
 
+Scheduler::PendingOrder& Scheduler::AddPendingOrder(CallId call, const WorkerState& worker,
+                                                    const TaskRef& task, std::int64_t run) {
+  PendingOrder& order = pending_[static_cast<std::uint64_t>(call)];
+  order.worker = worker.entry().id;
+  order.incarnation = worker.incarnation;
+  order.task = task;
+  order.run = run;
+  return order;
+}
+
 void Scheduler::Enqueue(WorkerState& worker, WorkerOrder order) {
   if (std::holds_alternative<HoldOrder>(order)) {
     orders_.push_back(std::move(order));
@@ -107,7 +117,8 @@
   }
   worker.hold_in_flight = true;
   worker.hold_answer_sequence = worker.answer_sequence;
-  pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, {}, 0, 0};
+  PendingOrder& pending = AddPendingOrder(order.call, worker, {}, 0);
+  if (order.lease_end) pending.lease_sent_at = now.monotonic;
   Enqueue(worker, std::move(order));
 }
 
@@ -128,7 +139,7 @@
   order.run = run.number;
   run.stop_in_flight = true;
   run.stop_sent_at = now.monotonic;
-  pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, run.task, run.number, 0};
+  AddPendingOrder(order.call, worker, run.task, run.number);
   Log(LogEvent(LogLevel::kInfo, "run_stop")
           .With("task", jobs::ToString(run.task))
           .With("run", run.number)
@@ -181,8 +192,7 @@
     order.run = run.number;
     order.percent = run.cpu_share_percent;
     run.pace_order_in_flight = true;
-    pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, run.number,
-                                                        run.cpu_share_percent};
+    AddPendingOrder(order.call, worker, ref, run.number).percent = run.cpu_share_percent;
     Enqueue(worker, std::move(order));
   }
 }
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -213,7 +213,7 @@
   placer_.OnPlaced(worker, job.SpecOf(task));
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
-  pending_[static_cast<std::uint64_t>(order.call)] = {worker.entry().id, ref, number, 0};
+  AddPendingOrder(order.call, worker, ref, number);
   const auto waited = now.monotonic - job.StepOf(task).ready_since;
   Log(LogEvent(LogLevel::kInfo, "run_start")
           .With("task", jobs::ToString(ref))
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -19,6 +19,11 @@
   });
 }
 
+// True if the worker may have carried out the order, or may still do so.
+bool IsUnanswered(OrderOutcome outcome) {
+  return outcome == OrderOutcome::kNoAnswer || outcome == OrderOutcome::kRelaySilent;
+}
+
 }  // namespace
 
 Scheduler::PendingOrder Scheduler::TakePendingOrder(CallId call) {
@@ -35,6 +40,8 @@
   if (worker == nullptr) return;
   worker->hold_in_flight = false;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
+  if (IsUnanswered(answer.outcome) && order.lease_sent_at)
+    worker->OnLeaseOrderUnanswered(order.incarnation, *order.lease_sent_at);
   if (answer.outcome == OrderOutcome::kRelaySilent) {
     // The relay failed, not necessarily the worker: the hold is sent again through another relay.
     counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
@@ -70,7 +77,7 @@
 void Scheduler::OnTokenAccepted(WorkerState& worker, const HoldReport& report, const Now& now) {
   if (worker.incarnation != report.incarnation) {
     MarkRunsOfEarlierIncarnationLost(worker, now);
-    worker.Reset(report.incarnation, now.monotonic);
+    worker.Reset(report.incarnation, report.clock, now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
   unreported_workers_.erase(worker.entry().id);
@@ -292,6 +299,9 @@
             .With("reason", std::string(ToString(answer.outcome)))
             .With("detail", answer.reason));
   }
+  // A start may have been queued before it was sent.
+  if (IsUnanswered(answer.outcome))
+    worker->OnLeaseOrderUnanswered(order.incarnation, now.monotonic);
   Run* run = worker->FindRun(order.task);
   if (run == nullptr || run->number != order.run) return;
   run->last_answer_sequence = ++worker->answer_sequence;
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -6,10 +6,22 @@
 
 using std::chrono::duration_cast;
 
-void WorkerState::Reset(std::int64_t new_incarnation, Time now) {
-  const auto longest = std::chrono::duration<double, Duration::period>(options_->longest_lease) /
-                       (1.0 - options_->max_clock_drift);
-  lease_expiry_ = std::max(lease_expiry_, now + duration_cast<Duration>(longest));
+namespace {
+
+// Maximum time from sending an order until the worker's process receives it. A process that starts
+// within this time may receive the order.
+constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
+
+}  // namespace
+
+void WorkerState::Reset(std::int64_t new_incarnation, WorkerClock clock, Time now) {
+  AssumeLongestLeaseAt(now);
+  const auto uptime =
+      std::chrono::duration<double, Duration::period>(clock) / (1.0 - options_->max_clock_drift);
+  const Time earliest_start = now - duration_cast<Duration>(uptime);
+  if (unanswered_lease_order_at_ && *unanswered_lease_order_at_ + kMaxConnectTime >= earliest_start)
+    AssumeLongestLeaseAt(*unanswered_lease_order_at_ + options_->max_order_delay);
+  unanswered_lease_order_at_.reset();
   incarnation = new_incarnation;
   token_accepted = false;
   last_processed_end = 0;
@@ -87,4 +99,18 @@
   lease_expiry_ = std::max({lease_expiry_, now, clock_read_at_ + duration_cast<Duration>(slow)});
 }
 
+void WorkerState::OnLeaseOrderUnanswered(std::int64_t order_incarnation, Time sent_at) {
+  if (order_incarnation == incarnation) {
+    unanswered_lease_order_at_ = std::max(unanswered_lease_order_at_.value_or(sent_at), sent_at);
+  } else {
+    AssumeLongestLeaseAt(sent_at + options_->max_order_delay);
+  }
+}
+
+void WorkerState::AssumeLongestLeaseAt(Time time) {
+  const auto longest = std::chrono::duration<double, Duration::period>(options_->longest_lease) /
+                       (1.0 - options_->max_clock_drift);
+  lease_expiry_ = std::max(lease_expiry_, time + duration_cast<Duration>(longest));
+}
+
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -84,9 +84,10 @@
   void Update(WorkerEntry entry) { entry_ = std::move(entry); }
 
   // Resets the positions in the worker's list of ends and the observed load after another
-  // incarnation of the worker has answered. Since the new incarnation has a new clock, leases that
-  // were granted by the earlier clock are assumed to last for the longest possible lease.
-  void Reset(std::int64_t incarnation, Time now);
+  // incarnation of the worker has answered with the time `clock`. Since the new incarnation has a
+  // new clock, leases that were granted by the earlier clock are assumed to last for the longest
+  // possible lease, also if an order that the new incarnation may have received grants them later.
+  void Reset(std::int64_t incarnation, WorkerClock clock, Time now);
 
   Run* FindRun(const TaskRef& task);
   Run& AddRun(Run run);
@@ -118,6 +119,9 @@
   WorkerClock LeaseEnd(Time now) const;
   // Records that a lease until `end` was sent at `now`.
   void OnLeaseGranted(WorkerClock end, Time now);
+  // Records that an order with a lease by the clock of `order_incarnation`, sent not after
+  // `sent_at`, got no answer. The worker may carry it out later.
+  void OnLeaseOrderUnanswered(std::int64_t order_incarnation, Time sent_at);
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
@@ -150,6 +154,8 @@
 
  private:
   void AdjustUsage(const Run& run, int sign);
+  // Assumes that the worker grants the longest possible lease at `time`.
+  void AssumeLongestLeaseAt(Time time);
 
   WorkerEntry entry_;
   const SchedulerOptions* options_;
@@ -162,6 +168,8 @@
   WorkerClock worker_clock_{};
   Time clock_read_at_;
   Time lease_expiry_;
+  // When the last unanswered order with a lease by the present clock was sent.
+  std::optional<Time> unanswered_lease_order_at_;
 };
 
 }  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -0,0 +1,173 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+// Tests of the scheduler alone: each test chooses the answers of the workers and their order.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kToken = 7;
+constexpr char kJob[] = "00000000000000aa";
+
+SubmittedJob LongRunningJob(const std::string& key, int count) {
+  SubmittedJob job;
+  job.key = JobKey(key);
+  job.queue.name = "q";
+  job.queue.service = "pool";
+  job.queue.max_attempts = 3;
+  StepSpec step;
+  step.count = count;
+  step.need.milliprocessors = 500;
+  step.long_running = true;
+  job.spec.steps = {step};
+  return job;
+}
+
+// A scheduler whose changes are stored at once. Orders stay open until the test answers them.
+struct SchedulerFixture {
+  explicit SchedulerFixture(std::int64_t generation = 1)
+      : scheduler({}, kToken, generation, true, log_view, Clock()) {}
+
+  Now Clock() const {
+    return {now, WallTime(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()))};
+  }
+
+  void ListWorker(const std::string& id) {
+    WorkerEntry entry;
+    entry.id = id;
+    entry.pool = "pool";
+    entry.capacity = {8000, 0, 0};
+    scheduler.OnWorkerListed(entry, Clock());
+  }
+
+  void Submit(const SubmittedJob& job) {
+    log_view.Apply(job, 1);
+    scheduler.OnJob(log_view.Find(job.key)->job, Clock());
+  }
+
+  void RunFor(Duration duration) {
+    const Time end = now + duration;
+    while (now < end) {
+      now += milliseconds(10);
+      scheduler.Decide(Clock());
+      while (const auto batch = scheduler.TakeChanges(Clock())) {
+        scheduler.OnStored(batch->id, Clock());
+      }
+      for (WorkerOrder& order : scheduler.TakeOrders()) open_orders.push_back(std::move(order));
+      for (const LogEvent& event : scheduler.TakeLog()) log += event.Format() + "\n";
+    }
+  }
+
+  // Removes the oldest open order of a type to a worker, and returns it if there is one.
+  template <typename Order>
+  std::optional<Order> TakeOrder(const std::string& worker) {
+    const auto it = std::find_if(open_orders.begin(), open_orders.end(), [&](const auto& order) {
+      const auto* typed = std::get_if<Order>(&order);
+      return typed != nullptr && typed->worker.id == worker;
+    });
+    if (it == open_orders.end()) return std::nullopt;
+    Order order = std::get<Order>(*it);
+    open_orders.erase(it);
+    return order;
+  }
+
+  // As TakeOrder, but waits for the order for at most two seconds.
+  template <typename Order>
+  Order AwaitOrder(const std::string& worker) {
+    for (int i = 0; i < 200; ++i) {
+      if (auto order = TakeOrder<Order>(worker)) return *order;
+      RunFor(milliseconds(10));
+    }
+    FAIL("no such order to " << worker << "\n" << log);
+    return {};
+  }
+
+  void AnswerHold(const HoldOrder& hold, OrderOutcome outcome, HoldReport report = {}) {
+    scheduler.OnHoldAnswer({hold.call, hold.worker.id, outcome, "", std::move(report)}, Clock());
+  }
+
+  // Answers the open hold of a worker.
+  void Report(const std::string& worker, HoldReport report) {
+    AnswerHold(AwaitOrder<HoldOrder>(worker), OrderOutcome::kDone, std::move(report));
+  }
+
+  // A report without runs or ends.
+  HoldReport EmptyReport(std::int64_t incarnation = 1) const {
+    HoldReport report;
+    report.incarnation = incarnation;
+    report.clock = std::chrono::duration_cast<WorkerClock>(now.time_since_epoch());
+    return report;
+  }
+
+  void AnswerStart(const StartOrder& start, OrderOutcome outcome) {
+    scheduler.OnStartAnswer({start.call, start.worker.id, outcome, ""}, Clock());
+  }
+
+  // Leaves the open hold of a worker without an answer.
+  void LeaveHoldUnanswered(const std::string& worker) {
+    AnswerHold(AwaitOrder<HoldOrder>(worker), OrderOutcome::kNoAnswer);
+  }
+
+  // Answers the holds of `idle`, which runs nothing, and no hold of `unreachable`.
+  void RunUntil(Time end, const std::string& unreachable, const std::string& idle) {
+    while (now < end) {
+      RunFor(milliseconds(10));
+      while (const auto hold = TakeOrder<HoldOrder>(idle)) {
+        AnswerHold(*hold, OrderOutcome::kDone, EmptyReport());
+      }
+      while (const auto hold = TakeOrder<HoldOrder>(unreachable)) {
+        AnswerHold(*hold, OrderOutcome::kNoAnswer);
+      }
+    }
+  }
+
+  // Starts the task of a new job on a worker, which confirms it. Returns the run's number.
+  std::int64_t StartTask(const std::string& worker) {
+    Submit(LongRunningJob(kJob, 1));
+    const auto start = AwaitOrder<StartOrder>(worker);
+    AnswerStart(start, OrderOutcome::kDone);
+    return start.run;
+  }
+
+  Time now{seconds(100)};
+  JobLogView log_view;
+  Scheduler scheduler;
+  std::vector<WorkerOrder> open_orders;
+  std::string log;
+};
+
+}  // namespace
+
+TEST_CASE("a task does not start elsewhere while a late order renews the lease of its first run") {
+  // Guards against two runs of a task. An order with a lease by the clock of an earlier incarnation
+  // got no answer, and the next incarnation carried it out seconds later (seed 189).
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  const auto hold = fixture.AwaitOrder<HoldOrder>("w1");
+  REQUIRE(hold.lease_end.has_value());
+  const Time sent_at = fixture.now;
+  fixture.RunFor(milliseconds(600));
+  fixture.AnswerHold(hold, OrderOutcome::kNoAnswer);
+  // The new incarnation was started before the hold was sent.
+  HoldReport report = fixture.EmptyReport(2);
+  report.clock = milliseconds(1000);
+  fixture.Report("w1", report);
+  fixture.StartTask("w1");
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  // The lease that a worker grants lasts for at most 10 s, on a clock that is up to 2% slow.
+  constexpr Duration kLatestExecution = seconds(5);
+  constexpr Duration kLongestLease = milliseconds(10'204);
+  fixture.RunUntil(sent_at + kLatestExecution + kLongestLease, "w1", "w2");
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w2").has_value());
+  fixture.RunUntil(sent_at + seconds(18), "w1", "w2");
+  CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
+}
+
+}  // namespace cactusshelf::jobs
