Guard against queued starts that are sent with a lease by the clock of an earlier incarnation

Callers could have a task run twice: after a worker restarted under its id, the new incarnation could grant a lease that ends after the time at which the owner takes its runs for lost.

Cause: a start gets its lease when the task is placed, and waits in a queue while two other orders to the worker are open. The queue was kept when another incarnation answered, so that the start was sent later with the end of a lease by the old clock; the worker shortens it to the longest lease, counted from then. Ruled out: queued stops and pace orders grant no lease.

When another incarnation answers, queued starts are now cancelled as for a worker that does not answer, and their tasks are placed again with a lease by the new clock. The test failed before: 'CHECK( queued.lease_end < seconds(7) ) with expansion: 104020ms < 7s'.

--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -79,7 +79,7 @@
   }
 }
 
-// The worker does not answer: tasks whose starts have not been sent can start on another worker.
+// Tasks whose starts have not been sent can start on another worker, or with another lease.
 void Scheduler::CancelAllQueuedStarts(WorkerState& worker, const Now& now) {
   CancelQueuedStarts(
       worker, [](const StartOrder&) { return true; }, now);
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -77,6 +77,8 @@
 void Scheduler::OnTokenAccepted(WorkerState& worker, const HoldReport& report, const Now& now) {
   if (worker.incarnation != report.incarnation) {
     MarkRunsOfEarlierIncarnationLost(worker, now);
+    // Their leases are given by the clock of the earlier incarnation.
+    CancelAllQueuedStarts(worker, now);
     worker.Reset(report.incarnation, report.clock, now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -170,4 +170,21 @@
   CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
 }
 
+TEST_CASE("a queued start is not sent with a lease by the clock of an earlier incarnation") {
+  // Guards against a lease that outlasts what the owner assumes. The worker restarted while starts
+  // were queued, and the new incarnation granted them the longest lease.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.Submit(LongRunningJob(kJob, 3));
+  const auto first = fixture.AwaitOrder<StartOrder>("w1");
+  HoldReport report = fixture.EmptyReport(2);
+  report.clock = milliseconds(50);
+  fixture.Report("w1", report);
+  fixture.AnswerStart(first, OrderOutcome::kNoAnswer);
+  fixture.AnswerStart(fixture.AwaitOrder<StartOrder>("w1"), OrderOutcome::kNoAnswer);
+  const auto queued = fixture.AwaitOrder<StartOrder>("w1");
+  CHECK(queued.lease_end < seconds(7));
+}
+
 }  // namespace cactusshelf::jobs
