Guard against a task that counts as placed and has no run after an adopted run is gone

Callers saw a long-running task that never ran again although workers had room (LOST).

Cause: AdoptRun takes a run for a waiting task whose number may be below the highest known one (an earlier owner's run, after starts of this owner were rejected or lost). Its end and its loss were compared with the highest number, so both were taken for those of an old run: the run was removed and the task stayed placed. In reverse, the end of the newer run that was lost set a task to waiting while the adopted run went on. Ruled out: present_runs and placed_tasks, which follow the phase.

The tracker now keeps the number of the run with which the task is placed; an end or a loss has an effect on the phase if it is of that run. So that a tracked run is never removed without the tracker learning of that number, the end of a higher run on the same worker marks the tracked run as lost.

'a task runs again after an adopted run ...' failed before, for the end and for the loss: 'CHECK( runs_again ) with expansion: false'. The two other tests passed before; they hold for the new comparison what the old one did right.

--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -50,6 +50,10 @@
   return std::chrono::duration_cast<Duration>(chain * job.queue.stretch) + job.queue.latency_target;
 }
 
+bool IsPlacedWith(const TaskStatus& task, std::int64_t run) {
+  return task.phase == TaskPhase::kPlaced && task.placed_run == run;
+}
+
 WallTime DueTime(const JobSpec& spec, int occurrence) {
   return spec.first_due +
          std::chrono::duration_cast<std::chrono::milliseconds>(spec.period * occurrence);
@@ -120,6 +124,7 @@
 void JobTracker::OnPlaced(const TaskRef& ref, std::int64_t run) {
   TaskStatus* task = Find(ref);
   task->phase = TaskPhase::kPlaced;
+  task->placed_run = run;
   task->last_run = std::max(task->last_run, run);
   ++Find(ref.job)->placed_tasks;
 }
@@ -131,9 +136,10 @@
   changed_jobs_.insert(key);
 }
 
-void JobTracker::OnRunLost(const TaskRef& ref, const std::string& checkpoint, Time now) {
+void JobTracker::OnRunLost(const TaskRef& ref, std::int64_t run, const std::string& checkpoint,
+                           Time now) {
   TaskStatus* task = Find(ref);
-  if (task == nullptr || task->phase != TaskPhase::kPlaced) return;
+  if (task == nullptr || !IsPlacedWith(*task, run)) return;
   task->phase = TaskPhase::kWaiting;
   task->retry_at = now;
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
@@ -146,10 +152,11 @@
   if (task == nullptr || task->phase == TaskPhase::kDone) return;
   TrackedJob& job = *Find(ref.job);
   const StepSpec& spec = job.SpecOf(ref.task);
+  const bool placed = IsPlacedWith(*task, run);
   const bool newest = run >= task->last_run;
   task->last_ended_run = std::max(task->last_ended_run, run);
   task->last_run = std::max(task->last_run, run);
-  if (!checkpoint.empty() && newest) task->checkpoint = checkpoint;
+  if (!checkpoint.empty() && (placed || newest)) task->checkpoint = checkpoint;
   if (end == RunEnd::kDone && !spec.long_running) {
     changed_jobs_.insert(ref.job);
     if (spec.gang) {
@@ -159,7 +166,7 @@
     }
     return;
   }
-  if (task->phase == TaskPhase::kPlaced && newest) {
+  if (placed) {
     task->phase = TaskPhase::kWaiting;
     --job.placed_tasks;
     task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -20,9 +20,12 @@
   std::vector<std::int64_t> failed_runs;
   std::int64_t last_ended_run = 0;
   std::int64_t last_run = 0;  // Highest run number known to the owner.
-  int present_runs = 0;       // Runs on workers, including those that are being stopped.
-  std::string checkpoint;     // Empty: none.
-  Time retry_at;              // Earliest time of the next start.
+  // Number of the run that the task is placed with. It may be below last_run: an earlier owner
+  // started it. Valid while the phase is kPlaced.
+  std::int64_t placed_run = 0;
+  int present_runs = 0;    // Runs on workers, including those that are being stopped.
+  std::string checkpoint;  // Empty: none.
+  Time retry_at;           // Earliest time of the next start.
 };
 
 struct StepStatus {
@@ -88,7 +91,7 @@
   // Run number for the next start of a task, or of all tasks of its gang.
   std::int64_t NextRun(TrackedJob& job, const TaskId& task) const;
 
-  // Records that the task was placed on a worker. Precondition: the task is waiting.
+  // Records that the task was placed on a worker with this run. Precondition: the task is waiting.
   void OnPlaced(const TaskRef& ref, std::int64_t run);
 
   // Records that a worker has begun a task of the job.
@@ -98,9 +101,9 @@
   void OnRunEnded(const TaskRef& ref, std::int64_t run, RunEnd end, const std::string& checkpoint,
                   Time now);
 
-  // Records the loss of a run whose end was not reported. The loss does not count as a
-  // failure.
-  void OnRunLost(const TaskRef& ref, const std::string& checkpoint, Time now);
+  // Records the loss of a run whose end was not reported. The loss does not count as a failure. It
+  // has no effect unless the task is placed with this run.
+  void OnRunLost(const TaskRef& ref, std::int64_t run, const std::string& checkpoint, Time now);
 
   // Appends to `ready` the unfinished steps that are due and whose dependencies are done.
   void CollectReady(const Now& now, std::vector<ReadyStep>& ready);
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -115,8 +115,13 @@
           .With("worker", worker.entry().id)
           .With("end", std::string(ToString(end.end))));
   counters_.Add("cactusshelf_run_ends_total", ToString(end.end));
-  Run* run = worker.FindRun(end.task);
-  if (run != nullptr && run->number <= end.run) RemoveRun(worker, end.task);
+  const Run* run = worker.FindRun(end.task);
+  if (run != nullptr && run->number < end.run) {
+    // A worker has one run of a task at a time, and their numbers rise.
+    MarkRunLost(worker, end.task, "replaced", now);
+  } else if (run != nullptr && run->number == end.run) {
+    RemoveRun(worker, end.task);
+  }
   tracker_.OnRunStarted(end.task.job);
   UpdateQuarantine(worker, end, now);
   const bool was_tracked = tracker_.Find(end.task.job) != nullptr;
@@ -267,9 +272,7 @@
           .With("reason", std::string(reason)));
   counters_.Add("cactusshelf_lost_runs_total", reason);
   RemoveRun(worker, ref);
-  const TaskStatus* task = tracker_.Find(ref);
-  if (task != nullptr && task->last_run == number)
-    tracker_.OnRunLost(ref, checkpoint, now.monotonic);
+  tracker_.OnRunLost(ref, number, checkpoint, now.monotonic);
   placement_needed_ = true;
 }
 
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -187,4 +187,69 @@
   CHECK(queued.lease_end < seconds(7));
 }
 
+TEST_CASE("a task runs again after an adopted run with a number below its highest is gone") {
+  // Guards against a task that counts as placed and has no run. A run of an earlier owner was
+  // adopted after starts of this owner had failed, and its end was taken for that of an old run.
+  SchedulerFixture fixture(2);
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.Submit(LongRunningJob(kJob, 1));
+  const TaskRef task{JobKey(kJob), {0, 0, 0}};
+  const auto start = fixture.AwaitOrder<StartOrder>("w1");
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{task, start.run - 1, "", 0, 0}};
+  fixture.ListWorker("w2");
+  fixture.AnswerStart(start, OrderOutcome::kRejected);
+  fixture.Report("w2", report);
+  fixture.RunFor(milliseconds(20));
+  REQUIRE(fixture.log.find("run_adopted") != std::string::npos);
+
+  SECTION("it ends") {
+    report.running.clear();
+    report.ended = {{1, task, start.run - 1, RunEnd::kFailed, ""}};
+    fixture.Report("w2", report);
+  }
+  SECTION("its worker restarts") { fixture.Report("w2", fixture.EmptyReport(2)); }
+  fixture.RunFor(seconds(1));
+  const bool runs_again =
+      fixture.TakeOrder<StartOrder>("w1") || fixture.TakeOrder<StartOrder>("w2");
+  CHECK(runs_again);
+}
+
+TEST_CASE("the end of an older run does not count as the end of the run that replaced it") {
+  // Guards against two runs of a task: after the loss of a run the task was placed again, and the
+  // end of the lost run was then reported.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  const std::int64_t first = fixture.StartTask("w1");
+  const auto lost_hold = fixture.AwaitOrder<HoldOrder>("w1");
+  fixture.AnswerHold(lost_hold, OrderOutcome::kNoAnswer);
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.RunUntil(fixture.now + seconds(11), "w1", "w2");
+  const auto second = fixture.TakeOrder<StartOrder>("w2");
+  REQUIRE(second.has_value());
+  fixture.AnswerStart(*second, OrderOutcome::kDone);
+  HoldReport report = fixture.EmptyReport();
+  report.ended = {{1, {JobKey(kJob), {0, 0, 0}}, first, RunEnd::kLeaseExpired, ""}};
+  fixture.Report("w1", report);
+  fixture.RunFor(seconds(1));
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w1").has_value());
+}
+
+TEST_CASE(
+    "a task runs again after a run with a higher number replaced it on its worker and ended") {
+  // Guards against a task that counts as placed and has no run: the tracked run was removed with
+  // the end of the other run.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  const std::int64_t run = fixture.StartTask("w1");
+  HoldReport report = fixture.EmptyReport();
+  report.ended = {{1, {JobKey(kJob), {0, 0, 0}}, run + 5, RunEnd::kFailed, ""}};
+  fixture.Report("w1", report);
+  CHECK(fixture.AwaitOrder<StartOrder>("w1").run > run + 5);
+}
+
 }  // namespace cactusshelf::jobs
