Guard against answers to orders of a forgotten worker that apply to its new entry

Callers could have a task run twice, and a worker could get more than two orders at a time.

Cause: the state of an unlisted worker is erased once its leases have ended, at which time a hold is usually open, as it does not answer. If the worker was listed again before the answers came, they were taken for answers to the orders of the new state: its hold counted as answered, an older report was compared with a newer hold, so that a run that had started since was lost and started elsewhere, and orders_in_flight fell below zero. Orders that were still queued stayed in pending_ for good. Ruled out: a slot that is never given back, since every order is answered or reported as lost by its relay and a new state begins with no order in flight.

The pending orders of a worker are now dropped together with its state, so that late answers find nothing.

--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -130,6 +130,8 @@
     if (!worker.reachable && expired) MarkAllRunsLost(worker, "lease_ended", now);
     if (!worker.listed && expired && worker.runs().empty()) {
       roster_changed_ = roster_changed_ || worker.in_stored_roster;
+      // Their answers must not apply to the state of a worker that is listed under this id later.
+      std::erase_if(pending_, [&](const auto& order) { return order.second.worker == it->first; });
       it = workers_.erase(it);
     } else {
       ++it;
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -252,4 +252,29 @@
   CHECK(fixture.AwaitOrder<StartOrder>("w1").run > run + 5);
 }
 
+TEST_CASE("an answer to an order of a forgotten worker does not apply to its new entry") {
+  // Guards against two runs of a task. A worker was forgotten while a hold was open, and listed
+  // again; the late answer did not list the run that had started since, which was taken for lost.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.scheduler.OnWorkerUnlisted("w1", fixture.Clock());
+  fixture.RunFor(seconds(12));
+  const auto old_hold = fixture.AwaitOrder<HoldOrder>("w1");
+  const HoldReport old_report = fixture.EmptyReport();
+  fixture.scheduler.OnWorkerUnlisted("w2", fixture.Clock());
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{{JobKey(kJob), {0, 0, 0}}, fixture.StartTask("w1"), "", 0, 0}};
+  fixture.Report("w1", report);
+  fixture.AwaitOrder<HoldOrder>("w1");
+  fixture.AnswerHold(old_hold, OrderOutcome::kDone, old_report);
+  fixture.RunFor(milliseconds(50));
+  CHECK(fixture.log.find("run_lost") == std::string::npos);
+}
+
 }  // namespace cactusshelf::jobs
