--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -126,7 +126,6 @@
   task->phase = TaskPhase::kPlaced;
   task->placed_run = run;
   task->last_run = std::max(task->last_run, run);
-  ++Find(ref.job)->placed_tasks;
 }
 
 void JobTracker::OnRunStarted(const JobKey& key) {
@@ -143,7 +142,6 @@
   task->phase = TaskPhase::kWaiting;
   task->retry_at = now;
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
-  --Find(ref.job)->placed_tasks;
 }
 
 void JobTracker::OnRunEnded(const TaskRef& ref, std::int64_t run, RunEnd end,
@@ -168,7 +166,6 @@
   }
   if (placed) {
     task->phase = TaskPhase::kWaiting;
-    --job.placed_tasks;
     task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
   }
   if (end == RunEnd::kFailed && !spec.long_running) RecordFailure(job, ref, run);
@@ -204,7 +201,6 @@
 void JobTracker::FinishTask(TrackedJob& job, const TaskId& id, Time now) {
   StepStatus& step = job.StepOf(id);
   TaskStatus& task = step.tasks[Index(id.index)];
-  if (task.phase == TaskPhase::kPlaced) --job.placed_tasks;
   task.phase = TaskPhase::kDone;
   --step.remaining_tasks;
   OccurrenceStatus& occurrence = job.occurrences[Index(id.occurrence)];
--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -45,7 +45,6 @@
   std::vector<OccurrenceStatus> occurrences;
   JobState state = JobState::kQueued;
   Time tracked_since;
-  int placed_tasks = 0;
   bool long_running = false;
   Duration objective{};  // Time from acceptance to completion that earns full credit.
   // The job was accepted under an earlier owner, so its tasks may run on workers that have not
