Guard against ends that are acknowledged before they are stored when an owner regains its cell

Callers could have a task run again after its end was taken note of (TWICE), or lose its end (LOST).

Cause: batch_in_flight_ kept the number of the batch that was in flight when the cell was lost. After the process became the owner again, its first append without changes of the scheduler (a heartbeat or submissions) was confirmed to the new scheduler as that batch. Ends that were processed while the append was on its way counted as stored, and the next hold acknowledged them; if the owner then ended, they were lost. Found while looking for state that outlives what it belongs to, as with the pending orders of a forgotten worker. Ruled out: the other members that an append leaves behind are cleared in StepDown or set by each append.

StepDown now clears the number. The test failed before: 'CHECK( fixture.AwaitHold().acknowledged_end == 0 ) with expansion: 1 == 0'.

--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -360,6 +360,7 @@
   counters_.Merge(scheduler_->counters());
   scheduler_.reset();
   owner_writer_.reset();
+  batch_in_flight_ = 0;
   queued_submissions_.clear();
   submissions_in_flight_.clear();
   releasing_ = false;
--- /dev/null
+++ b/packages/jobs/tests/job_cell_test.cc
@@ -0,0 +1,132 @@
+#include "job_cell.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_store.h"
+#include "job_simulation.h"
+
+// Tests of one process's view of a cell, with a store whose answers the test can hold back.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+JobNodeOptions Options() {
+  JobNodeOptions options;
+  options.host = "h";
+  options.member = "h/1";
+  return options;
+}
+
+struct CellFixture {
+  CellFixture() {
+    QueueRoute route;
+    route.policy = {"q", "pool", 0, 3, 2.0, milliseconds(500)};
+    state.queues = {1, {route}};
+    state.hosts = &hosts;
+  }
+
+  void Step() {
+    now += milliseconds(10);
+    cell.Advance(state, NowAt(now));
+    for (const JobEffect& effect : cell.TakeEffects()) {
+      if (const auto* append = std::get_if<job_effect::Append>(&effect)) {
+        appends.push_back(*append);
+        if (!appends_held) CarryOutAppends();
+      } else if (const auto* order = std::get_if<job_effect::Order>(&effect)) {
+        if (const auto* it = std::get_if<HoldOrder>(&order->order)) holds.push_back(*it);
+      } else if (const auto* records = std::get_if<job_effect::ReadRecords>(&effect)) {
+        job_event::StreamRead read = store.Read(*records);
+        cell.OnRead(read, state, NowAt(now));
+      } else if (const auto* newest = std::get_if<job_effect::ReadNewest>(&effect)) {
+        job_event::StreamRead read = store.Read(*newest);
+        cell.OnRead(read, state, NowAt(now));
+      }
+    }
+  }
+
+  template <typename Predicate>
+  void RunUntil(const Predicate& reached) {
+    for (int i = 0; i < 1000 && !reached(); ++i) Step();
+    REQUIRE(reached());
+  }
+
+  void CarryOutAppends() {
+    for (const job_effect::Append& append : std::exchange(appends, {})) {
+      cell.OnAppendDone(store.Append(append), state, NowAt(now));
+    }
+  }
+
+  void AppendToStore(const KeyedRecord& record) { store.Append({0, 0, {record}, "", 0, 0}); }
+
+  void ListWorker() {
+    WorkerEntry entry;
+    entry.id = "w";
+    entry.pool = "pool";
+    entry.capacity = {8000, 0, 0};
+    cell.scheduler()->OnWorkerListed(entry, NowAt(now));
+  }
+
+  // Waits for a hold of the worker.
+  HoldOrder AwaitHold() {
+    holds.clear();
+    RunUntil([this] { return !holds.empty(); });
+    return holds.front();
+  }
+
+  void Answer(const HoldOrder& hold, const std::vector<EndedRun>& ended) {
+    HoldReport report{milliseconds(1000), 1, {}, ended};
+    cell.scheduler()->OnHoldAnswer({hold.call, "w", OrderOutcome::kDone, "", report}, NowAt(now));
+  }
+
+  FakeStore store;
+  std::map<std::string, HostRecord> hosts;
+  NodeState state;
+  JobNodeOptions options = Options();
+  JobCell cell{0, options, 1};
+  Time now{seconds(100)};
+  bool appends_held = false;
+  std::vector<job_effect::Append> appends;  // Not carried out yet.
+  std::vector<HoldOrder> holds;
+};
+
+}  // namespace
+
+TEST_CASE("an owner that regains a cell does not acknowledge an end before it is stored") {
+  // Guards against a task that runs again after its end was acknowledged. A batch was in flight
+  // when the cell was lost, and the first append of the next ownership was taken for that batch.
+  CellFixture fixture;
+  fixture.RunUntil([&] { return fixture.cell.scheduler() != nullptr; });
+  SubmittedJob job{JobKey("00000000000000aa"), fixture.state.queues.routes().front().policy,
+                   SimpleJob(1, 1000), WallTime{}};
+  fixture.AppendToStore(Encode(job));
+  fixture.ListWorker();
+  const HoldOrder first = fixture.AwaitHold();
+  fixture.appends_held = true;
+  fixture.Answer(first, {});
+  fixture.RunUntil([&] { return !fixture.appends.empty(); });
+  fixture.appends.clear();
+  OwnerRecord other;
+  other.generation = 2;
+  other.member = "x/1";
+  other.host = "x";
+  fixture.AppendToStore(Encode(other));
+  fixture.RunUntil([&] { return fixture.cell.scheduler() == nullptr; });
+  fixture.appends_held = false;
+  fixture.RunUntil([&] { return fixture.cell.scheduler() != nullptr; });
+
+  fixture.appends_held = true;
+  fixture.RunUntil([&] { return !fixture.appends.empty(); });
+  fixture.ListWorker();
+  fixture.Answer(fixture.AwaitHold(), {{1, {job.key, {0, 0, 0}}, 5, RunEnd::kDone, ""}});
+  fixture.CarryOutAppends();
+  const HoldOrder hold = fixture.AwaitHold();
+  CHECK(hold.acknowledged_end == 0);
+  fixture.RunUntil([&] { return !fixture.appends.empty(); });
+  fixture.CarryOutAppends();
+  fixture.Answer(hold, {});
+  CHECK(fixture.AwaitHold().acknowledged_end == 1);
+}
+
+}  // namespace cactusshelf::jobs
