Guard against refused starts of a new owner after many restarts of a long-running task

Callers could see a long-running task wait although its worker had room (LOST).

Cause: an owner has 1000 run numbers. A long-running task that keeps failing is started up to ten times a second, so it can use more of them within minutes. The next owner then begins with numbers that the worker refuses as old for this task, one try after the other until they are higher. Ruled out: numbers of other tasks (numbers count for each task), and runs that the new owner adopts, since their numbers are known.

An owner now has 100000 numbers, which takes a task hours. The test failed before: 'CHECK( next_owner.StartTask("w1") > run ) with expansion: 1001 (0x3e9) > 2001 (0x7d1)'.

--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -5,8 +5,10 @@
 namespace cactusshelf::jobs {
 namespace {
 
-// Size of the range of run numbers of one owner. A task seldom has this many runs under one owner.
-constexpr std::int64_t kRunsPerOwner = 1000;
+// Size of the range of run numbers of one owner. A long-running task that keeps failing is started
+// up to ten times a second, for hours before it has this many runs. A worker refuses lower numbers
+// than it has seen for a task.
+constexpr std::int64_t kRunsPerOwner = 100'000;
 // Minimum time between two passes of Decide over all workers.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(8);
 // Time between two passes over all runs. Stop and pace orders that follow from a report or from the
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -277,4 +277,26 @@
   CHECK(fixture.log.find("run_lost") == std::string::npos);
 }
 
+TEST_CASE("the runs of a new owner are not refused after many restarts of a long-running task") {
+  // Guards against a task that waits although its worker has room. Its runs had used more numbers
+  // than an owner has, so the worker refused the lower numbers of the next owner.
+  constexpr int kRestarts = 2000;
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  std::int64_t run = fixture.StartTask("w1");
+  for (int i = 1; i <= kRestarts; ++i) {
+    HoldReport report = fixture.EmptyReport();
+    report.ended = {{i, {JobKey(kJob), {0, 0, 0}}, run, RunEnd::kFailed, ""}};
+    fixture.Report("w1", report);
+    const auto start = fixture.AwaitOrder<StartOrder>("w1");
+    fixture.AnswerStart(start, OrderOutcome::kDone);
+    run = start.run;
+  }
+  SchedulerFixture next_owner(2);
+  next_owner.ListWorker("w1");
+  next_owner.Report("w1", next_owner.EmptyReport());
+  CHECK(next_owner.StartTask("w1") > run);
+}
+
 }  // namespace cactusshelf::jobs
