--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -5,8 +5,10 @@
 namespace cactusshelf::jobs {
 namespace {
 
-// Size of the range of run numbers of one owner. A task seldom has this many runs under one owner.
-constexpr std::int64_t kRunsPerOwner = 1000;
+// Size of the range of run numbers of one owner. A long-running task that keeps failing is started
+// up to ten times a second, for hours before it has this many runs. A worker refuses lower numbers
+// than it has seen for a task.
+constexpr std::int64_t kRunsPerOwner = 100'000;
 // Minimum time between two passes of Decide over all workers.
 constexpr Duration kDecisionPeriod = std::chrono::milliseconds(8);
 // Time between two passes over all runs. Stop and pace orders that follow from a report or from the
@@ -131,6 +133,8 @@
     if (!worker.reachable && expired) MarkAllRunsLost(worker, "lease_ended", now);
     if (!worker.listed && expired && worker.runs().empty()) {
       roster_changed_ = roster_changed_ || worker.in_stored_roster;
+      // Their answers must not apply to the state of a worker that is listed under this id later.
+      std::erase_if(pending_, [&](const auto& order) { return order.second.worker == it->first; });
       it = workers_.erase(it);
     } else {
       ++it;
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -16,6 +16,11 @@
   });
 }
 
+// True if the worker may have carried out the order, or may still do so.
+bool IsUnanswered(OrderOutcome outcome) {
+  return outcome == OrderOutcome::kNoAnswer || outcome == OrderOutcome::kRelaySilent;
+}
+
 }  // namespace
 
 Scheduler::PendingOrder Scheduler::TakePendingOrder(CallId call) {
@@ -32,6 +37,8 @@
   if (worker == nullptr) return;
   worker->hold_in_flight = false;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
+  if (IsUnanswered(answer.outcome) && order.lease_sent_at)
+    worker->OnLeaseOrderUnanswered(order.incarnation, *order.lease_sent_at);
   if (answer.outcome == OrderOutcome::kRelaySilent) {
     // The relay failed, not necessarily the worker: the hold is sent again through another relay.
     counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
@@ -67,7 +74,9 @@
 void Scheduler::OnTokenAccepted(WorkerState& worker, const HoldReport& report, const Now& now) {
   if (worker.incarnation != report.incarnation) {
     MarkRunsOfEarlierIncarnationLost(worker, now);
-    worker.Reset(report.incarnation, now.monotonic);
+    // Their leases are given by the clock of the earlier incarnation.
+    CancelAllQueuedStarts(worker, now);
+    worker.Reset(report.incarnation, report.clock, now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
   unreported_workers_.erase(worker.entry().id);
@@ -104,8 +113,11 @@
           .With("end", std::string(ToString(end.end))));
   counters_.Add("cactusshelf_run_ends_total", ToString(end.end));
   const Run* run = worker.FindRun(end.task);
-  if (run != nullptr && run->number <= end.run) {
-    if (run->number == end.run) UpdateQuarantine(worker, *run, end.end, now);
+  if (run != nullptr && run->number < end.run) {
+    // A worker has one run of a task at a time, and their numbers rise.
+    MarkRunLost(worker, end.task, "replaced", now);
+  } else if (run != nullptr && run->number == end.run) {
+    UpdateQuarantine(worker, *run, end.end, now);
     RemoveRun(worker, end.task);
   }
   tracker_.OnRunStarted(end.task.job);
@@ -246,9 +258,7 @@
           .With("reason", std::string(reason)));
   counters_.Add("cactusshelf_lost_runs_total", reason);
   RemoveRun(worker, ref);
-  const TaskStatus* task = tracker_.Find(ref);
-  if (task != nullptr && task->last_run == number)
-    tracker_.OnRunLost(ref, checkpoint, now.monotonic);
+  tracker_.OnRunLost(ref, number, checkpoint, now.monotonic);
   placement_needed_ = true;
 }
 
@@ -280,6 +290,9 @@
             .With("reason", std::string(ToString(answer.outcome)))
             .With("detail", answer.reason));
   }
+  // A start may have been queued before it was sent.
+  if (IsUnanswered(answer.outcome))
+    worker->OnLeaseOrderUnanswered(order.incarnation, now.monotonic);
   Run* run = worker->FindRun(order.task);
   if (run == nullptr || run->number != order.run) return;
   run->last_answer_sequence = ++worker->answer_sequence;
--- /dev/null
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -0,0 +1,302 @@
+#include "scheduler.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+// Tests of the scheduler alone: each test chooses the answers of the workers and their order.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kToken = 7;
+constexpr char kJob[] = "00000000000000aa";
+
+SubmittedJob LongRunningJob(const std::string& key, int count) {
+  SubmittedJob job;
+  job.key = JobKey(key);
+  job.queue.name = "q";
+  job.queue.service = "pool";
+  job.queue.max_attempts = 3;
+  StepSpec step;
+  step.count = count;
+  step.need.milliprocessors = 500;
+  step.long_running = true;
+  job.spec.steps = {step};
+  return job;
+}
+
+// A scheduler whose changes are stored at once. Orders stay open until the test answers them.
+struct SchedulerFixture {
+  explicit SchedulerFixture(std::int64_t generation = 1)
+      : scheduler({}, kToken, generation, true, log_view, Clock()) {}
+
+  Now Clock() const {
+    return {now, WallTime(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()))};
+  }
+
+  void ListWorker(const std::string& id) {
+    WorkerEntry entry;
+    entry.id = id;
+    entry.pool = "pool";
+    entry.capacity = {8000, 0, 0};
+    scheduler.OnWorkerListed(entry, Clock());
+  }
+
+  void Submit(const SubmittedJob& job) {
+    log_view.Apply(job, 1);
+    scheduler.OnJob(log_view.Find(job.key)->job, Clock());
+  }
+
+  void RunFor(Duration duration) {
+    const Time end = now + duration;
+    while (now < end) {
+      now += milliseconds(10);
+      scheduler.Decide(Clock());
+      while (const auto batch = scheduler.TakeChanges(Clock())) {
+        scheduler.OnStored(batch->id, Clock());
+      }
+      for (WorkerOrder& order : scheduler.TakeOrders()) open_orders.push_back(std::move(order));
+      for (const LogEvent& event : scheduler.TakeLog()) log += event.Format() + "\n";
+    }
+  }
+
+  // Removes the oldest open order of a type to a worker, and returns it if there is one.
+  template <typename Order>
+  std::optional<Order> TakeOrder(const std::string& worker) {
+    const auto it = std::find_if(open_orders.begin(), open_orders.end(), [&](const auto& order) {
+      const auto* typed = std::get_if<Order>(&order);
+      return typed != nullptr && typed->worker.id == worker;
+    });
+    if (it == open_orders.end()) return std::nullopt;
+    Order order = std::get<Order>(*it);
+    open_orders.erase(it);
+    return order;
+  }
+
+  // As TakeOrder, but waits for the order for at most two seconds.
+  template <typename Order>
+  Order AwaitOrder(const std::string& worker) {
+    for (int i = 0; i < 200; ++i) {
+      if (auto order = TakeOrder<Order>(worker)) return *order;
+      RunFor(milliseconds(10));
+    }
+    FAIL("no such order to " << worker << "\n" << log);
+    return {};
+  }
+
+  void AnswerHold(const HoldOrder& hold, OrderOutcome outcome, HoldReport report = {}) {
+    scheduler.OnHoldAnswer({hold.call, hold.worker.id, outcome, "", std::move(report)}, Clock());
+  }
+
+  // Answers the open hold of a worker.
+  void Report(const std::string& worker, HoldReport report) {
+    AnswerHold(AwaitOrder<HoldOrder>(worker), OrderOutcome::kDone, std::move(report));
+  }
+
+  // A report without runs or ends.
+  HoldReport EmptyReport(std::int64_t incarnation = 1) const {
+    HoldReport report;
+    report.incarnation = incarnation;
+    report.clock = std::chrono::duration_cast<WorkerClock>(now.time_since_epoch());
+    return report;
+  }
+
+  void AnswerStart(const StartOrder& start, OrderOutcome outcome) {
+    scheduler.OnStartAnswer({start.call, start.worker.id, outcome, ""}, Clock());
+  }
+
+  // Leaves the open hold of a worker without an answer.
+  void LeaveHoldUnanswered(const std::string& worker) {
+    AnswerHold(AwaitOrder<HoldOrder>(worker), OrderOutcome::kNoAnswer);
+  }
+
+  // Answers the holds of `idle`, which runs nothing, and no hold of `unreachable`.
+  void RunUntil(Time end, const std::string& unreachable, const std::string& idle) {
+    while (now < end) {
+      RunFor(milliseconds(10));
+      while (const auto hold = TakeOrder<HoldOrder>(idle)) {
+        AnswerHold(*hold, OrderOutcome::kDone, EmptyReport());
+      }
+      while (const auto hold = TakeOrder<HoldOrder>(unreachable)) {
+        AnswerHold(*hold, OrderOutcome::kNoAnswer);
+      }
+    }
+  }
+
+  // Starts the task of a new job on a worker, which confirms it. Returns the run's number.
+  std::int64_t StartTask(const std::string& worker) {
+    Submit(LongRunningJob(kJob, 1));
+    const auto start = AwaitOrder<StartOrder>(worker);
+    AnswerStart(start, OrderOutcome::kDone);
+    return start.run;
+  }
+
+  Time now{seconds(100)};
+  JobLogView log_view;
+  Scheduler scheduler;
+  std::vector<WorkerOrder> open_orders;
+  std::string log;
+};
+
+}  // namespace
+
+TEST_CASE("a task does not start elsewhere while a late order renews the lease of its first run") {
+  // Guards against two runs of a task. An order with a lease by the clock of an earlier incarnation
+  // got no answer, and the next incarnation carried it out seconds later (seed 189).
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  const auto hold = fixture.AwaitOrder<HoldOrder>("w1");
+  REQUIRE(hold.lease_end.has_value());
+  const Time sent_at = fixture.now;
+  fixture.RunFor(milliseconds(600));
+  fixture.AnswerHold(hold, OrderOutcome::kNoAnswer);
+  // The new incarnation was started before the hold was sent.
+  HoldReport report = fixture.EmptyReport(2);
+  report.clock = milliseconds(1000);
+  fixture.Report("w1", report);
+  fixture.StartTask("w1");
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  // The lease that a worker grants lasts for at most 10 s, on a clock that is up to 2% slow.
+  constexpr Duration kLatestExecution = seconds(5);
+  constexpr Duration kLongestLease = milliseconds(10'204);
+  fixture.RunUntil(sent_at + kLatestExecution + kLongestLease, "w1", "w2");
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w2").has_value());
+  fixture.RunUntil(sent_at + seconds(18), "w1", "w2");
+  CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
+}
+
+TEST_CASE("a queued start is not sent with a lease by the clock of an earlier incarnation") {
+  // Guards against a lease that outlasts what the owner assumes. The worker restarted while starts
+  // were queued, and the new incarnation granted them the longest lease.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.Submit(LongRunningJob(kJob, 3));
+  const auto first = fixture.AwaitOrder<StartOrder>("w1");
+  HoldReport report = fixture.EmptyReport(2);
+  report.clock = milliseconds(50);
+  fixture.Report("w1", report);
+  fixture.AnswerStart(first, OrderOutcome::kNoAnswer);
+  fixture.AnswerStart(fixture.AwaitOrder<StartOrder>("w1"), OrderOutcome::kNoAnswer);
+  const auto queued = fixture.AwaitOrder<StartOrder>("w1");
+  CHECK(queued.lease_end < seconds(7));
+}
+
+TEST_CASE("a task runs again after an adopted run with a number below its highest is gone") {
+  // Guards against a task that counts as placed and has no run. A run of an earlier owner was
+  // adopted after starts of this owner had failed, and its end was taken for that of an old run.
+  SchedulerFixture fixture(2);
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.Submit(LongRunningJob(kJob, 1));
+  const TaskRef task{JobKey(kJob), {0, 0, 0}};
+  const auto start = fixture.AwaitOrder<StartOrder>("w1");
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{task, start.run - 1, "", 0, 0}};
+  fixture.ListWorker("w2");
+  fixture.AnswerStart(start, OrderOutcome::kRejected);
+  fixture.Report("w2", report);
+  fixture.RunFor(milliseconds(20));
+  REQUIRE(fixture.log.find("run_adopted") != std::string::npos);
+
+  SECTION("it ends") {
+    report.running.clear();
+    report.ended = {{1, task, start.run - 1, RunEnd::kFailed, ""}};
+    fixture.Report("w2", report);
+  }
+  SECTION("its worker restarts") { fixture.Report("w2", fixture.EmptyReport(2)); }
+  fixture.RunFor(seconds(1));
+  const bool runs_again =
+      fixture.TakeOrder<StartOrder>("w1") || fixture.TakeOrder<StartOrder>("w2");
+  CHECK(runs_again);
+}
+
+TEST_CASE("the end of an older run does not count as the end of the run that replaced it") {
+  // Guards against two runs of a task: after the loss of a run the task was placed again, and the
+  // end of the lost run was then reported.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  const std::int64_t first = fixture.StartTask("w1");
+  const auto lost_hold = fixture.AwaitOrder<HoldOrder>("w1");
+  fixture.AnswerHold(lost_hold, OrderOutcome::kNoAnswer);
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.RunUntil(fixture.now + seconds(11), "w1", "w2");
+  const auto second = fixture.TakeOrder<StartOrder>("w2");
+  REQUIRE(second.has_value());
+  fixture.AnswerStart(*second, OrderOutcome::kDone);
+  HoldReport report = fixture.EmptyReport();
+  report.ended = {{1, {JobKey(kJob), {0, 0, 0}}, first, RunEnd::kLeaseExpired, ""}};
+  fixture.Report("w1", report);
+  fixture.RunFor(seconds(1));
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w1").has_value());
+}
+
+TEST_CASE(
+    "a task runs again after a run with a higher number replaced it on its worker and ended") {
+  // Guards against a task that counts as placed and has no run: the tracked run was removed with
+  // the end of the other run.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  const std::int64_t run = fixture.StartTask("w1");
+  HoldReport report = fixture.EmptyReport();
+  report.ended = {{1, {JobKey(kJob), {0, 0, 0}}, run + 5, RunEnd::kFailed, ""}};
+  fixture.Report("w1", report);
+  CHECK(fixture.AwaitOrder<StartOrder>("w1").run > run + 5);
+}
+
+TEST_CASE("an answer to an order of a forgotten worker does not apply to its new entry") {
+  // Guards against two runs of a task. A worker was forgotten while a hold was open, and listed
+  // again; the late answer did not list the run that had started since, which was taken for lost.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.scheduler.OnWorkerUnlisted("w1", fixture.Clock());
+  fixture.RunFor(seconds(12));
+  const auto old_hold = fixture.AwaitOrder<HoldOrder>("w1");
+  const HoldReport old_report = fixture.EmptyReport();
+  fixture.scheduler.OnWorkerUnlisted("w2", fixture.Clock());
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{{JobKey(kJob), {0, 0, 0}}, fixture.StartTask("w1"), "", 0, 0}};
+  fixture.Report("w1", report);
+  fixture.AwaitOrder<HoldOrder>("w1");
+  fixture.AnswerHold(old_hold, OrderOutcome::kDone, old_report);
+  fixture.RunFor(milliseconds(50));
+  CHECK(fixture.log.find("run_lost") == std::string::npos);
+}
+
+TEST_CASE("the runs of a new owner are not refused after many restarts of a long-running task") {
+  // Guards against a task that waits although its worker has room. Its runs had used more numbers
+  // than an owner has, so the worker refused the lower numbers of the next owner.
+  constexpr int kRestarts = 2000;
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  std::int64_t run = fixture.StartTask("w1");
+  for (int i = 1; i <= kRestarts; ++i) {
+    HoldReport report = fixture.EmptyReport();
+    report.ended = {{i, {JobKey(kJob), {0, 0, 0}}, run, RunEnd::kFailed, ""}};
+    fixture.Report("w1", report);
+    const auto start = fixture.AwaitOrder<StartOrder>("w1");
+    fixture.AnswerStart(start, OrderOutcome::kDone);
+    run = start.run;
+  }
+  SchedulerFixture next_owner(2);
+  next_owner.ListWorker("w1");
+  next_owner.Report("w1", next_owner.EmptyReport());
+  CHECK(next_owner.StartTask("w1") > run);
+}
+
+}  // namespace cactusshelf::jobs
