Keep reservations for long-running tasks over a whole pass

Callers would see a long-running task wait without bound where short tasks rank before it: the reservations were cleared when a pass began and made when the pass came to the task, after the short tasks had taken the room. On a small pool two large tasks reserved all workers, and the short ones waited with room.

A reservation now holds in the next pass as well, workers that take no starts are not reserved, and at most a quarter of the workers is.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -33,6 +33,8 @@
 // tasks. The part has to be large enough to start all tasks of a failed rack within seconds.
 constexpr std::size_t kReservableDivisor = 16;
 constexpr std::size_t kMinReservableWorkers = 2;
+// A small pool keeps workers for short tasks: at most one of this many is reserved.
+constexpr std::size_t kMinWorkersPerReserved = 4;
 // A long-running task that has waited for this time may use the reserve for short tasks.
 constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
 
@@ -40,6 +42,10 @@
   return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(whole, 1));
 }
 
+bool Contains(const std::vector<const WorkerState*>& workers, const WorkerState& worker) {
+  return std::find(workers.begin(), workers.end(), &worker) != workers.end();
+}
+
 }  // namespace
 
 std::string_view ToString(PlacementObstacle obstacle) {
@@ -69,7 +75,7 @@
 void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
   workers_ = workers;
   unplaceable_.clear();
-  previously_reserved_ = std::exchange(reserved_workers_, {});
+  reserved_before_ = std::exchange(reserved_workers_, {});
   pool_free_.clear();
   pool_capacity_.clear();
   for (const WorkerState* worker : workers_) {
@@ -148,23 +154,26 @@
 }
 
 bool Placer::IsReserved(const WorkerState& worker) const {
-  return std::find(reserved_workers_.begin(), reserved_workers_.end(), &worker) !=
-         reserved_workers_.end();
+  return Contains(reserved_workers_, worker) || Contains(reserved_before_, worker);
+}
+
+std::size_t Placer::MaxReservedWorkers() const {
+  const std::size_t most = std::max<std::size_t>(workers_.size() / kMinWorkersPerReserved, 1);
+  return std::min(std::max(kMinReservableWorkers, workers_.size() / kReservableDivisor), most);
 }
 
-void Placer::ReserveWorker(const PlacementRequest& request) {
-  const std::size_t limit = std::max(kMinReservableWorkers, workers_.size() / kReservableDivisor);
-  if (reserved_workers_.size() >= limit) return;
+void Placer::ReserveWorker(const PlacementRequest& request, Time now) {
+  if (reserved_workers_.size() >= MaxReservedWorkers()) return;
   const WorkerState* best = nullptr;
   auto best_rank = std::pair(false, std::int64_t{0});
   for (const WorkerState* worker : workers_) {
-    if (!MatchesConstraints(*worker, request) || IsReserved(*worker)) continue;
+    if (!MatchesConstraints(*worker, request) || Contains(reserved_workers_, *worker)) continue;
+    if (now < worker->starts_paused_until || worker->quarantine.active(now)) continue;
     Resources eventually_free = worker->Free();
     eventually_free.milliprocessors += worker->short_task_milliprocessors();
     if (!Fits(CapacityNeed(request.step()), eventually_free)) continue;
-    const bool again = std::find(previously_reserved_.begin(), previously_reserved_.end(),
-                                 worker) != previously_reserved_.end();
-    const auto rank = std::pair(again, worker->Free().milliprocessors);
+    const auto rank =
+        std::pair(Contains(reserved_before_, *worker), worker->Free().milliprocessors);
     if (best != nullptr && rank <= best_rank) continue;
     best = worker;
     best_rank = rank;
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -57,9 +57,11 @@
   Placer(const SchedulerOptions& options, const InterferenceModel& interference)
       : options_(options), interference_(interference) {}
 
-  // Starts a placement pass over `workers`, which must outlive the pass. The free capacity of a
-  // worker must not grow during a pass, since requests that fitted nowhere are not tried again.
+  // Starts a placement pass over `workers`, which must outlive the pass. After the free capacity of
+  // a worker has grown in a pass, call OnCapacityFreed, since requests that fitted nowhere are not
+  // tried again.
   void BeginPass(const std::vector<WorkerState*>& workers);
+  void OnCapacityFreed() { unplaceable_.clear(); }
 
   // Returns the best worker for one task, or null if no worker can run the task now.
   WorkerState* Choose(const PlacementRequest& request, Time now);
@@ -69,8 +71,9 @@
                                 const std::vector<WorkerState*>& workers, Time now) const;
 
   // Reserves a worker for a long-running task that fits nowhere: no short task is placed on this
-  // worker for the rest of the pass, so that its capacity becomes free as running tasks end.
-  void ReserveWorker(const PlacementRequest& request);
+  // worker in this and the next pass, so that its capacity becomes free as running tasks end. A
+  // worker that is reserved already is preferred.
+  void ReserveWorker(const PlacementRequest& request, Time now);
 
   // Records that a task was placed on `worker` in this pass.
   void OnPlaced(const WorkerState& worker, const StepSpec& step);
@@ -93,6 +96,7 @@
   // True if placing the task leaves enough processors of the pool to short tasks.
   bool LeavesShortTaskReserve(const PlacementRequest& request) const;
   bool IsReserved(const WorkerState& worker) const;
+  std::size_t MaxReservedWorkers() const;
   // Checks the pool, rack, label and limit per worker, but neither capacity nor interference.
   bool MatchesConstraints(const WorkerState& worker, const PlacementRequest& request) const;
   // Returns nothing if the task can start on the worker.
@@ -113,9 +117,10 @@
   std::unordered_map<std::string, Resources> pool_free_;      // By pool.
   std::unordered_map<std::string, Resources> pool_capacity_;  // By pool.
   std::vector<UnplaceableRequest> unplaceable_;
+  // Workers that were reserved in the pass before, and those reserved in this pass. The former may
+  // be gone and are used for comparison only.
+  std::vector<const WorkerState*> reserved_before_;
   std::vector<const WorkerState*> reserved_workers_;
-  // Of the pass before. May hold workers that are gone; used for comparison only.
-  std::vector<const WorkerState*> previously_reserved_;
 };
 
 // Resources that a task of `step` reserves of a worker's capacity. Best-effort tasks reserve no
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -126,7 +126,7 @@
     WorkerState* worker = placer_.Choose(request, now.monotonic);
     if (worker == nullptr) {
       const bool starves = job.SpecOf(id).long_running && request.waited >= kStarvationDelay;
-      if (starves) placer_.ReserveWorker(request);
+      if (starves) placer_.ReserveWorker(request, now.monotonic);
       return;
     }
     StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
--- a/packages/jobs/tests/placement_wait_test.cc
+++ b/packages/jobs/tests/placement_wait_test.cc
@@ -59,4 +59,54 @@
   CHECK(Runs(simulation, 4, key));
 }
 
+TEST_CASE("workers reserved for large tasks keep short tasks waiting on a small idle pool") {
+  // Guards against a reservation of all workers.
+  JobSimulation simulation(25, 2, 2, {});
+  simulation.RunFor(seconds(3));
+  // Fills worker 0 with one large short task first, so that the small ones go one to each worker.
+  JobSpec spread = ShortJob(2, 1000, 60000);
+  spread.steps.front().max_per_worker = 1;
+  simulation.Submit(spread);
+  simulation.RunFor(seconds(1));
+  REQUIRE(simulation.worker(0).running().size() == 1);
+  REQUIRE(simulation.worker(1).running().size() == 1);
+  simulation.Submit(LongRunningJob(1, 8000));
+  simulation.Submit(LongRunningJob(1, 8000));
+  simulation.RunFor(seconds(4));
+  // 14 of 16 processors are free.
+  const JobKey key = simulation.Submit(ShortJob(1, 1000, 100000));
+  simulation.RunFor(kCalm);
+  UNSCOPED_INFO(simulation.LogLines("task=" + key.str() + ".0.0.0 "));
+  CHECK(Runs(simulation, 2, key));
+  const std::string lines = simulation.LogLines("task=" + key.str() + ".0.0.0 ");
+  CHECK(lines.find("reserved=0") == std::string::npos);
+}
+
+TEST_CASE("short tasks that rank first take all room that is cleared for a large task") {
+  // Guards against a reservation that begins only after the short tasks of the pass were placed.
+  // The large task ranks after the short ones, as in a queue of lower priority. Each short task
+  // ends after 600 ms, so a worker that is cleared has room soon.
+  JobSimulation simulation(28, 2, 2, {});
+  simulation.RunFor(seconds(3));
+  const auto load = [&] {
+    for (int i = 0; i < 16; ++i) simulation.Submit(ShortJob(1, 1000, 600));
+  };
+  for (int i = 0; i < 10; ++i) {
+    load();
+    simulation.RunFor(milliseconds(600));
+  }
+  JobSpec large = LongRunningJob(1, 4000);
+  large.steps.front().estimate = std::chrono::hours(1);
+  const JobKey key = simulation.Submit(large);
+  const Time submitted = simulation.now();
+  while (!Runs(simulation, 2, key) && simulation.now() - submitted < seconds(30)) {
+    load();
+    simulation.RunFor(milliseconds(600));
+  }
+  const auto waited = std::chrono::duration_cast<milliseconds>(simulation.now() - submitted);
+  UNSCOPED_INFO("waited " << waited.count() << " ms");
+  UNSCOPED_INFO(simulation.LogLines("task=" + key.str()));
+  CHECK(waited < seconds(6));
+}
+
 }  // namespace cactusshelf::jobs
