Forget what did not fit while the members of a gang were placed on trial

Smaller jobs waited on an idle pool while a gang did not fit: its last member was noted as unplaceable beside the other members, which were taken back, and equal or larger requests were then not tried in that pass.

--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -167,6 +167,7 @@
       id.index = i;
       chosen[static_cast<std::size_t>(i)]->RemoveRun({job.job->key, id});
     }
+    placer_.OnCapacityFreed();
     if (!complete) continue;
     for (int i = 0; i < count; ++i) {
       id.index = i;
--- a/packages/jobs/tests/placement_wait_test.cc
+++ b/packages/jobs/tests/placement_wait_test.cc
@@ -82,6 +82,20 @@
   CHECK(lines.find("reserved=0") == std::string::npos);
 }
 
+TEST_CASE("a gang that does not fit keeps smaller jobs waiting on an idle pool") {
+  // Guards against requests that count as unplaceable because of members that were placed on trial.
+  JobSimulation simulation(26, 2, 2, {});
+  simulation.RunFor(seconds(3));
+  JobSpec gang = ShortJob(17, 1000, 20000);
+  gang.steps.front().gang = true;
+  simulation.Submit(gang);
+  simulation.RunFor(seconds(1));
+  const JobKey key = simulation.Submit(ShortJob(1, 1000, 100000));
+  simulation.RunFor(kCalm);
+  UNSCOPED_INFO(simulation.LogLines("task=" + key.str() + ".0.0.0 "));
+  CHECK(Runs(simulation, 2, key));
+}
+
 TEST_CASE("short tasks that rank first take all room that is cleared for a large task") {
   // Guards against a reservation that begins only after the short tasks of the pass were placed.
   // The large task ranks after the short ones, as in a queue of lower priority. Each short task
