--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -304,6 +304,16 @@
       Schedule(now_ + milliseconds(600), no_answer);
       return;
     }
+    const OrderDelay& order_delay = order_delays_[order.worker.id];
+    if (now_ < order_delay.until) {
+      Schedule(now_ + order_delay.delay, [this, worker, order, call, sent, store_reachable] {
+        current_order_sent_at_ = sent;
+        sender_store_reachable_ = store_reachable;
+        call(*worker, order, now_);
+      });
+      Schedule(now_ + milliseconds(600), no_answer);
+      return;
+    }
     if (random_.Chance(faults_.late_order)) {
       Schedule(now_ + random_.Between(milliseconds(500), seconds(5)),
                [this, worker, order, call, sent, store_reachable,
@@ -574,6 +584,10 @@
   worker_partitioned_until_[worker(i).entry().id] = now_ + duration;
 }
 
+void JobSimulation::DelayOrdersTo(int i, Duration duration, Duration delay) {
+  order_delays_[worker(i).entry().id] = {now_ + duration, delay};
+}
+
 void JobSimulation::DrainWorker(int i) {
   WorkerEntry entry = worker(i).entry();
   entry.draining = true;
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -82,6 +82,9 @@
   // Index of the first node that owns a cell, or -1.
   int OwnerIndex() const;
   void PartitionWorker(int i, Duration duration);
+  // The worker carries out the orders that are sent to it within `duration` only `delay` later, in
+  // whatever incarnation it then is; their senders get no answer.
+  void DelayOrdersTo(int i, Duration duration, Duration delay);
   void CrashWorker(int i);
   // The worker fails what runs there, and all that is started there until StopFailingRuns.
   void StartFailingRuns(int i);
@@ -159,6 +162,11 @@
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
   std::map<std::string, Time> worker_partitioned_until_;
+  struct OrderDelay {
+    Time until;
+    Duration delay{};
+  };
+  std::map<std::string, OrderDelay> order_delays_;  // By worker.
   std::set<std::string> failing_workers_;
   std::map<JobKey, Submitted> jobs_;
   std::map<JobKey, bool> accepted_;
