--- a/testing/integration/cluster.sh
+++ b/testing/integration/cluster.sh
@@ -126,12 +126,13 @@
 
 # owners_ready ENTRIES: succeeds if every entry host can run non-idempotent requests with ten random
 # ids. A member owns ids only some seconds after it joined, and does not know ids issued before
-# that.
+# that. Sets OWNERS_ANSWER to the last answer.
 owners_ready() {
   local i n
   for ((i = 1; i <= $1; i++)); do
     for ((n = 0; n < 10; n++)); do
-      [[ $(post "$i" notices "$(request_id)" false probe) == "200 answered"* ]] || return 1
+      OWNERS_ANSWER=$(post "$i" notices "$(request_id)" false probe)
+      [[ $OWNERS_ANSWER == "200 answered"* ]] || return 1
     done
   done
 }
--- a/testing/integration/proofs.sh
+++ b/testing/integration/proofs.sh
@@ -28,7 +28,7 @@
   "$CLI" publish --log "$LOG" "$WORK"/{services,workers}.toml >/dev/null || exit 1
   REVISION=$("$CLI" show --log "$LOG" --output json | jq -r .revision)
   for ((i = 1; i <= $1; i++)); do wait_for 7 entry_has_revision "$i" "$REVISION" || exit 1; done
-  wait_for 30 owners_ready "$1" || { echo "the members did not own all ids within 30 s"; exit 1; }
+  wait_for 30 owners_ready "$1" || { echo "the members did not own all ids within 30 s; last answer: ${OWNERS_ANSWER:-none}"; exit 1; }
 }
 
 executed_at_most_once() {
