--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -54,6 +54,20 @@
   return spec;
 }
 
+JobSpec LongRunningJob(int count, std::int64_t milliprocessors) {
+  JobSpec spec = SimpleJob(count, milliprocessors);
+  spec.steps.front().long_running = true;
+  return spec;
+}
+
+std::unique_ptr<JobSimulation> FilledSimulation() {
+  auto simulation = std::make_unique<JobSimulation>(21, 2, 2, SimulationFaults{});
+  simulation->RunFor(seconds(3));
+  for (int i = 0; i < 16; ++i) simulation->Submit(LongRunningJob(1, 1000));
+  simulation->RunFor(seconds(5));
+  return simulation;
+}
+
 JobSimulation::JobSimulation(std::uint64_t seed, int nodes, int workers,
                              const SimulationFaults& faults, const SimulationOptions& options)
     : random_(seed), faults_(faults), options_(options) {
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -198,6 +198,12 @@
 // A job with one step of `count` tasks that need `milliprocessors` each.
 JobSpec SimpleJob(int count, std::int64_t milliprocessors);
 
+// As SimpleJob, with tasks that run until the job is cancelled.
+JobSpec LongRunningJob(int count, std::int64_t milliprocessors = 1500);
+
+// A simulation of two workers that are filled by the long-running tasks of 16 jobs.
+std::unique_ptr<JobSimulation> FilledSimulation();
+
 }  // namespace cactusshelf::jobs
 
 #endif  // CACTUSSHELF_JOBS_TESTS_JOB_SIMULATION_H_
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -27,12 +27,6 @@
   return keys;
 }
 
-JobSpec LongRunningJob(int count, std::int64_t milliprocessors = 1500) {
-  JobSpec spec = SimpleJob(count, milliprocessors);
-  spec.steps.front().long_running = true;
-  return spec;
-}
-
 std::unique_ptr<JobSimulation> RunFaultSchedule(std::uint64_t seed) {
   SimulationFaults faults;
   faults.lost_store_answer = 0.02;
--- a/packages/jobs/tests/known_red_test.cc
+++ b/packages/jobs/tests/known_red_test.cc
@@ -10,12 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-JobSpec LongRunningJob(int count) {
-  JobSpec spec = SimpleJob(count, 1500);
-  spec.steps.front().long_running = true;
-  return spec;
-}
-
 }  // namespace
 
 TEST_CASE("a late start reaches a restarted worker of which its owner has not heard",
--- a/packages/jobs/tests/placement_wait_test.cc
+++ b/packages/jobs/tests/placement_wait_test.cc
@@ -14,12 +14,6 @@
 constexpr Duration kCalm = seconds(7);
 constexpr Duration kMaxWait = seconds(3);
 
-JobSpec LongRunningJob(int count, std::int64_t milliprocessors) {
-  JobSpec spec = SimpleJob(count, milliprocessors);
-  spec.steps.front().long_running = true;
-  return spec;
-}
-
 JobSpec ShortJob(int count, std::int64_t milliprocessors, int ms) {
   JobSpec spec = SimpleJob(count, milliprocessors);
   spec.payload = "duration=" + std::to_string(ms);
--- a/packages/jobs/tests/quarantine_test.cc
+++ b/packages/jobs/tests/quarantine_test.cc
@@ -13,27 +13,12 @@
 // disturbed.
 constexpr Duration kMaxWait = seconds(3);
 
-JobSpec LongRunningJob(int count, std::int64_t milliprocessors) {
-  JobSpec spec = SimpleJob(count, milliprocessors);
-  spec.steps.front().long_running = true;
-  return spec;
-}
-
-// Two workers that are filled by long-running tasks of 16 jobs.
-std::unique_ptr<JobSimulation> FullSimulation() {
-  auto simulation = std::make_unique<JobSimulation>(21, 2, 2, SimulationFaults{});
-  simulation->RunFor(seconds(3));
-  for (int i = 0; i < 16; ++i) simulation->Submit(LongRunningJob(1, 1000));
-  simulation->RunFor(seconds(5));
-  return simulation;
-}
-
 }  // namespace
 
 TEST_CASE("a quarantined worker keeps long-running tasks waiting after it has recovered") {
   // Guards against tasks that wait up to 16 s: the only worker with room was in quarantine, since
   // the runs of several jobs had failed there.
-  const auto simulation = FullSimulation();
+  const auto simulation = FilledSimulation();
   REQUIRE(simulation->running_tasks() == 16);
   simulation->StartFailingRuns(0);
   simulation->RunFor(seconds(5));
@@ -46,7 +31,7 @@
 TEST_CASE("single failures of long-running tasks put their worker into quarantine") {
   // Guards against a sound worker without starts for 4 s: long-running tasks fail now and then and
   // never end as done, so the failures of a whole day counted as failures in a row.
-  const auto simulation = FullSimulation();
+  const auto simulation = FilledSimulation();
   REQUIRE(simulation->running_tasks() == 16);
   for (int i = 0; i < 3; ++i) {
     const auto it = std::next(simulation->worker(0).running().begin(), i);
@@ -60,7 +45,7 @@
 TEST_CASE("waiting tasks are started again and again on a worker that fails all its runs") {
   // Guards against a worker in quarantine that is tried by every waiting task: each start on it is
   // work thrown away, so it is tried with one task at a time.
-  const auto simulation = FullSimulation();
+  const auto simulation = FilledSimulation();
   const std::uint64_t starts = simulation->starts();
   simulation->StartFailingRuns(0);
   simulation->RunFor(seconds(6));
--- a/packages/jobs/tests/task_wait_test.cc
+++ b/packages/jobs/tests/task_wait_test.cc
@@ -9,27 +9,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-JobSpec LongRunningJob(int count, std::int64_t milliprocessors) {
-  JobSpec spec = SimpleJob(count, milliprocessors);
-  spec.steps.front().long_running = true;
-  return spec;
-}
-
-// Two workers that are filled by long-running tasks of 16 jobs.
-std::unique_ptr<JobSimulation> FullSimulation() {
-  auto simulation = std::make_unique<JobSimulation>(21, 2, 2, SimulationFaults{});
-  simulation->RunFor(seconds(3));
-  for (int i = 0; i < 16; ++i) simulation->Submit(LongRunningJob(1, 1000));
-  simulation->RunFor(seconds(5));
-  return simulation;
-}
-
 }  // namespace
 
 TEST_CASE("the log does not say why a task waits") {
   // Guards against failures that cannot be explained: a task waited, and no line told whether for
   // capacity, for a quarantine or for an earlier run.
-  const auto simulation = FullSimulation();
+  const auto simulation = FilledSimulation();
   const JobKey key = simulation->Submit(LongRunningJob(1, 3000));
   simulation->RunFor(seconds(4));
   const std::string lines = simulation->LogLines("task=" + key.str() + ".0.0.0 ");
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -10,12 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-JobSpec LongRunningJob(int count) {
-  JobSpec spec = SimpleJob(count, 1500);
-  spec.steps.front().long_running = true;
-  return spec;
-}
-
 void CheckNoViolations(const JobSimulation& simulation) {
   for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
 }
