Limit the searches for workers to reserve in one pass

Cause: since a sixteenth of the workers may be reserved, each of up to 350 waiting steps searched all 431 workers in each pass, as long as fewer than that many workers could be reserved at all.

Reservations are now renewed from those of the pass before, and at most four searches over all workers are made in a pass. All tests of reservations pass unchanged.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -33,6 +33,9 @@
 // tasks. The part has to be large enough to start all tasks of a failed rack within seconds.
 constexpr std::size_t kReservableDivisor = 16;
 constexpr std::size_t kMinReservableWorkers = 2;
+// Maximum number of times in one pass that all workers are searched for one to reserve. On a full
+// pool hundreds of tasks wait.
+constexpr int kMaxReservationScans = 4;
 // A small pool keeps workers for short tasks: at most one of this many is reserved.
 constexpr std::size_t kMinWorkersPerReserved = 4;
 // A long-running task that has waited for this time may use the reserve for short tasks.
@@ -75,13 +78,16 @@
 void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
   workers_ = workers;
   unplaceable_.clear();
-  reserved_before_ = std::exchange(reserved_workers_, {});
+  const std::vector<const WorkerState*> previous = std::exchange(reserved_workers_, {});
+  reserved_before_.clear();
+  reservation_scans_left_ = kMaxReservationScans;
   pool_free_.clear();
   pool_capacity_.clear();
   for (const WorkerState* worker : workers_) {
     const WorkerEntry& entry = worker->entry();
     pool_free_[entry.pool] += worker->Free();
     pool_capacity_[entry.pool] += entry.capacity;
+    if (Contains(previous, *worker)) reserved_before_.push_back(worker);
   }
 }
 
@@ -162,23 +168,36 @@
   return std::min(std::max(kMinReservableWorkers, workers_.size() / kReservableDivisor), most);
 }
 
+bool Placer::CanReserve(const WorkerState& worker, const PlacementRequest& request,
+                        Time now) const {
+  if (Contains(reserved_workers_, worker) || !MatchesConstraints(worker, request)) return false;
+  if (now < worker.starts_paused_until || worker.quarantine.active(now)) return false;
+  Resources eventually_free = worker.Free();
+  eventually_free.milliprocessors += worker.short_task_milliprocessors();
+  return Fits(CapacityNeed(request.step()), eventually_free);
+}
+
+template <typename Workers>
+const WorkerState* Placer::FindReservable(const Workers& workers, const PlacementRequest& request,
+                                          Time now) const {
+  const WorkerState* best = nullptr;
+  for (const WorkerState* worker : workers) {
+    if (!CanReserve(*worker, request, now)) continue;
+    const bool is_better =
+        best == nullptr || worker->Free().milliprocessors > best->Free().milliprocessors;
+    if (is_better) best = worker;
+  }
+  return best;
+}
+
 void Placer::ReserveWorker(const PlacementRequest& request, Time now) {
   if (reserved_workers_.size() >= MaxReservedWorkers()) return;
-  const WorkerState* best = nullptr;
-  auto best_rank = std::pair(false, std::int64_t{0});
-  for (const WorkerState* worker : workers_) {
-    if (!MatchesConstraints(*worker, request) || Contains(reserved_workers_, *worker)) continue;
-    if (now < worker->starts_paused_until || worker->quarantine.active(now)) continue;
-    Resources eventually_free = worker->Free();
-    eventually_free.milliprocessors += worker->short_task_milliprocessors();
-    if (!Fits(CapacityNeed(request.step()), eventually_free)) continue;
-    const auto rank =
-        std::pair(Contains(reserved_before_, *worker), worker->Free().milliprocessors);
-    if (best != nullptr && rank <= best_rank) continue;
-    best = worker;
-    best_rank = rank;
+  const WorkerState* worker = FindReservable(reserved_before_, request, now);
+  if (worker == nullptr && reservation_scans_left_ > 0) {
+    --reservation_scans_left_;
+    worker = FindReservable(workers_, request, now);
   }
-  if (best != nullptr) reserved_workers_.push_back(best);
+  if (worker != nullptr) reserved_workers_.push_back(worker);
 }
 
 bool Placer::KeepsNeighbourHeadroom(WorkerState& worker, const PlacementRequest& request) const {
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -97,6 +97,13 @@
   bool LeavesShortTaskReserve(const PlacementRequest& request) const;
   bool IsReserved(const WorkerState& worker) const;
   std::size_t MaxReservedWorkers() const;
+  // True if the worker is not reserved in this pass, and the task fits once the short tasks there
+  // have ended.
+  bool CanReserve(const WorkerState& worker, const PlacementRequest& request, Time now) const;
+  // Returns the reservable worker with the most free processors, or null.
+  template <typename Workers>
+  const WorkerState* FindReservable(const Workers& workers, const PlacementRequest& request,
+                                    Time now) const;
   // Checks the pool, rack, label and limit per worker, but neither capacity nor interference.
   bool MatchesConstraints(const WorkerState& worker, const PlacementRequest& request) const;
   // Returns nothing if the task can start on the worker.
@@ -117,10 +124,9 @@
   std::unordered_map<std::string, Resources> pool_free_;      // By pool.
   std::unordered_map<std::string, Resources> pool_capacity_;  // By pool.
   std::vector<UnplaceableRequest> unplaceable_;
-  // Workers that were reserved in the pass before, and those reserved in this pass. The former may
-  // be gone and are used for comparison only.
-  std::vector<const WorkerState*> reserved_before_;
+  std::vector<const WorkerState*> reserved_before_;  // In the pass before.
   std::vector<const WorkerState*> reserved_workers_;
+  int reservation_scans_left_ = 0;
 };
 
 // Resources that a task of `step` reserves of a worker's capacity. Best-effort tasks reserve no
