Leave short tasks a share of a full pool that follows their demand

The lines of task_waiting show why: no room on any of 66 workers from second 13 on, with up to 50 steps waiting. Long-running tasks that wait rank first, since their objective ended long ago, and take every piece that short tasks give back; what they take does not come back. The reserve of 6% was given up after 1 s, and workers were even cleared of short tasks for them.

Ruled out: start latency (half of the first starts come within 110 ms) and the quarantine (none).

Workers are cleared for long-running tasks only while short tasks exceed their share.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -38,8 +38,8 @@
 constexpr int kMaxReservationScans = 4;
 // A small pool keeps workers for short tasks: at most one of this many is reserved.
 constexpr std::size_t kMinWorkersPerReserved = 4;
-// A long-running task that has waited for this time may use the reserve for short tasks.
-constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
+// Short tasks keep the room of one waiting long-running task, however long it is idle at times.
+constexpr std::int64_t kMinIdleRoom = 2;
 
 double Fraction(std::int64_t part, std::int64_t whole) {
   return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(whole, 1));
@@ -65,6 +65,8 @@
       return "reserved";
     case PlacementObstacle::kNeighbourLoad:
       return "neighbour_load";
+    case PlacementObstacle::kShortTaskShare:
+      return "short_task_share";
   }
   return "unknown";
 }
@@ -75,24 +77,40 @@
   return need;
 }
 
-void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
+void Placer::BeginPass(const std::vector<WorkerState*>& workers, const ShortTaskDemand& waiting,
+                       Time now) {
   workers_ = workers;
   unplaceable_.clear();
   const std::vector<const WorkerState*> previous = std::exchange(reserved_workers_, {});
   reserved_before_.clear();
   reservation_scans_left_ = kMaxReservationScans;
   pool_free_.clear();
-  pool_capacity_.clear();
-  for (const WorkerState* worker : workers_) {
+  ShortTaskDemand capacity;
+  ShortTaskDemand used;
+  for (WorkerState* worker : workers_) {
     const WorkerEntry& entry = worker->entry();
-    pool_free_[entry.pool] += worker->Free();
-    pool_capacity_[entry.pool] += entry.capacity;
+    worker->UpdateUnusedRoom(now);
+    pool_free_[entry.pool] += worker->Free().milliprocessors;
+    capacity[entry.pool] += entry.capacity.milliprocessors;
+    used[entry.pool] += worker->short_task_milliprocessors();
     if (Contains(previous, *worker)) reserved_before_.push_back(worker);
   }
+  for (const auto& [pool, milliprocessors] : capacity) {
+    const auto demand = waiting.find(pool);
+    ShortTaskShare& share =
+        short_task_shares_.try_emplace(pool, options_.short_task_reserve).first->second;
+    share.BeginPass(milliprocessors, used[pool], demand == waiting.end() ? 0 : demand->second, now);
+  }
 }
 
 void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step) {
-  pool_free_[worker.entry().pool] -= CapacityNeed(step);
+  const std::string& pool = worker.entry().pool;
+  const std::int64_t need = CapacityNeed(step).milliprocessors;
+  pool_free_[pool] -= need;
+  const auto share = short_task_shares_.find(pool);
+  if (!step.long_running && share != short_task_shares_.end()) {
+    share->second.OnShortTaskPlaced(need);
+  }
 }
 
 bool Placer::IsKnownUnplaceable(const PlacementRequest& request) const {
@@ -107,15 +125,13 @@
   });
 }
 
-bool Placer::LeavesShortTaskReserve(const PlacementRequest& request) const {
+bool Placer::LeavesShortTaskShare(const PlacementRequest& request) const {
   const StepSpec& step = request.step();
   if (!step.long_running || step.best_effort) return true;
-  if (request.waited >= kMaxReserveWait) return true;
   const auto free = pool_free_.find(request.service);
-  if (free == pool_free_.end()) return false;
-  const std::int64_t left = free->second.milliprocessors - step.need.milliprocessors;
-  return Fraction(left, pool_capacity_.at(request.service).milliprocessors) >=
-         options_.short_task_reserve;
+  const auto share = short_task_shares_.find(request.service);
+  if (free == pool_free_.end() || share == short_task_shares_.end()) return false;
+  return free->second - step.need.milliprocessors >= share->second.Unused();
 }
 
 bool Placer::MatchesConstraints(const WorkerState& worker, const PlacementRequest& request) const {
@@ -134,7 +150,7 @@
 
 std::optional<PlacementObstacle> Placer::FindObstacle(WorkerState& worker,
                                                       const PlacementRequest& request,
-                                                      Time now) const {
+                                                      bool leaves_share, Time now) const {
   const StepSpec& step = request.step();
   if (!Fits(CapacityNeed(step), worker.Free())) return PlacementObstacle::kCapacity;
   if (!MatchesConstraints(worker, request)) return PlacementObstacle::kConstraint;
@@ -146,14 +162,17 @@
   } else if (!step.long_running && IsReserved(worker)) {
     return PlacementObstacle::kReserved;
   }
+  if (!leaves_share && worker.UnusedRoom() < step.need.milliprocessors)
+    return PlacementObstacle::kShortTaskShare;
   return std::nullopt;
 }
 
 ObstacleCounts Placer::CountObstacles(const PlacementRequest& request,
                                       const std::vector<WorkerState*>& workers, Time now) const {
   ObstacleCounts counts{};
+  const bool leaves_share = LeavesShortTaskShare(request);
   for (WorkerState* worker : workers) {
-    const auto obstacle = FindObstacle(*worker, request, now);
+    const auto obstacle = FindObstacle(*worker, request, leaves_share, now);
     if (obstacle) ++counts[static_cast<std::size_t>(*obstacle)];
   }
   return counts;
@@ -192,6 +211,8 @@
 
 void Placer::ReserveWorker(const PlacementRequest& request, Time now) {
   if (reserved_workers_.size() >= MaxReservedWorkers()) return;
+  const auto share = short_task_shares_.find(request.service);
+  if (share == short_task_shares_.end() || !share->second.exceeded()) return;
   const WorkerState* worker = FindReservable(reserved_before_, request, now);
   if (worker == nullptr && reservation_scans_left_ > 0) {
     --reservation_scans_left_;
@@ -250,17 +271,40 @@
   return score;
 }
 
+WorkerState* Placer::ChooseIdleRoomOfShare(const PlacementRequest& request, Time now) {
+  const auto share = short_task_shares_.find(request.service);
+  if (share == short_task_shares_.end()) return nullptr;
+  const std::int64_t need = std::max<std::int64_t>(request.step().need.milliprocessors, 1);
+  std::int64_t room = 0;  // Number of tasks of this size that fit.
+  WorkerState* best = nullptr;
+  double best_score = 0;
+  for (WorkerState* worker : workers_) {
+    if (FindObstacle(*worker, request, true, now)) continue;
+    room += worker->Free().milliprocessors / need;
+    const double score = Score(*worker, request, now);
+    if (best != nullptr && score <= best_score) continue;
+    best = worker;
+    best_score = score;
+  }
+  if (room < kMinIdleRoom) return nullptr;
+  if (share->second.YieldsRoom(now)) return best;
+  share->second.OnLongRunningTaskKeptWaiting();
+  return nullptr;
+}
+
 WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
-  if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
+  if (IsKnownUnplaceable(request)) return nullptr;
+  const bool leaves_share = LeavesShortTaskShare(request);
   WorkerState* best = nullptr;
   double best_score = 0;
   for (WorkerState* worker : workers_) {
-    if (FindObstacle(*worker, request, now)) continue;
+    if (FindObstacle(*worker, request, leaves_share, now)) continue;
     const double score = Score(*worker, request, now);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
     best_score = score;
   }
+  if (best == nullptr && !leaves_share) best = ChooseIdleRoomOfShare(request, now);
   const StepSpec& step = request.step();
   // A request that failed because of its own step's limit per worker does not rule out others.
   if (best == nullptr && step.max_per_worker == 0) {
