Count claims as cells when a host decides whether to claim another

A host that owns a cell left others only 350 ms to claim the next, less than the 700 ms between two of their reads, and claims that were not won yet counted nothing, so that a host that read two logs at once claimed both.

A host now waits 2 s for each cell that it owns or claims.

--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -22,9 +22,10 @@
 constexpr std::size_t kMaxDropRecordsPerAppend = 64;
 // Limit on the submitted records in one append of the owner.
 constexpr std::size_t kMaxSubmittedBytesPerAppend = std::size_t{1} << 20;
-// Cells are spread over the processes: a process that already owns cells, or that ranks low in the
-// cell's rendezvous order of hosts, claims later.
-constexpr Duration kClaimDelayPerOwnedCell = std::chrono::milliseconds(350);
+// Cells are spread over the processes: a process that already owns or claims cells, or that ranks low
+// in the cell's rendezvous order of hosts, claims later. An owner reads the logs more often than others, so
+// it leaves them the time to read that a cell has no owner and to claim it.
+constexpr Duration kClaimDelayPerCell = std::chrono::milliseconds(2000);
 constexpr Duration kMaxClaimDelayByRank = std::chrono::milliseconds(300);
 
 ElectionOptions ElectionOptionsOf(const JobNodeOptions& options, int index) {
@@ -260,7 +261,7 @@
 
 void JobCell::AdvanceElection(const NodeState& state, const Now& now) {
   if (scheduler_ || state.draining || !follower_.loaded() || state.queues.version() == 0) return;
-  const Duration claim_delay = kClaimDelayPerOwnedCell * state.owned_cells;
+  const Duration claim_delay = kClaimDelayPerCell * state.claimed_cells;
   if (candidacy_ == Candidacy::kNone && election_.ShouldClaim(log_view_.owner(), claim_delay))
     ClaimOwnership();
   if (candidacy_ != Candidacy::kFencing) return;
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -20,6 +20,7 @@
   QueueTable queues;
   bool draining = false;
   int owned_cells = 0;
+  int claimed_cells = 0;  // Cells that this process owns or is trying to own.
   int cell_count = 1;
   // Entry hosts by name, as announced.
   const std::map<std::string, HostRecord>* hosts = nullptr;
@@ -57,6 +58,9 @@
   // Null unless this process is the owner.
   Scheduler* scheduler() { return scheduler_.get(); }
   const Scheduler* scheduler() const { return scheduler_.get(); }
+  bool owned_or_claimed() const {
+    return scheduler_ != nullptr || candidacy_ != Candidacy::kNone;
+  }
   // True if this process became the owner of the cell since the last call.
   bool TakeOwnershipGained() { return std::exchange(ownership_gained_, false); }
 
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -374,6 +374,9 @@
   node_state_.hosts = &cells_.front()->log_view().hosts();
   ChooseCellCount(now);
   for (const auto& cell : cells_) {
+    // A claim for one cell delays those for the next ones.
+    node_state_.claimed_cells = static_cast<int>(std::count_if(
+        cells_.begin(), cells_.end(), [](const auto& it) { return it->owned_or_claimed(); }));
     cell->Advance(node_state_, now);
     CollectEffects(*cell, now);
   }
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -288,6 +288,25 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("one host owns several cells although others own none") {
+  // Guards against an owner that uses its whole processor while other hosts are idle. It reads the
+  // logs most often, so it sees first that another cell has no owner.
+  SimulationOptions options;
+  options.node.single_cell_max_workers = 20;
+  options.node.multi_cell_target_workers = 10;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    JobSimulation simulation(seed, 6, 30, {}, options);
+    simulation.RunFor(seconds(10));
+    REQUIRE(simulation.CellCount() == 3);
+    UNSCOPED_INFO("seed " << seed);
+    CHECK(simulation.owners() == 3);
+    simulation.KillAllNodes();
+    simulation.RunFor(seconds(10));
+    UNSCOPED_INFO("seed " << seed << ", after a restart of all hosts");
+    CHECK(simulation.owners() == 3);
+  }
+}
+
 TEST_CASE("seeded schedules of many faults violate no invariant and lose no accepted job") {
   // Runs more seeds by hand: CACTUSSHELF_SEEDS=2000 jobs_tests.
   constexpr std::uint64_t kSeeds = 60;
