Give up idle room of the short tasks' share also if it fits one task only

Each cell kept room for one task of the size that waits, so that three cells kept room for three, and a task cannot run in another cell.

Any room that was there in each pass of 2 s is given up now.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -38,9 +38,6 @@
 constexpr int kMaxReservationScans = 4;
 // A small pool keeps workers for short tasks: at most one of this many is reserved.
 constexpr std::size_t kMinWorkersPerReserved = 4;
-// Short tasks keep the room of one waiting long-running task, however long it is idle at times.
-constexpr std::int64_t kMinIdleRoom = 2;
-
 double Fraction(std::int64_t part, std::int64_t whole) {
   return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(whole, 1));
 }
@@ -274,19 +271,16 @@
 WorkerState* Placer::ChooseIdleRoomOfShare(const PlacementRequest& request, Time now) {
   const auto share = short_task_shares_.find(request.service);
   if (share == short_task_shares_.end()) return nullptr;
-  const std::int64_t need = std::max<std::int64_t>(request.step().need.milliprocessors, 1);
-  std::int64_t room = 0;  // Number of tasks of this size that fit.
   WorkerState* best = nullptr;
   double best_score = 0;
   for (WorkerState* worker : workers_) {
     if (FindObstacle(*worker, request, true, now)) continue;
-    room += worker->Free().milliprocessors / need;
     const double score = Score(*worker, request, now);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
     best_score = score;
   }
-  if (room < kMinIdleRoom) return nullptr;
+  if (best == nullptr) return nullptr;
   if (share->second.YieldsRoom(now)) return best;
   share->second.OnLongRunningTaskKeptWaiting();
   return nullptr;
--- a/packages/jobs/src/short_task_share.h
+++ b/packages/jobs/src/short_task_share.h
@@ -28,8 +28,7 @@
   // Records that a short task that needs `milliprocessors` was placed in this pass.
   void OnShortTaskPlaced(std::int64_t milliprocessors) { used_ += milliprocessors; }
 
-  // Records that a long-running task was kept waiting in this pass although the pool has room for
-  // two of its size.
+  // Records that a long-running task was kept waiting in this pass although the pool has room.
   void OnLongRunningTaskKeptWaiting() { room_idle_ = true; }
   // True if each pass for some time has kept long-running tasks waiting in spite of such room.
   // Short tasks do not need it, wherever in the pool it is at each moment.
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -145,8 +145,7 @@
   std::int64_t IdleMilliprocessors() const {
     return entry_.capacity.milliprocessors - expected_use_;
   }
-  // Milliprocessors that were free throughout the last second, at least, and as long as up to two
-  // seconds; as of the last UpdateUnusedRoom.
+  // Milliprocessors that were free throughout the last one to two seconds, as of the last UpdateUnusedRoom.
   std::int64_t UnusedRoom() const { return std::min(least_free_, least_free_before_); }
   // Call at least every second.
   void UpdateUnusedRoom(Time now);
