--- a/packages/daemon/include/cactusshelf/daemon/wakeup_timer.h
+++ b/packages/daemon/include/cactusshelf/daemon/wakeup_timer.h
@@ -10,9 +10,10 @@
 
 namespace cactusshelf {
 
-// One-shot timer on the default main context that can be set again. Setting it to a later time, which
-// is what most events do, costs no system call: GLib wakes the main loop up with each change of a
-// source, so the source keeps the earlier time and is set anew when that has come. Not thread-safe.
+// One-shot timer on the default main context that can be set again. Setting it to a later time,
+// which is what most events do, costs no system call: GLib wakes the main loop up with each change
+// of a source, so the source keeps the earlier time and is set anew when that has come. Not
+// thread-safe.
 class WakeupTimer {
  public:
   // `callback` runs from the main loop each time the timer fires, and may destroy the timer.
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -22,9 +22,9 @@
 constexpr std::size_t kMaxDropRecordsPerAppend = 64;
 // Limit on the submitted records in one append of the owner.
 constexpr std::size_t kMaxSubmittedBytesPerAppend = std::size_t{1} << 20;
-// Cells are spread over the processes: a process that already owns or claims cells, or that ranks low
-// in the cell's rendezvous order of hosts, claims later. An owner reads the logs more often than others, so
-// it leaves them the time to read that a cell has no owner and to claim it.
+// Cells are spread over the processes: a process that already owns or claims cells, or that ranks
+// low in the cell's rendezvous order of hosts, claims later. An owner reads the logs more often
+// than others, so it leaves them the time to read that a cell has no owner and to claim it.
 constexpr Duration kClaimDelayPerCell = std::chrono::milliseconds(2000);
 constexpr Duration kMaxClaimDelayByRank = std::chrono::milliseconds(300);
 
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -110,8 +110,8 @@
   return job;
 }
 
-// Done tasks of one step of one occurrence as a bitmap, by the index of the task. All hosts read the
-// progress of all jobs, and a wide step would otherwise make a row of each task in each record.
+// Done tasks of one step of one occurrence as a bitmap, by the index of the task. All hosts read
+// the progress of all jobs, and a wide step would otherwise make a row of each task in each record.
 using DoneTasks = std::map<std::pair<int, int>, std::vector<std::uint8_t>>;
 constexpr std::size_t kBitsPerByte = 8;
 // Number of fields of a row that holds a bitmap. A row with one task has more.
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -31,11 +31,11 @@
 // Why a task cannot start on a worker now.
 enum class PlacementObstacle : std::uint8_t {
   kCapacity,
-  kConstraint,     // Pool, rack, label or limit per worker.
-  kStartsPaused,   // The worker has just refused a start.
-  kQuarantine,     // Runs of several jobs have failed on the worker.
-  kReserved,       // For a long-running task that has waited long.
-  kNeighbourLoad,  // A best-effort task would bring a serving neighbour near its target.
+  kConstraint,      // Pool, rack, label or limit per worker.
+  kStartsPaused,    // The worker has just refused a start.
+  kQuarantine,      // Runs of several jobs have failed on the worker.
+  kReserved,        // For a long-running task that has waited long.
+  kNeighbourLoad,   // A best-effort task would bring a serving neighbour near its target.
   kShortTaskShare,  // A long-running task would take room that short tasks have used lately.
 };
 inline constexpr std::size_t kPlacementObstacleCount = 7;
@@ -53,9 +53,8 @@
 //
 // Serving tasks are packed on workers with tasks of the same image, to keep the number of different
 // image pairs on a worker low. Long-running tasks leave short tasks their ShortTaskShare, but for
-// room that short tasks have not used for a while. Best-effort tasks go to workers with idle processors where they do not bring a
-// serving task near its latency target.
-// Not thread-safe.
+// room that short tasks have not used for a while. Best-effort tasks go to workers with idle
+// processors where they do not bring a serving task near its latency target. Not thread-safe.
 class Placer {
  public:
   // The arguments must outlive the placer.
@@ -134,7 +133,7 @@
   const SchedulerOptions& options_;
   const InterferenceModel& interference_;
   std::vector<WorkerState*> workers_;
-  std::unordered_map<std::string, std::int64_t> pool_free_;              // Milliprocessors by pool.
+  std::unordered_map<std::string, std::int64_t> pool_free_;            // Milliprocessors by pool.
   std::unordered_map<std::string, ShortTaskShare> short_task_shares_;  // By pool.
   std::vector<UnplaceableRequest> unplaceable_;
   std::vector<const WorkerState*> reserved_before_;  // In the pass before.
--- a/packages/jobs/src/short_task_share.cc
+++ b/packages/jobs/src/short_task_share.cc
@@ -25,8 +25,10 @@
   capacity_ = capacity;
   used_ = used;
   recent_demand_ = std::max(static_cast<double>(used + waiting), recent_demand_ * decay);
-  if (!std::exchange(room_idle_, false)) room_idle_since_.reset();
-  else if (!room_idle_since_) room_idle_since_ = last_pass_at_;
+  if (!std::exchange(room_idle_, false))
+    room_idle_since_.reset();
+  else if (!room_idle_since_)
+    room_idle_since_ = last_pass_at_;
   last_pass_at_ = now;
 }
 
@@ -41,8 +43,6 @@
   return static_cast<std::int64_t>(std::clamp(recent_demand_, min, max));
 }
 
-std::int64_t ShortTaskShare::Unused() const {
-  return std::max<std::int64_t>(Size() - used_, 0);
-}
+std::int64_t ShortTaskShare::Unused() const { return std::max<std::int64_t>(Size() - used_, 0); }
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -145,7 +145,8 @@
   std::int64_t IdleMilliprocessors() const {
     return entry_.capacity.milliprocessors - expected_use_;
   }
-  // Milliprocessors that were free throughout the last one to two seconds, as of the last UpdateUnusedRoom.
+  // Milliprocessors that were free throughout the last one to two seconds, as of the last
+  // UpdateUnusedRoom.
   std::int64_t UnusedRoom() const { return std::min(least_free_, least_free_before_); }
   // Call at least every second.
   void UpdateUnusedRoom(Time now);
@@ -206,12 +207,12 @@
   const SchedulerOptions* options_;
   std::map<TaskRef, Run> runs_;
   Resources used_;
-  std::int64_t expected_use_ = 0;             // Milliprocessors.
-  std::int64_t short_task_use_ = 0;           // Milliprocessors.
+  std::int64_t expected_use_ = 0;    // Milliprocessors.
+  std::int64_t short_task_use_ = 0;  // Milliprocessors.
   // Least free milliprocessors in the present and in the last period of UpdateUnusedRoom.
   std::int64_t least_free_ = 0;
   std::int64_t least_free_before_ = 0;
-  Time least_free_since_;  // Start of the present period.
+  Time least_free_since_;                     // Start of the present period.
   std::map<int, int> serving_runs_by_image_;  // By image index.
   bool clock_known_ = false;
   WorkerClock worker_clock_{};
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -215,6 +215,7 @@
   if (random_.Chance(faults_.lost_peer_message)) return;
   const auto to = std::find_if(nodes_.begin(), nodes_.end(),
                                [&](const Node& it) { return it.host == message.address; });
+  if (to == nodes_.end()) return;
   const auto peer = static_cast<int>(to - nodes_.begin());
   Schedule(now_ + Delay(), [this, peer, bytes = message.bytes] {
     Deliver(peer, nodes_[static_cast<std::size_t>(peer)].incarnation,
@@ -222,6 +223,10 @@
   });
 }
 
+void JobSimulation::DeliverPeerMessage(int i, const std::string& bytes) {
+  Deliver(i, nodes_[static_cast<std::size_t>(i)].incarnation, job_event::PeerMessage{bytes});
+}
+
 void JobSimulation::Perform(int i, const job_effect::WriteLogEvent& event) {
   const auto ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
   log_.push_back(std::to_string(ms) + " " + nodes_[static_cast<std::size_t>(i)].host + " " +
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -92,6 +92,8 @@
   // The worker turns away all starts from now on, as an unhealthy one does.
   void StartRejecting(int i) { worker(i).RejectStarts(); }
   void HangWorker(int i) { worker(i).Hang(now_); }
+  // A node receives `bytes` from another process.
+  void DeliverPeerMessage(int i, const std::string& bytes);
   // All log lines that contain `part`.
   std::string LogLines(const std::string& part) const;
 
