--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -38,6 +38,9 @@
 constexpr int kMaxReservationScans = 4;
 // A small pool keeps workers for short tasks: at most one of this many is reserved.
 constexpr std::size_t kMinWorkersPerReserved = 4;
+// A long-running task that has waited for this time may use the reserve for short tasks.
+constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
+
 double Fraction(std::int64_t part, std::int64_t whole) {
   return static_cast<double>(part) / static_cast<double>(std::max<std::int64_t>(whole, 1));
 }
@@ -62,8 +65,6 @@
       return "reserved";
     case PlacementObstacle::kNeighbourLoad:
       return "neighbour_load";
-    case PlacementObstacle::kShortTaskShare:
-      return "short_task_share";
   }
   return "unknown";
 }
@@ -74,40 +75,24 @@
   return need;
 }
 
-void Placer::BeginPass(const std::vector<WorkerState*>& workers, const ShortTaskDemand& waiting,
-                       Time now) {
+void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
   workers_ = workers;
   unplaceable_.clear();
   const std::vector<const WorkerState*> previous = std::exchange(reserved_workers_, {});
   reserved_before_.clear();
   reservation_scans_left_ = kMaxReservationScans;
   pool_free_.clear();
-  ShortTaskDemand capacity;
-  ShortTaskDemand used;
-  for (WorkerState* worker : workers_) {
+  pool_capacity_.clear();
+  for (const WorkerState* worker : workers_) {
     const WorkerEntry& entry = worker->entry();
-    worker->UpdateUnusedRoom(now);
-    pool_free_[entry.pool] += worker->Free().milliprocessors;
-    capacity[entry.pool] += entry.capacity.milliprocessors;
-    used[entry.pool] += worker->short_task_milliprocessors();
+    pool_free_[entry.pool] += worker->Free();
+    pool_capacity_[entry.pool] += entry.capacity;
     if (Contains(previous, *worker)) reserved_before_.push_back(worker);
   }
-  for (const auto& [pool, milliprocessors] : capacity) {
-    const auto demand = waiting.find(pool);
-    ShortTaskShare& share =
-        short_task_shares_.try_emplace(pool, options_.short_task_reserve).first->second;
-    share.BeginPass(milliprocessors, used[pool], demand == waiting.end() ? 0 : demand->second, now);
-  }
 }
 
 void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step) {
-  const std::string& pool = worker.entry().pool;
-  const std::int64_t need = CapacityNeed(step).milliprocessors;
-  pool_free_[pool] -= need;
-  const auto share = short_task_shares_.find(pool);
-  if (!step.long_running && share != short_task_shares_.end()) {
-    share->second.OnShortTaskPlaced(need);
-  }
+  pool_free_[worker.entry().pool] -= CapacityNeed(step);
 }
 
 bool Placer::IsKnownUnplaceable(const PlacementRequest& request) const {
@@ -122,13 +107,15 @@
   });
 }
 
-bool Placer::LeavesShortTaskShare(const PlacementRequest& request) const {
+bool Placer::LeavesShortTaskReserve(const PlacementRequest& request) const {
   const StepSpec& step = request.step();
   if (!step.long_running || step.best_effort) return true;
+  if (request.waited >= kMaxReserveWait) return true;
   const auto free = pool_free_.find(request.service);
-  const auto share = short_task_shares_.find(request.service);
-  if (free == pool_free_.end() || share == short_task_shares_.end()) return false;
-  return free->second - step.need.milliprocessors >= share->second.Unused();
+  if (free == pool_free_.end()) return false;
+  const std::int64_t left = free->second.milliprocessors - step.need.milliprocessors;
+  return Fraction(left, pool_capacity_.at(request.service).milliprocessors) >=
+         options_.short_task_reserve;
 }
 
 bool Placer::MatchesConstraints(const WorkerState& worker, const PlacementRequest& request) const {
@@ -147,7 +134,7 @@
 
 std::optional<PlacementObstacle> Placer::FindObstacle(WorkerState& worker,
                                                       const PlacementRequest& request,
-                                                      bool leaves_share, Time now) const {
+                                                      Time now) const {
   const StepSpec& step = request.step();
   if (!Fits(CapacityNeed(step), worker.Free())) return PlacementObstacle::kCapacity;
   if (!MatchesConstraints(worker, request)) return PlacementObstacle::kConstraint;
@@ -159,17 +146,14 @@
   } else if (!step.long_running && IsReserved(worker)) {
     return PlacementObstacle::kReserved;
   }
-  if (!leaves_share && worker.UnusedRoom() < step.need.milliprocessors)
-    return PlacementObstacle::kShortTaskShare;
   return std::nullopt;
 }
 
 ObstacleCounts Placer::CountObstacles(const PlacementRequest& request,
                                       const std::vector<WorkerState*>& workers, Time now) const {
   ObstacleCounts counts{};
-  const bool leaves_share = LeavesShortTaskShare(request);
   for (WorkerState* worker : workers) {
-    const auto obstacle = FindObstacle(*worker, request, leaves_share, now);
+    const auto obstacle = FindObstacle(*worker, request, now);
     if (obstacle) ++counts[static_cast<std::size_t>(*obstacle)];
   }
   return counts;
@@ -208,8 +192,6 @@
 
 void Placer::ReserveWorker(const PlacementRequest& request, Time now) {
   if (reserved_workers_.size() >= MaxReservedWorkers()) return;
-  const auto share = short_task_shares_.find(request.service);
-  if (share == short_task_shares_.end() || !share->second.exceeded()) return;
   const WorkerState* worker = FindReservable(reserved_before_, request, now);
   if (worker == nullptr && reservation_scans_left_ > 0) {
     --reservation_scans_left_;
@@ -268,37 +250,17 @@
   return score;
 }
 
-WorkerState* Placer::ChooseIdleRoomOfShare(const PlacementRequest& request, Time now) {
-  const auto share = short_task_shares_.find(request.service);
-  if (share == short_task_shares_.end()) return nullptr;
-  WorkerState* best = nullptr;
-  double best_score = 0;
-  for (WorkerState* worker : workers_) {
-    if (FindObstacle(*worker, request, true, now)) continue;
-    const double score = Score(*worker, request, now);
-    if (best != nullptr && score <= best_score) continue;
-    best = worker;
-    best_score = score;
-  }
-  if (best == nullptr) return nullptr;
-  if (share->second.YieldsRoom(now)) return best;
-  share->second.OnLongRunningTaskKeptWaiting();
-  return nullptr;
-}
-
 WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
-  if (IsKnownUnplaceable(request)) return nullptr;
-  const bool leaves_share = LeavesShortTaskShare(request);
+  if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
   WorkerState* best = nullptr;
   double best_score = 0;
   for (WorkerState* worker : workers_) {
-    if (FindObstacle(*worker, request, leaves_share, now)) continue;
+    if (FindObstacle(*worker, request, now)) continue;
     const double score = Score(*worker, request, now);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
     best_score = score;
   }
-  if (best == nullptr && !leaves_share) best = ChooseIdleRoomOfShare(request, now);
   const StepSpec& step = request.step();
   // A request that failed because of its own step's limit per worker does not rule out others.
   if (best == nullptr && step.max_per_worker == 0) {
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -10,7 +10,6 @@
 
 #include "interference_model.h"
 #include "job_tracker.h"
-#include "short_task_share.h"
 #include "worker_state.h"
 
 namespace cactusshelf::jobs {
@@ -31,17 +30,13 @@
 // Why a task cannot start on a worker now.
 enum class PlacementObstacle : std::uint8_t {
   kCapacity,
-  kConstraint,      // Pool, rack, label or limit per worker.
-  kStartsPaused,    // The worker has just refused a start.
-  kQuarantine,      // Runs of several jobs have failed on the worker.
-  kReserved,        // For a long-running task that has waited long.
-  kNeighbourLoad,   // A best-effort task would bring a serving neighbour near its target.
-  kShortTaskShare,  // A long-running task would take room that short tasks have used lately.
+  kConstraint,     // Pool, rack, label or limit per worker.
+  kStartsPaused,   // The worker has just refused a start.
+  kQuarantine,     // Runs of several jobs have failed on the worker.
+  kReserved,       // For a long-running task that has waited long.
+  kNeighbourLoad,  // A best-effort task would bring a serving neighbour near its target.
 };
-inline constexpr std::size_t kPlacementObstacleCount = 7;
-
-// Milliprocessors for which short tasks wait, by pool.
-using ShortTaskDemand = std::unordered_map<std::string, std::int64_t>;
+inline constexpr std::size_t kPlacementObstacleCount = 6;
 
 // Name of the field of a log line that counts workers with this obstacle.
 std::string_view ToString(PlacementObstacle obstacle);
@@ -52,21 +47,20 @@
 // Chooses the worker on which a task starts.
 //
 // Serving tasks are packed on workers with tasks of the same image, to keep the number of different
-// image pairs on a worker low. Long-running tasks leave short tasks their ShortTaskShare, but for
-// room that short tasks have not used for a while. Best-effort tasks go to workers with idle
-// processors where they do not bring a serving task near its latency target. Not thread-safe.
+// image pairs on a worker low. Long-running tasks leave a reserve for short tasks, since callers
+// wait for those. Best-effort tasks go to workers with idle processors where they do not bring a
+// serving task near its latency target.
+// Not thread-safe.
 class Placer {
  public:
   // The arguments must outlive the placer.
   Placer(const SchedulerOptions& options, const InterferenceModel& interference)
       : options_(options), interference_(interference) {}
 
-  // Starts a placement pass over `workers`, which must outlive the pass. `waiting` is the demand of
-  // the short tasks that are to be placed in it. After the free capacity of
+  // Starts a placement pass over `workers`, which must outlive the pass. After the free capacity of
   // a worker has grown in a pass, call OnCapacityFreed, since requests that fitted nowhere are not
   // tried again.
-  void BeginPass(const std::vector<WorkerState*>& workers, const ShortTaskDemand& waiting,
-                 Time now);
+  void BeginPass(const std::vector<WorkerState*>& workers);
   void OnCapacityFreed() { unplaceable_.clear(); }
 
   // Returns the best worker for one task, or null if no worker can run the task now.
@@ -78,8 +72,7 @@
 
   // Reserves a worker for a long-running task that fits nowhere: no short task is placed on this
   // worker in this and the next pass, so that its capacity becomes free as running tasks end. A
-  // worker that is reserved already is preferred. Does nothing while short tasks use no more than
-  // their share.
+  // worker that is reserved already is preferred.
   void ReserveWorker(const PlacementRequest& request, Time now);
 
   // Records that a task was placed on `worker` in this pass.
@@ -100,8 +93,8 @@
 
   // True if a request of the same kind and of at most the same size failed earlier in this pass.
   bool IsKnownUnplaceable(const PlacementRequest& request) const;
-  // True if placing the task leaves the short tasks of the pool their share.
-  bool LeavesShortTaskShare(const PlacementRequest& request) const;
+  // True if placing the task leaves enough processors of the pool to short tasks.
+  bool LeavesShortTaskReserve(const PlacementRequest& request) const;
   bool IsReserved(const WorkerState& worker) const;
   std::size_t MaxReservedWorkers() const;
   // True if the worker is not reserved in this pass, and the task fits once the short tasks there
@@ -113,14 +106,9 @@
                                     Time now) const;
   // Checks the pool, rack, label and limit per worker, but neither capacity nor interference.
   bool MatchesConstraints(const WorkerState& worker, const PlacementRequest& request) const;
-  // Returns nothing if the task can start on the worker. `leaves_share` is the result of
-  // LeavesShortTaskShare.
+  // Returns nothing if the task can start on the worker.
   std::optional<PlacementObstacle> FindObstacle(WorkerState& worker,
-                                                const PlacementRequest& request, bool leaves_share,
-                                                Time now) const;
-  // Returns the best worker for a long-running task whose start would take room of the short tasks'
-  // share, if they have left such room idle. Otherwise returns null and records the wait.
-  WorkerState* ChooseIdleRoomOfShare(const PlacementRequest& request, Time now);
+                                                const PlacementRequest& request, Time now) const;
   // True if a best-effort task finds enough idle processors and leaves its serving neighbours
   // headroom to their latency targets.
   bool KeepsNeighbourHeadroom(WorkerState& worker, const PlacementRequest& request) const;
@@ -133,8 +121,8 @@
   const SchedulerOptions& options_;
   const InterferenceModel& interference_;
   std::vector<WorkerState*> workers_;
-  std::unordered_map<std::string, std::int64_t> pool_free_;            // Milliprocessors by pool.
-  std::unordered_map<std::string, ShortTaskShare> short_task_shares_;  // By pool.
+  std::unordered_map<std::string, Resources> pool_free_;      // By pool.
+  std::unordered_map<std::string, Resources> pool_capacity_;  // By pool.
   std::vector<UnplaceableRequest> unplaceable_;
   std::vector<const WorkerState*> reserved_before_;  // In the pass before.
   std::vector<const WorkerState*> reserved_workers_;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -26,7 +26,6 @@
 struct Rank {
   bool expired = false;
   int priority = 0;
-  bool long_running = false;  // Keeps its room, while a short task soon gives it back.
   Time due;
   auto operator<=>(const Rank&) const = default;
 };
@@ -35,8 +34,7 @@
   const auto limit =
       std::chrono::duration<double, Duration::period>(job.objective) * kMaxObjectiveFactor;
   const bool late = now > job.tracked_since + std::chrono::duration_cast<Duration>(limit);
-  return {late && !job.long_running, job.job->queue.priority, job.long_running,
-          job.tracked_since + job.objective};
+  return {late && !job.long_running, job.job->queue.priority, job.tracked_since + job.objective};
 }
 
 struct RankedStep {
@@ -53,11 +51,11 @@
   return ready.job->job->spec.steps[static_cast<std::size_t>(ready.step)];
 }
 
-std::int64_t CountWaitingTasks(const ReadyStep& ready) {
+bool HasWaitingTask(const ReadyStep& ready) {
   const auto& tasks = ready.job->occurrences[static_cast<std::size_t>(ready.occurrence)]
                           .steps[static_cast<std::size_t>(ready.step)]
                           .tasks;
-  return std::count_if(tasks.begin(), tasks.end(), [](const TaskStatus& task) {
+  return std::any_of(tasks.begin(), tasks.end(), [](const TaskStatus& task) {
     return task.phase == TaskPhase::kWaiting && task.present_runs == 0;
   });
 }
@@ -86,20 +84,14 @@
   const bool best_effort_due = now.monotonic >= next_best_effort_placement_;
   if (best_effort_due) next_best_effort_placement_ = now.monotonic + kBestEffortPlacementPeriod;
   placement_deadline_ = std::min(placement_deadline_, next_best_effort_placement_);
-  ShortTaskDemand short_task_demand;
   for (const ReadyStep& it : ready) {
-    if (it.job->may_run_unreported) continue;
-    const std::int64_t waiting = CountWaitingTasks(it);
-    const StepSpec& spec = SpecOf(it);
-    if (waiting == 0 || (spec.best_effort && !best_effort_due)) continue;
-    const Rank rank = RankOf(*it.job, now.monotonic);
-    if (!spec.long_running && !rank.expired) {
-      short_task_demand[ServiceOf(*it.job->job)] += waiting * CapacityNeed(spec).milliprocessors;
-    }
-    ranked.push_back({rank, it});
+    if (it.job->may_run_unreported || !HasWaitingTask(it)) continue;
+    const bool best_effort = SpecOf(it).best_effort;
+    if (best_effort && !best_effort_due) continue;
+    ranked.push_back({RankOf(*it.job, now.monotonic), it});
   }
   std::sort(ranked.begin(), ranked.end());
-  placer_.BeginPass(workers, short_task_demand, now.monotonic);
+  placer_.BeginPass(workers);
   for (const RankedStep& it : ranked) {
     if (SpecOf(it.step).gang) {
       PlaceGang(it.step, workers, now);
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -25,8 +25,6 @@
 // Maximum time from sending an order until the worker's process receives it. A process that starts
 // within this time may receive the order.
 constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
-// Length of a period of UpdateUnusedRoom.
-constexpr Duration kUnusedRoomPeriod = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -64,19 +62,11 @@
   expected_use_ += sign * static_cast<std::int64_t>(
                               serving ? requested * options_->serving_utilization : requested);
   if (!run.long_running) short_task_use_ += sign * run.need.milliprocessors;
-  least_free_ = std::min(least_free_, Free().milliprocessors);
   if (!serving) return;
   const int n = serving_runs_by_image_[run.image_index] += sign;
   if (n == 0) serving_runs_by_image_.erase(run.image_index);
 }
 
-void WorkerState::UpdateUnusedRoom(Time now) {
-  if (now - least_free_since_ < kUnusedRoomPeriod) return;
-  least_free_before_ = least_free_;
-  least_free_ = Free().milliprocessors;
-  least_free_since_ = now;
-}
-
 int WorkerState::CountOtherServingImages(int image_index) const {
   const auto n = static_cast<int>(serving_runs_by_image_.size());
   return serving_runs_by_image_.contains(image_index) ? n - 1 : n;
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -1,7 +1,6 @@
 #ifndef CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
 #define CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
 
-#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -145,11 +144,6 @@
   std::int64_t IdleMilliprocessors() const {
     return entry_.capacity.milliprocessors - expected_use_;
   }
-  // Milliprocessors that were free throughout the last one to two seconds, as of the last
-  // UpdateUnusedRoom.
-  std::int64_t UnusedRoom() const { return std::min(least_free_, least_free_before_); }
-  // Call at least every second.
-  void UpdateUnusedRoom(Time now);
   // Reserved milliprocessors of tasks that are not long-running.
   std::int64_t short_task_milliprocessors() const { return short_task_use_; }
   // Number of images of tasks with a latency target, other than `image_index`.
@@ -207,12 +201,8 @@
   const SchedulerOptions* options_;
   std::map<TaskRef, Run> runs_;
   Resources used_;
-  std::int64_t expected_use_ = 0;    // Milliprocessors.
-  std::int64_t short_task_use_ = 0;  // Milliprocessors.
-  // Least free milliprocessors in the present and in the last period of UpdateUnusedRoom.
-  std::int64_t least_free_ = 0;
-  std::int64_t least_free_before_ = 0;
-  Time least_free_since_;                     // Start of the present period.
+  std::int64_t expected_use_ = 0;             // Milliprocessors.
+  std::int64_t short_task_use_ = 0;           // Milliprocessors.
   std::map<int, int> serving_runs_by_image_;  // By image index.
   bool clock_known_ = false;
   WorkerClock worker_clock_{};
--- a/packages/jobs/tests/interference_test.cc
+++ b/packages/jobs/tests/interference_test.cc
@@ -136,10 +136,10 @@
   request.service = "pool";
   request.image_index = fixture.best_effort_image;
   Placer placer(fixture.options, fixture.model);
-  placer.BeginPass({fixture.worker.get()}, {}, kStart);
+  placer.BeginPass({fixture.worker.get()});
   CHECK(placer.Choose(request, kStart) == nullptr);
   for (int i = 4; i <= 40; ++i) fixture.Report(12, 2000, kStart + milliseconds(500) * i);
-  placer.BeginPass({fixture.worker.get()}, {}, kStart);
+  placer.BeginPass({fixture.worker.get()});
   CHECK(placer.Choose(request, kStart) == fixture.worker.get());
 }
 
@@ -160,7 +160,7 @@
   request.service = "pool";
   request.image_index = fixture.serving_image;
   Placer placer(fixture.options, fixture.model);
-  placer.BeginPass({fixture.worker.get(), &empty}, {}, kStart);
+  placer.BeginPass({fixture.worker.get(), &empty});
   CHECK(placer.Choose(request, kStart) == fixture.worker.get());
   request.image_index = fixture.model.ImageIndex("another");
   CHECK(placer.Choose(request, kStart) == &empty);
--- a/packages/jobs/tests/worker_speed_test.cc
+++ b/packages/jobs/tests/worker_speed_test.cc
@@ -66,9 +66,9 @@
   request.service = "pool";
   const Time now = kStart + milliseconds(1500);
   Placer placer(options, model);
-  placer.BeginPass({&slow, &healthy}, {}, now);
+  placer.BeginPass({&slow, &healthy});
   CHECK(placer.Choose(request, now) == &healthy);
-  placer.BeginPass({&slow}, {}, now);
+  placer.BeginPass({&slow});
   CHECK(placer.Choose(request, now) == &slow);
 }
 
