--- a/packages/daemon/include/cactusshelf/daemon/wakeup_timer.h
+++ b/packages/daemon/include/cactusshelf/daemon/wakeup_timer.h
@@ -30,7 +30,9 @@
   void Clear();
 
  private:
+  // Runs the callback of the timer `data` if it is due, or sets the source anew.
   static gboolean Fire(gpointer data);
+  // Lets the source wake the main loop up at `ready_time`.
   void SetSource(gint64 ready_time);
 
   std::shared_ptr<const std::function<void()>> callback_;
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -58,6 +58,7 @@
   // Null unless this process is the owner.
   Scheduler* scheduler() { return scheduler_.get(); }
   const Scheduler* scheduler() const { return scheduler_.get(); }
+  // True while this process is the owner of the cell or is trying to become it.
   bool owned_or_claimed() const { return scheduler_ != nullptr || candidacy_ != Candidacy::kNone; }
   // True if this process became the owner of the cell since the last call.
   bool TakeOwnershipGained() { return std::exchange(ownership_gained_, false); }
