Take the change of the timer back

scripts/test on an otherwise idle machine failed in the set-up of at-most-once with real processes: "the members did not own all ids within 30 s; last answer: 503 not-run shed". That was seen before on very busy machines only.

--- a/packages/daemon/include/cactusshelf/daemon/wakeup_timer.h
+++ b/packages/daemon/include/cactusshelf/daemon/wakeup_timer.h
@@ -10,10 +10,7 @@
 
 namespace cactusshelf {
 
-// One-shot timer on the default main context that can be set again. Setting it to a later time,
-// which is what most events do, costs no system call: GLib wakes the main loop up with each change
-// of a source, so the source keeps the earlier time and is set anew when that has come. Not
-// thread-safe.
+// One-shot timer on the default main context that can be set again. Not thread-safe.
 class WakeupTimer {
  public:
   // `callback` runs from the main loop each time the timer fires, and may destroy the timer.
@@ -30,16 +27,8 @@
   void Clear();
 
  private:
-  // Runs the callback of the timer `data` if it is due, or sets the source anew.
-  static gboolean Fire(gpointer data);
-  // Lets the source wake the main loop up at `ready_time`.
-  void SetSource(gint64 ready_time);
-
   std::shared_ptr<const std::function<void()>> callback_;
   GSource* source_;
-  // Monotonic times in microseconds.
-  gint64 due_;           // When the callback is to run.
-  gint64 source_ready_;  // When the source wakes the main loop up; not after due_.
 };
 
 }  // namespace cactusshelf
--- a/packages/daemon/src/wakeup_timer.cc
+++ b/packages/daemon/src/wakeup_timer.cc
@@ -1,30 +1,35 @@
 #include "cactusshelf/daemon/wakeup_timer.h"
 
-#include <limits>
 #include <utility>
 
 namespace cactusshelf {
 namespace {
 
-constexpr gint64 kNever = std::numeric_limits<gint64>::max();
-// Ready time of a source that waits for nothing.
-constexpr gint64 kSourceNever = -1;
+constexpr gint64 kNever = -1;
 
-gboolean Dispatch(GSource* /*source*/, GSourceFunc function, gpointer data) {
+gboolean Dispatch(GSource* source, GSourceFunc function, gpointer data) {
+  g_source_set_ready_time(source, kNever);
   return function(data);
 }
 
 GSourceFuncs source_functions = {nullptr, nullptr, Dispatch, nullptr, nullptr, nullptr};
 
+using Callback = std::shared_ptr<const std::function<void()>>;
+
+gboolean Fire(gpointer data) {
+  // Copies the pointer, since the callback may destroy the timer.
+  const Callback callback = *static_cast<Callback*>(data);
+  (*callback)();
+  return G_SOURCE_CONTINUE;
+}
+
 }  // namespace
 
 WakeupTimer::WakeupTimer(std::function<void()> callback)
     : callback_(std::make_shared<const std::function<void()>>(std::move(callback))),
-      source_(g_source_new(&source_functions, sizeof(GSource))),
-      due_(kNever),
-      source_ready_(kNever) {
-  g_source_set_ready_time(source_, kSourceNever);
-  g_source_set_callback(source_, Fire, this, nullptr);
+      source_(g_source_new(&source_functions, sizeof(GSource))) {
+  g_source_set_ready_time(source_, kNever);
+  g_source_set_callback(source_, Fire, &callback_, nullptr);
   g_source_attach(source_, nullptr);
 }
 
@@ -33,32 +38,12 @@
   g_source_unref(source_);
 }
 
-void WakeupTimer::SetSource(gint64 ready_time) {
-  source_ready_ = ready_time;
-  g_source_set_ready_time(source_, ready_time == kNever ? kSourceNever : ready_time);
-}
-
-gboolean WakeupTimer::Fire(gpointer data) {
-  auto* timer = static_cast<WakeupTimer*>(data);
-  if (g_get_monotonic_time() < timer->due_) {
-    timer->SetSource(timer->due_);
-    return G_SOURCE_CONTINUE;
-  }
-  timer->due_ = kNever;
-  timer->SetSource(kNever);
-  // Copies the pointer, since the callback may destroy the timer.
-  const std::shared_ptr<const std::function<void()>> callback = timer->callback_;
-  (*callback)();
-  return G_SOURCE_CONTINUE;
-}
-
 void WakeupTimer::FireAfter(Duration delay) {
   // GLib dispatches a source with ready time 0 immediately.
-  const bool due_now = delay <= Duration::zero();
-  due_ = due_now ? 0 : g_get_monotonic_time() + delay.count();
-  if (due_ < source_ready_) SetSource(due_);
+  const bool due = delay <= Duration::zero();
+  g_source_set_ready_time(source_, due ? 0 : g_get_monotonic_time() + delay.count());
 }
 
-void WakeupTimer::Clear() { due_ = kNever; }
+void WakeupTimer::Clear() { g_source_set_ready_time(source_, kNever); }
 
 }  // namespace cactusshelf
