Count the claimed cells once in each pass over the cells

Each cell's turn counted the claims of all cells again, on every event of every process: quadratic in the cells. The count now follows the turn of each cell. Also drops an include that nothing used.

--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -373,11 +373,13 @@
   node_state_.cell_count = static_cast<int>(cells_.size());
   node_state_.hosts = &cells_.front()->log_view().hosts();
   ChooseCellCount(now);
+  node_state_.claimed_cells = static_cast<int>(std::count_if(
+      cells_.begin(), cells_.end(), [](const auto& it) { return it->owned_or_claimed(); }));
   for (const auto& cell : cells_) {
-    // A claim for one cell delays those for the next ones.
-    node_state_.claimed_cells = static_cast<int>(std::count_if(
-        cells_.begin(), cells_.end(), [](const auto& it) { return it->owned_or_claimed(); }));
+    const bool was_claimed = cell->owned_or_claimed();
     cell->Advance(node_state_, now);
+    // A claim for one cell delays those for the next ones.
+    if (cell->owned_or_claimed() != was_claimed) node_state_.claimed_cells += was_claimed ? -1 : 1;
     CollectEffects(*cell, now);
   }
   const bool was_owner = is_owner();
--- a/packages/jobs/tests/job_record_test.cc
+++ b/packages/jobs/tests/job_record_test.cc
@@ -1,6 +1,5 @@
 #include "cactusshelf/jobs/job_record.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
