--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -61,9 +61,11 @@
     const std::lock_guard lock(mutex_);
     Write("start " + life + " task=" + task + " run=" + std::to_string(run));
     ++starts_;
+    last_started_ = life;
     for (const Open& it : open_[task]) {
-      Break("two runs of task " + task + " at the same time: run " + std::to_string(it.run) +
-            " on " + it.life + ", run " + std::to_string(run) + " on " + life);
+      Break("TWICE", "two runs of task " + task + " at the same time: run " +
+                         std::to_string(it.run) + " on " + it.life + ", run " +
+                         std::to_string(run) + " on " + life);
     }
     open_[task].push_back({life, run});
     starts_of_[task].push_back({life, run, Now()});
@@ -102,13 +104,32 @@
       if (!end.noted) continue;
       for (const Begun& it : starts_of_[end.task]) {
         if (it.at <= end.at) continue;
-        Break("task " + end.task + ": run " + std::to_string(end.run) + " ended done on " +
-              key.first + " at " + Seconds(end.at) + " and was taken note of; run " +
-              std::to_string(it.run) + " started on " + it.life + " at " + Seconds(it.at));
+        Break("TWICE", "task " + end.task + ": run " + std::to_string(end.run) + " ended done on " +
+                           key.first + " at " + Seconds(end.at) + " and was taken note of; run " +
+                           std::to_string(it.run) + " started on " + it.life + " at " +
+                           Seconds(it.at));
       }
     }
   }
 
+  // When the last run of a task began, by the record's clock; -1 if none did.
+  double LastStartOf(const std::string& task) {
+    const std::lock_guard lock(mutex_);
+    const auto& starts = starts_of_[task];
+    return starts.empty() ? -1 : starts.back().at;
+  }
+
+  void BreakLost(const std::string& text) {
+    const std::lock_guard lock(mutex_);
+    Break("LOST", text);
+  }
+
+  // The worker that began a run last.
+  std::string LastStarted() {
+    const std::lock_guard lock(mutex_);
+    return last_started_.substr(0, last_started_.find('/'));
+  }
+
   int starts() const { return starts_; }
   int breaks() const { return breaks_; }
 
@@ -137,10 +158,10 @@
 
   void Write(const std::string& text) { out_ << Seconds(Now()) << " " << text << std::endl; }
 
-  void Break(const std::string& text) {
+  void Break(const char* rule, const std::string& text) {
     ++breaks_;
-    Write("BROKEN TWICE " + text);
-    if (breaks_ <= 5) std::printf("BROKEN TWICE %s\n", text.c_str());
+    Write(std::string("BROKEN ") + rule + " " + text);
+    if (breaks_ <= 5) std::printf("BROKEN %s %s\n", rule, text.c_str());
   }
 
   void Close(const std::string& life, const std::string& task, std::int64_t run) {
@@ -153,6 +174,7 @@
   std::map<std::string, std::vector<Open>> open_;
   std::map<std::string, std::vector<Begun>> starts_of_;
   std::map<std::pair<std::string, std::int64_t>, Done> done_;
+  std::string last_started_;
   int starts_ = 0;
   int breaks_ = 0;
 };
@@ -371,14 +393,16 @@
   int memory_mb = 64000;
 };
 
-// One minion. The specification of a job is the duration of its tasks in milliseconds. After a
-// power loss it starts again under the same id, and holds and knows nothing of before.
-// Thread-safe.
+// One minion. The specification of a job is the duration of its tasks in milliseconds, or 0 for
+// tasks that last. After a power loss it starts again under the same id, and holds and knows
+// nothing of before. Thread-safe.
 class Worker {
  public:
   static constexpr int kHeartbeatMs = 1100;
   static constexpr std::int64_t kMaxHoldMs = 10000;
   static constexpr std::size_t kMaxListedEnds = 500;
+  static constexpr int kTailMs = 10;      // Reported for tasks that last.
+  static constexpr int kCpuInUse = 1000;  // Reported for other tasks.
 
   Worker(WorkerOptions options, Store& store, Record& record)
       : options_(std::move(options)), store_(store), record_(record) {
@@ -411,12 +435,45 @@
     record_.Line("started_again " + LifeName());
   }
 
+  // The machine is lost for good. Returns the tasks that ran on it.
+  std::vector<std::string> LoseForGood() {
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> tasks;
+    for (const auto& [task, run] : runs_) tasks.push_back(task);
+    record_.Crash(LifeName());
+    up_ = false;
+    ++life_;
+    runs_.clear();
+    changed_.notify_all();
+    return tasks;
+  }
+
+  std::size_t load() {
+    const std::lock_guard lock(mutex_);
+    return runs_.size();
+  }
+
+  // The worker is cut off from all entry hosts for `ms`, and runs on. What was sent to it meanwhile
+  // is lost, since its senders give up earlier.
+  void CutOff(std::int64_t ms) {
+    SetCut(true);
+    SleepMs(ms);
+    SetCut(false);
+  }
+
  private:
+  void SetCut(bool cut) {
+    const std::lock_guard lock(mutex_);
+    cut_ = cut;
+    changed_.notify_all();
+    record_.Line((cut ? "cut_off " : "cut_healed ") + LifeName());
+  }
+
   struct Running {
     std::int64_t number = 0;
     SteadyTime begun;
     SteadyTime end;
-    int cpu = 1000;
+    bool lasts = false;
   };
   struct Ended {
     std::int64_t number = 0;
@@ -506,7 +563,7 @@
     {
       const std::lock_guard lock(mutex_);
       life = life_;
-      reachable = up_;
+      reachable = up_ && !cut_;
     }
     SocketReader reader(fd);
     // A connection attempt to a machine that does not respond stays without an answer.
@@ -535,7 +592,7 @@
       const ssize_t n = recv(fd, rest, sizeof(rest), 0);
       if (n <= 0) break;
       std::unique_lock lock(mutex_);
-      changed_.wait(lock, [&] { return up_; });
+      changed_.wait(lock, [&] { return up_ && !cut_; });
       if (life == life_) continue;
       const linger hard{1, 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
@@ -546,7 +603,7 @@
   // Status 0: no answer.
   Response Handle(const Request& request, std::int64_t life) {
     std::unique_lock lock(mutex_);
-    if (life != life_ || !up_) return {0, ""};
+    if (life != life_ || !up_ || cut_) return {0, ""};
     const auto expected = request.headers.find("x-expect-instance");
     if (expected != request.headers.end() && expected->second != options_.id) return {421, "{}"};
     const json body = json::parse(request.body);
@@ -587,7 +644,7 @@
       return Refuse("old");
     const auto now = std::chrono::steady_clock::now();
     const int ms = std::stoi(body.at("spec").get<std::string>());
-    runs_[task] = {run, now, now + milliseconds(ms), 1000};
+    runs_[task] = {run, now, now + milliseconds(ms), ms == 0};
     record_.Start(LifeName(), task, run);
     changed_.notify_all();
     return Answer(200, json::object());
@@ -614,15 +671,15 @@
     if (body.contains("deadlineMs") && !runs_.empty()) ExtendLease(body["deadlineMs"]);
     const auto until =
         std::chrono::steady_clock::now() + milliseconds(body.value("waitMs", std::int64_t{0}));
-    changed_.wait_until(lock, until, [&] { return !ended_.empty() || life != life_; });
-    if (life != life_ || !up_) return {0, ""};
+    changed_.wait_until(lock, until, [&] { return !ended_.empty() || life != life_ || cut_; });
+    if (life != life_ || !up_ || cut_) return {0, ""};
     json running = json::array();
     const auto now = std::chrono::steady_clock::now();
     for (const auto& [task, run] : runs_) {
       const double part = std::chrono::duration<double>(now - run.begun) /
                           std::chrono::duration<double>(run.end - run.begun);
-      running.push_back(
-          {task, run.number, "", static_cast<int>(std::min(99.0, part * 100)), run.cpu});
+      const int percent = run.lasts ? 100 : static_cast<int>(std::min(99.0, part * 100));
+      running.push_back({task, run.number, "", percent, run.lasts ? kTailMs : kCpuInUse});
     }
     json finished = json::array();
     for (const Ended& it : ended_) {
@@ -652,7 +709,7 @@
         const bool lapsed = deadline_ < Clock();
         std::vector<std::string> over;
         for (const auto& [task, run] : runs_) {
-          if (lapsed || run.end <= now) over.push_back(task);
+          if (lapsed || (!run.lasts && run.end <= now)) over.push_back(task);
         }
         for (const std::string& task : over) EndRun(task, lapsed ? "lapsed" : "done");
       }
@@ -669,6 +726,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   bool up_ = false;
+  bool cut_ = false;
   bool listed_ = false;
   std::int64_t life_ = 1;
   SteadyTime booted_;
@@ -733,6 +791,14 @@
     record_.Line("host_killed " + options_.name);
   }
 
+  // How often the host's log has this text.
+  int CountInLog(const std::string& text) const {
+    std::ifstream file(log_file());
+    int n = 0;
+    for (std::string line; std::getline(file, line);) n += line.find(text) != std::string::npos;
+    return n;
+  }
+
   bool Ready() const { return Call(ready_port_, "GET", "/ready", "ready", "", 500).status == 200; }
 
  private:
@@ -901,18 +967,21 @@
   int Finish(double completion_s) {
     const std::size_t open = client.AwaitCompletion(completion_s);
     record.JudgeStartsAfterDone();
-    hosts.clear();
-    if (std::getenv("KEEP_LOGS") == nullptr) {
-      std::filesystem::remove_all(folder);
-    } else {
-      std::printf("logs kept in %s\n", folder.c_str());
-    }
-    std::printf("%zu jobs accepted, %zu not completed; %d starts; %d times TWICE was broken\n",
+    Clear();
+    std::printf("%zu jobs accepted, %zu not completed; %d starts; rules broken %d times\n",
                 client.accepted(), open, record.starts(), record.breaks());
     if (record.breaks() > 0) return 1;
     return client.accepted() == 0 || open > 0 ? 2 : 0;
   }
 
+  // As Finish, for jobs whose tasks last.
+  int FinishLasting() {
+    std::printf("%zu jobs accepted; %d starts; rules broken %d times\n", client.accepted(),
+                record.starts(), record.breaks());
+    Clear();
+    return record.breaks() > 0 ? 1 : 0;
+  }
+
   Store store;
   Record record;
   std::vector<std::unique_ptr<Worker>> workers;
@@ -921,6 +990,16 @@
   std::string folder;
 
  private:
+  // Ends the hosts and removes the folder.
+  void Clear() {
+    hosts.clear();
+    if (std::getenv("KEEP_LOGS") == nullptr) {
+      std::filesystem::remove_all(folder);
+    } else {
+      std::printf("logs kept in %s\n", folder.c_str());
+    }
+  }
+
   static json Configuration() {
     const json route = {{"name", "work"},
                         {"host", Client::kHostName},
