Acknowledge ends only once, and only while the worker's incarnation is certain

Cause: each hold carried the number of the last stored end, also one that followed a failed hold. The new incarnation counts its ends from 1, so it took the number for ends of its own and discarded them. The owner then found the runs neither running nor ended and took them for lost.

A hold now acknowledges ends only if they were not acknowledged before, and only while every order since the last answered hold was sent has got an answer; any other hold acknowledges nothing. So no number of an earlier incarnation is sent to one that the owner has not heard of. What remains is a hold with an acknowledgement that is under way while the worker restarts, begins a task and ends it.

The simulation now records which ends as done were acknowledged, over crashes, and rejects a later start of the task. The fake worker discarded later ends by the highest number that it was ever sent; as the protocol has it, a call discards the ends that there are.

--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -87,6 +87,7 @@
     std::int64_t run = 0;
     int percent = 0;
     std::int64_t incarnation = 0;       // Of the worker when the order was made.
+    std::int64_t acknowledged_end = 0;  // Of a hold.
     std::optional<Time> lease_sent_at;  // When the order was sent, if it is a hold with a lease.
   };
 
@@ -97,6 +98,8 @@
   PendingOrder TakePendingOrder(CallId call);
   CallId NextCall() { return CallId{next_call_++}; }
 
+  // Records that the worker may have restarted, if an order to it got no answer.
+  static void NoteWhetherAnswered(WorkerState& worker, OrderOutcome outcome);
   // Processes a hold that the worker answered: its incarnation, its clock, and that it has accepted
   // this owner's token.
   void OnTokenAccepted(WorkerState& worker, const HoldReport& report, const Now& now);
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -105,19 +105,22 @@
   order.call = NextCall();
   order.worker = worker.entry().Target();
   order.token = token_;
-  order.acknowledged_end = worker.last_stored_end;
+  order.acknowledged_end = worker.AcknowledgeableEnd();
   // The lease of a worker that does not answer is not renewed, so that its tasks can soon start
   // elsewhere.
   if (worker.token_accepted && worker.reachable && worker.has_clock()) {
     order.lease_end = worker.LeaseEnd(now.monotonic);
     worker.OnLeaseGranted(*order.lease_end, now.monotonic);
     const bool wait = !worker.runs().empty() && !worker.report_needed_now &&
+                      worker.incarnation_confirmed &&
                       worker.last_stored_end == worker.last_processed_end;
     if (wait) order.wait = options_.hold_wait;
   }
   worker.hold_in_flight = true;
+  worker.order_failed_since_hold = false;
   worker.hold_answer_sequence = worker.answer_sequence;
   PendingOrder& pending = AddPendingOrder(order.call, worker, {}, 0);
+  pending.acknowledged_end = order.acknowledged_end;
   if (order.lease_end) pending.lease_sent_at = now.monotonic;
   Enqueue(worker, std::move(order));
 }
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -31,12 +31,19 @@
   return order;
 }
 
+void Scheduler::NoteWhetherAnswered(WorkerState& worker, OrderOutcome outcome) {
+  if (!IsUnanswered(outcome)) return;
+  worker.incarnation_confirmed = false;
+  worker.order_failed_since_hold = true;
+}
+
 void Scheduler::OnHoldAnswer(const HoldAnswer& answer, const Now& now) {
   const PendingOrder order = TakePendingOrder(answer.call);
   WorkerState* worker = FindWorker(order.worker);
   if (worker == nullptr) return;
   worker->hold_in_flight = false;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
+  NoteWhetherAnswered(*worker, answer.outcome);
   if (IsUnanswered(answer.outcome) && order.lease_sent_at)
     worker->OnLeaseOrderUnanswered(order.incarnation, *order.lease_sent_at);
   if (answer.outcome == OrderOutcome::kRelaySilent) {
@@ -68,6 +75,9 @@
   worker->reachable = true;
   worker->next_hold = now.monotonic;
   OnTokenAccepted(*worker, answer.report, now);
+  const bool same_incarnation = worker->incarnation == order.incarnation;
+  if (same_incarnation && order.acknowledged_end > 0)
+    worker->acknowledged_end = order.acknowledged_end;
   ApplyReport(*worker, answer.report, now);
 }
 
@@ -79,6 +89,7 @@
     worker.Reset(report.incarnation, report.clock, now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
+  worker.incarnation_confirmed = !worker.order_failed_since_hold;
   unreported_workers_.erase(worker.entry().id);
   if (worker.token_accepted) return;
   worker.token_accepted = true;
@@ -291,6 +302,7 @@
             .With("reason", std::string(ToString(answer.outcome)))
             .With("detail", answer.reason));
   }
+  NoteWhetherAnswered(*worker, answer.outcome);
   // A start may have been queued before it was sent.
   if (IsUnanswered(answer.outcome))
     worker->OnLeaseOrderUnanswered(order.incarnation, now.monotonic);
@@ -326,6 +338,7 @@
   WorkerState* worker = FindWorker(order.worker);
   if (worker == nullptr) return nullptr;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
+  NoteWhetherAnswered(*worker, answer.outcome);
   Run* run = worker->FindRun(order.task);
   return run != nullptr && run->number == order.run ? run : nullptr;
 }
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -40,6 +40,7 @@
   token_accepted = false;
   last_processed_end = 0;
   last_stored_end = 0;
+  acknowledged_end = 0;
   processed_ends_batch = 0;
   clock_known_ = false;
   quarantine.Reset();
@@ -122,6 +123,10 @@
   }
 }
 
+std::int64_t WorkerState::AcknowledgeableEnd() const {
+  return incarnation_confirmed && last_stored_end > acknowledged_end ? last_stored_end : 0;
+}
+
 void WorkerState::AssumeLongestLeaseAt(Time time) {
   const auto longest = std::chrono::duration<double, Duration::period>(options_->longest_lease) /
                        (1.0 - options_->max_clock_drift);
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -167,13 +167,23 @@
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
 
+  // Number up to which a hold acknowledges ends, or 0 for none. Another incarnation that gets the
+  // hold would take the number for that of an end of its own. Therefore ends are acknowledged only
+  // once, and only while all orders are answered.
+  std::int64_t AcknowledgeableEnd() const;
+
   std::int64_t incarnation = 0;
+  // Every order that ended after the last answered hold was sent has got an answer, so that the
+  // worker's incarnation has hardly changed since.
+  bool incarnation_confirmed = false;
+  bool order_failed_since_hold = false;  // An order got no answer after the last hold was sent.
   bool listed = true;
   bool token_accepted = false;             // The worker has accepted this owner's fencing token.
   bool reachable = false;                  // The last hold was answered.
   bool in_stored_roster = false;           // The stored roster lists the worker.
   std::int64_t last_processed_end = 0;     // Number of the last end that was processed.
   std::int64_t last_stored_end = 0;        // Number of the last end whose effect is stored.
+  std::int64_t acknowledged_end = 0;       // Number up to which the worker has discarded ends.
   std::uint64_t processed_ends_batch = 0;  // Batch that stores the effect of last_processed_end.
   std::uint64_t answer_sequence = 0;  // Number of answered orders, for ordering them with holds.
   bool hold_in_flight = false;
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -20,6 +20,16 @@
   return true;
 }
 
+// Forgets the ends up to `end` that there are. Later ends are listed, whatever their number is.
+void FakeWorker::Acknowledge(std::int64_t end) {
+  acknowledged_ = std::max(acknowledged_, end);
+  std::erase_if(ended_, [this, end](const EndedRun& it) {
+    if (it.number > end) return false;
+    if (it.end == RunEnd::kDone && done_.contains(it.task)) done_and_acknowledged_.insert(it.task);
+    return true;
+  });
+}
+
 // `task` is passed by value, since callers pass the key of the entry that is removed.
 void FakeWorker::EndRun(TaskRef task, RunEnd end) {  // NOLINT
   const std::int64_t run = running_.at(task).run;
@@ -57,8 +67,7 @@
     return answer;
   }
   if (order.lease_end) ExtendLease(*order.lease_end, now);
-  acknowledged_ = std::max(acknowledged_, order.acknowledged_end);
-  std::erase_if(ended_, [&](const EndedRun& it) { return it.number <= acknowledged_; });
+  Acknowledge(order.acknowledged_end);
   answer.outcome = OrderOutcome::kDone;
   answer.report.clock = Clock(now);
   answer.report.incarnation = entry_.incarnation;
@@ -128,6 +137,7 @@
   running_.clear();
   highest_ended_.clear();
   ended_.clear();
+  done_.clear();
   next_end_ = 1;
   acknowledged_ = 0;
   token_ = 0;
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -68,6 +68,12 @@
     return done_before_lease_expiry_.contains(task);
   }
 
+  // True if the end of a run of `task` as done was acknowledged before the lease expired, to
+  // whichever incarnation.
+  bool DoneAndAcknowledged(const TaskRef& task) const {
+    return done_and_acknowledged_.contains(task);
+  }
+
   const std::map<TaskRef, ActiveRun>& running() const { return running_; }
   // CPU share in percent that a task is limited to.
   int CpuSharePercentOf(const TaskRef& task) const {
@@ -86,6 +92,7 @@
   int ProgressPercentOf(const ActiveRun& active, Time now) const;
   void ExtendLease(WorkerClock lease_end, Time now);
   bool AcceptToken(std::int64_t token);
+  void Acknowledge(std::int64_t end);
   void EndRun(TaskRef task, RunEnd end);
 
   WorkerEntry entry_;
@@ -102,6 +109,7 @@
   std::map<TaskRef, int> cpu_shares_;
   std::set<TaskRef> done_;                      // Done since the lease last expired.
   std::set<TaskRef> done_before_lease_expiry_;  // Done before the lease last expired.
+  std::set<TaskRef> done_and_acknowledged_;     // Kept when the worker crashes.
   std::int64_t next_end_ = 1;
   std::int64_t acknowledged_ = 0;
   WorkerClock lease_end_{};
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -641,6 +641,13 @@
   return false;
 }
 
+bool JobSimulation::WasDropped(const JobKey& job) {
+  const std::vector<KeyedRecord>& log = store_.log(CellIndexOf(job.str(), CellCount()));
+  return std::any_of(log.begin(), log.end(), [&job](const KeyedRecord& it) {
+    return it.value.empty() && it.key == "j/" + job.str();
+  });
+}
+
 void JobSimulation::CheckStart(const FakeWorker& worker, const StartOrder& order) {
   ++starts_;
   const auto job = jobs_.find(order.task.job);
@@ -674,6 +681,11 @@
     if (it->running().contains(order.task)) {
       RecordViolation(name + ": started while it runs on " + it->entry().id);
     }
+    // A submission that is repeated after the job's records were dropped is a new job.
+    if (it->DoneAndAcknowledged(order.task) && !WasDropped(order.task.job)) {
+      RecordViolation(name + ": started after its end as done was acknowledged to " +
+                      it->entry().id);
+    }
   }
   // The stored progress shows which ends were processed.
   JobLogView log_view;
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -149,6 +149,8 @@
   void CheckStart(const FakeWorker& worker, const StartOrder& order);
   void RecordViolation(const std::string& text);
   bool IsCompletionProcessed(const StartOrder& order);
+  // True if the records of the job were dropped, however long ago.
+  bool WasDropped(const JobKey& job);
   job_event::AppendDone AppendNow(const job_effect::Append& append);
   FakeWorker* FindWorker(const std::string& id);
   Now Clock() const;
--- /dev/null
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -0,0 +1,41 @@
+#include <catch2/catch.hpp>
+
+#include "job_simulation.h"
+
+// Workers that restart under the ID that they had, while their owner has not heard of it.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Submits `n` jobs of short tasks, `period` apart.
+void SubmitShortJobs(JobSimulation& simulation, int n, Duration period) {
+  for (int i = 0; i < n; ++i) {
+    simulation.Submit(SimpleJob(6, 500));
+    simulation.RunFor(period);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("ends of a restarted worker are not acknowledged with the numbers of its earlier life") {
+  // Guards against tasks that run again after they were done: the hold after a failed one carried
+  // the number of the last stored end of the earlier incarnation, and the new one forgot its ends.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation(seed, 3, 4, {});
+    simulation.RunFor(seconds(3));
+    for (int i = 0; i < 8; ++i) {
+      SubmitShortJobs(simulation, 10, milliseconds(120));
+      simulation.PartitionWorker(i % 4, milliseconds(40));
+      simulation.RunFor(milliseconds(20));
+      simulation.CrashWorker(i % 4);
+    }
+    simulation.RunFor(seconds(20));
+    CHECK(simulation.violations() == std::vector<std::string>{});
+    CHECK(simulation.running_tasks() == 0);
+  }
+}
+
+}  // namespace cactusshelf::jobs
