Tell two incarnations of a worker apart by the clock of each answer

The owner counted the usual lease of 4 s and started the task elsewhere; the worker had taken the end of the lease, a time on its earlier clock, for the longest lease of 10 s.

Cause: an order that the new incarnation answers, or may carry out later, was taken for one of the incarnation that the owner knew. Only holds carried the worker's clock back to the owner.

- Answers to starts, stops and pace orders now carry the clock, through relays too.
A clock that is behind what the known incarnation must show means a restart: the run counts as running for the longest lease, nothing more is started there, and no lease is renewed until a report.
- A start without an answer may reach a later incarnation; its own task waits for the latest execution and the longest lease.
An answered start does not, so other tasks do not wait.
- A stop that an earlier incarnation answered no longer settles a start.
- run_loss.h decides whether a run that left no end has ended: by report, restart or lease.
Every other loss is that of a start that was refused or never sent.

--- a/packages/jobs/include/cactusshelf/jobs/worker_calls.h
+++ b/packages/jobs/include/cactusshelf/jobs/worker_calls.h
@@ -147,6 +147,8 @@
   std::string worker;
   OrderOutcome outcome = OrderOutcome::kNoAnswer;
   std::string reason;  // Set if the outcome is not kDone.
+  // Of the worker when it answered; absent if it did not say.
+  std::optional<WorkerClock> clock = std::nullopt;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -184,9 +184,17 @@
   if (done.answer.outcome == OrderOutcome::kDone) value.push_back(ToJson(done.answer.report));
   return value;
 }
-json ToJson(const StartDone& done) { return AnswerHead(kStart, done.answer); }
-json ToJson(const StopDone& done) { return AnswerHead(kStop, done.answer); }
-json ToJson(const PaceDone& done) { return AnswerHead(kPace, done.answer); }
+
+// The worker's clock follows the head if it is known; hosts of earlier versions do not send it.
+json OrderAnswerToJson(Kind kind, const OrderAnswer& answer) {
+  json value = AnswerHead(kind, answer);
+  if (answer.clock) value.push_back(answer.clock->count());
+  return value;
+}
+
+json ToJson(const StartDone& done) { return OrderAnswerToJson(kStart, done.answer); }
+json ToJson(const StopDone& done) { return OrderAnswerToJson(kStop, done.answer); }
+json ToJson(const PaceDone& done) { return OrderAnswerToJson(kPace, done.answer); }
 
 template <typename Done>
 Done AnswerFromHead(const json& value) {
@@ -198,6 +206,15 @@
   return done;
 }
 
+template <typename Done>
+Done OrderAnswerFromJson(const json& value) {
+  auto done = AnswerFromHead<Done>(value);
+  if (value.size() > kHeadFields) {
+    done.answer.clock = WorkerClock(value.at(kHeadFields).get<std::int64_t>());
+  }
+  return done;
+}
+
 WorkerAnswer DecodeAnswer(const json& value) {
   switch (value.at(0).get<int>()) {
     case kHold: {
@@ -208,11 +225,11 @@
       return done;
     }
     case kStart:
-      return AnswerFromHead<StartDone>(value);
+      return OrderAnswerFromJson<StartDone>(value);
     case kStop:
-      return AnswerFromHead<StopDone>(value);
+      return OrderAnswerFromJson<StopDone>(value);
     case kPace:
-      return AnswerFromHead<PaceDone>(value);
+      return OrderAnswerFromJson<PaceDone>(value);
     default:
       throw DecodeError("peer message: unknown answer");
   }
@@ -336,7 +353,7 @@
   if (std::holds_alternative<HoldOrder>(order)) {
     return HoldDone{{call, worker, outcome, reason, {}}};
   }
-  const OrderAnswer answer{call, worker, outcome, reason};
+  const OrderAnswer answer{call, worker, outcome, reason, std::nullopt};
   if (std::holds_alternative<StartOrder>(order)) return StartDone{answer};
   if (std::holds_alternative<StopOrder>(order)) return StopDone{answer};
   return PaceDone{answer};
--- /dev/null
+++ b/packages/jobs/src/run_loss.cc
@@ -0,0 +1,26 @@
+#include "run_loss.h"
+
+#include <algorithm>
+
+namespace cactusshelf::jobs {
+
+bool IsListed(const HoldReport& report, const Run& run) {
+  return std::any_of(report.running.begin(), report.running.end(), [&run](const RunningTask& it) {
+    return it.task == run.task && it.run == run.number;
+  });
+}
+
+bool HasEndedByReport(const WorkerState& worker, const Run& run, const HoldReport& report) {
+  const bool reflects_orders = run.last_answer_sequence <= worker.hold_answer_sequence;
+  const bool cannot_begin = run.phase == RunPhase::kRunning || run.stop_answered;
+  return reflects_orders && cannot_begin && !IsListed(report, run);
+}
+
+bool HasEndedByRestart(const Run& run) { return run.confirmed_incarnation != 0; }
+
+bool HasEndedByLease(const WorkerState& worker, const Run& run, Time now) {
+  const bool order_open = run.phase == RunPhase::kStarting;
+  return !order_open && worker.AllLeasesExpired(now) && now >= run.may_run_until;
+}
+
+}  // namespace cactusshelf::jobs
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "run_loss.h"
+
 namespace cactusshelf::jobs {
 namespace {
 
@@ -121,7 +123,7 @@
   for (auto& [id, worker] : workers_) {
     if (worker.entry().draining) EvacuateDrainingWorker(worker);
     SendStops(worker, now);
-    SendPaceOrders(worker);
+    SendPaceOrders(worker, now);
   }
 }
 
@@ -129,8 +131,13 @@
 void Scheduler::ExpireLeases(const Now& now) {
   for (auto it = workers_.begin(); it != workers_.end();) {
     WorkerState& worker = it->second;
+    if (!worker.reachable) {
+      const auto ended = [&](const Run& run) {
+        return HasEndedByLease(worker, run, now.monotonic);
+      };
+      MarkRunsLostIf(worker, ended, "lease_ended", now);
+    }
     const bool expired = worker.AllLeasesExpired(now.monotonic);
-    if (!worker.reachable && expired) MarkAllRunsLost(worker, "lease_ended", now);
     if (!worker.listed && expired && worker.runs().empty()) {
       roster_changed_ = roster_changed_ || worker.in_stored_roster;
       // Their answers must not apply to the state of a worker that is listed under this id later.
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -86,7 +86,8 @@
     TaskRef task;
     std::int64_t run = 0;
     int percent = 0;
-    std::int64_t incarnation = 0;       // Of the worker when the order was made.
+    std::int64_t incarnation = 0;  // Of the worker when the order was made.
+    Time made_at;
     std::int64_t acknowledged_end = 0;  // Of a hold.
     std::optional<Time> lease_sent_at;  // When the order was sent, if it is a hold with a lease.
   };
@@ -94,12 +95,16 @@
   WorkerState* FindWorker(const std::string& id);
   // Records an order that is to be answered. `task` and `run` are empty for a hold.
   PendingOrder& AddPendingOrder(CallId call, const WorkerState& worker, const TaskRef& task,
-                                std::int64_t run);
+                                std::int64_t run, const Now& now);
   PendingOrder TakePendingOrder(CallId call);
   CallId NextCall() { return CallId{next_call_++}; }
 
   // Records that the worker may have restarted, if an order to it got no answer.
   static void NoteWhetherAnswered(WorkerState& worker, OrderOutcome outcome);
+  // Records what the answer to an order other than a hold shows of the worker's incarnation.
+  // Returns true if it came from the present incarnation, for certain.
+  bool CheckIncarnation(WorkerState& worker, const PendingOrder& order, const OrderAnswer& answer,
+                        const Now& now);
   // Processes a hold that the worker answered: its incarnation, its clock, and that it has accepted
   // this owner's token.
   void OnTokenAccepted(WorkerState& worker, const HoldReport& report, const Now& now);
@@ -112,8 +117,18 @@
   void ResolveUnreportedRuns(WorkerState& worker, const HoldReport& report, const Now& now);
   void UpdateQuarantine(WorkerState& worker, const Run& run, RunEnd end, const Now& now);
   void MarkRunLost(WorkerState& worker, TaskRef task, std::string_view reason, const Now& now);
-  void MarkRunsOfEarlierIncarnationLost(WorkerState& worker, const Now& now);
-  void MarkAllRunsLost(WorkerState& worker, std::string_view reason, const Now& now);
+  // Marks the runs for which `ended` is true as lost.
+  template <typename Predicate>
+  void MarkRunsLostIf(WorkerState& worker, const Predicate& ended, std::string_view reason,
+                      const Now& now) {
+    std::vector<TaskRef> lost;
+    for (const auto& [ref, run] : worker.runs()) {
+      if (ended(run)) lost.push_back(ref);
+    }
+    for (const TaskRef& ref : lost) MarkRunLost(worker, ref, reason, now);
+  }
+  // Handles the runs of a worker of which a new incarnation has answered.
+  void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
   void ExpireLeases(const Now& now);
   void CheckTakeover(const Now& now);
   bool AllListedWorkersAcceptedToken() const;
@@ -125,7 +140,7 @@
   bool ShouldRun(const TaskRef& ref);
   // Stops the runs of a job that has ended, or of those of its tasks that are done.
   void StopObsoleteRuns(const JobKey& job, const Now& now);
-  void SendPaceOrders(WorkerState& worker);
+  void SendPaceOrders(WorkerState& worker, const Now& now);
 
   // Logs why tasks wait, for the tasks that have waited longest.
   void ReportWaitingTasks(const Now& now);
@@ -153,7 +168,7 @@
   PendingOrder CompleteOrder(CallId call);
   // As CompleteOrder. Returns the run that the order was for, or null if the run has been
   // removed.
-  Run* CompleteRunOrder(const OrderAnswer& answer, PendingOrder& order);
+  Run* CompleteRunOrder(const OrderAnswer& answer, PendingOrder& order, const Now& now);
   // Cancels queued starts for which `obsolete` is true; they have not been sent to the worker.
   template <typename Predicate>
   void CancelQueuedStarts(WorkerState& worker, const Predicate& obsolete, const Now& now);
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -27,8 +27,10 @@
 }
 
 Scheduler::PendingOrder& Scheduler::AddPendingOrder(CallId call, const WorkerState& worker,
-                                                    const TaskRef& task, std::int64_t run) {
+                                                    const TaskRef& task, std::int64_t run,
+                                                    const Now& now) {
   PendingOrder& order = pending_[static_cast<std::uint64_t>(call)];
+  order.made_at = now.monotonic;
   order.worker = worker.entry().id;
   order.incarnation = worker.incarnation;
   order.task = task;
@@ -119,7 +121,7 @@
   worker.hold_in_flight = true;
   worker.order_failed_since_hold = false;
   worker.hold_answer_sequence = worker.answer_sequence;
-  PendingOrder& pending = AddPendingOrder(order.call, worker, {}, 0);
+  PendingOrder& pending = AddPendingOrder(order.call, worker, {}, 0, now);
   pending.acknowledged_end = order.acknowledged_end;
   if (order.lease_end) pending.lease_sent_at = now.monotonic;
   Enqueue(worker, std::move(order));
@@ -142,7 +144,7 @@
   order.run = run.number;
   run.stop_in_flight = true;
   run.stop_sent_at = now.monotonic;
-  AddPendingOrder(order.call, worker, run.task, run.number);
+  AddPendingOrder(order.call, worker, run.task, run.number, now);
   Log(LogEvent(LogLevel::kInfo, "run_stop")
           .With("task", jobs::ToString(run.task))
           .With("run", run.number)
@@ -181,7 +183,7 @@
   }
 }
 
-void Scheduler::SendPaceOrders(WorkerState& worker) {
+void Scheduler::SendPaceOrders(WorkerState& worker, const Now& now) {
   if (!worker.reachable) return;
   for (auto& [ref, run] : worker.runs()) {
     if (!run.best_effort || run.phase != RunPhase::kRunning) continue;
@@ -195,7 +197,7 @@
     order.run = run.number;
     order.percent = run.cpu_share_percent;
     run.pace_order_in_flight = true;
-    AddPendingOrder(order.call, worker, ref, run.number).percent = run.cpu_share_percent;
+    AddPendingOrder(order.call, worker, ref, run.number, now).percent = run.cpu_share_percent;
     Enqueue(worker, std::move(order));
   }
 }
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -230,7 +230,7 @@
   worker.quarantine.OnPlaced(ref, now.monotonic);
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
-  AddPendingOrder(order.call, worker, ref, number);
+  AddPendingOrder(order.call, worker, ref, number, now);
   const auto waited = now.monotonic - job.StepOf(task).ready_since;
   Log(LogEvent(LogLevel::kInfo, "run_start")
           .With("task", jobs::ToString(ref))
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "run_loss.h"
 #include "scheduler.h"
 
 // Answers and reports of workers.
@@ -10,12 +11,6 @@
 // Progress is reported in whole percent, which is too coarse to measure speed over a shorter time.
 constexpr Duration kMinObservationTime = std::chrono::milliseconds(150);
 
-bool IsListed(const HoldReport& report, const Run& run) {
-  return std::any_of(report.running.begin(), report.running.end(), [&run](const RunningTask& it) {
-    return it.task == run.task && it.run == run.number;
-  });
-}
-
 // True if the worker may have carried out the order, or may still do so.
 bool IsUnanswered(OrderOutcome outcome) {
   return outcome == OrderOutcome::kNoAnswer || outcome == OrderOutcome::kRelaySilent;
@@ -83,9 +78,9 @@
 
 void Scheduler::OnTokenAccepted(WorkerState& worker, const HoldReport& report, const Now& now) {
   if (worker.incarnation != report.incarnation) {
-    MarkRunsOfEarlierIncarnationLost(worker, now);
     // Their leases are given by the clock of the earlier incarnation.
     CancelAllQueuedStarts(worker, now);
+    ResolveRunsAfterRestart(worker, now);
     worker.Reset(report.incarnation, report.clock, now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
@@ -110,7 +105,7 @@
   worker.report_needed_now = false;
   throttle_.Update(worker, interference_, now.monotonic);
   SendStops(worker, now);
-  SendPaceOrders(worker);
+  SendPaceOrders(worker, now);
 }
 
 void Scheduler::ApplyEnd(WorkerState& worker, const EndedRun& end, const Now& now) {
@@ -167,7 +162,8 @@
     run->phase = RunPhase::kRunning;
     tracker_.OnRunStarted(running.task.job);
   }
-  run->reported_incarnation = worker.incarnation;
+  run->confirmed_incarnation = worker.incarnation;
+  run->may_run_until = {};
   ApplyProgress(worker, *run, running.progress_percent, now);
   run->load = running.load;
   run->checkpoint = running.checkpoint;
@@ -213,7 +209,7 @@
   run.load = running.load;
   run.checkpoint = running.checkpoint;
   run.progress_percent = running.progress_percent;
-  run.reported_incarnation = worker.incarnation;
+  run.confirmed_incarnation = worker.incarnation;
   run.confirmed_cpu_share_percent = kUnknownCpuShare;
   AddRun(worker, std::move(run));
   Log(LogEvent(LogLevel::kInfo, should_run ? "run_adopted" : "run_unwanted")
@@ -240,20 +236,14 @@
 // Handles runs that the report should list but does not. They have ended or never started.
 void Scheduler::ResolveUnreportedRuns(WorkerState& worker, const HoldReport& report,
                                       const Now& now) {
-  std::vector<TaskRef> missing;
   for (auto& [ref, run] : worker.runs()) {
-    if (run.phase == RunPhase::kStarting || run.last_answer_sequence > worker.hold_answer_sequence)
-      continue;
-    const bool listed = IsListed(report, run);
-    if (listed) continue;
-    if (run.phase == RunPhase::kStartUnconfirmed) {
-      // The run may still begin. A stop prevents this.
-      run.phase = RunPhase::kStopping;
-    } else if (run.phase == RunPhase::kRunning || run.stop_answered) {
-      missing.push_back(ref);
-    }
+    const bool reflects_orders = run.last_answer_sequence <= worker.hold_answer_sequence;
+    const bool unconfirmed = run.phase == RunPhase::kStartUnconfirmed;
+    // The run may still begin. A stop prevents this.
+    if (unconfirmed && reflects_orders && !IsListed(report, run)) run.phase = RunPhase::kStopping;
   }
-  for (const TaskRef& ref : missing) MarkRunLost(worker, ref, "not_reported", now);
+  const auto ended = [&](const Run& run) { return HasEndedByReport(worker, run, report); };
+  MarkRunsLostIf(worker, ended, "not_reported", now);
 }
 
 // `ref` is passed by value, since callers pass the key of the map entry that is removed.
@@ -274,18 +264,25 @@
   placement_needed_ = true;
 }
 
-// Runs that the earlier incarnation of the worker reported have ended with it. A run that was never
-// reported may have been started by the new incarnation.
-void Scheduler::MarkRunsOfEarlierIncarnationLost(WorkerState& worker, const Now& now) {
-  std::vector<TaskRef> ended;
-  for (const auto& [ref, run] : worker.runs()) {
-    if (run.reported_incarnation != 0) ended.push_back(ref);
-  }
-  for (const TaskRef& ref : ended) MarkRunLost(worker, ref, "worker_restarted", now);
+void Scheduler::ResolveRunsAfterRestart(WorkerState& worker, const Now& now) {
+  MarkRunsLostIf(worker, HasEndedByRestart, "worker_restarted", now);
+  // The stop of a start without an answer held for the earlier incarnation only.
+  for (auto& [ref, run] : worker.runs()) run.stop_answered = false;
 }
 
-void Scheduler::MarkAllRunsLost(WorkerState& worker, std::string_view reason, const Now& now) {
-  while (!worker.runs().empty()) MarkRunLost(worker, worker.runs().begin()->first, reason, now);
+bool Scheduler::CheckIncarnation(WorkerState& worker, const PendingOrder& order,
+                                 const OrderAnswer& answer, const Now& now) {
+  NoteWhetherAnswered(worker, answer.outcome);
+  if (!answer.clock || order.incarnation != worker.incarnation) return false;
+  if (worker.IsClockPlausible(*answer.clock, order.made_at)) return true;
+  Log(LogEvent(LogLevel::kWarning, "worker_restart_suspected")
+          .With("worker", worker.entry().id)
+          .With("incarnation", worker.incarnation)
+          .With("clock_ms", answer.clock->count()));
+  counters_.Add("cactusshelf_suspected_restarts_total", "clock");
+  worker.SuspectRestart();
+  CancelAllQueuedStarts(worker, now);
+  return false;
 }
 
 void Scheduler::OnStartAnswer(const OrderAnswer& answer, const Now& now) {
@@ -302,7 +299,7 @@
             .With("reason", std::string(ToString(answer.outcome)))
             .With("detail", answer.reason));
   }
-  NoteWhetherAnswered(*worker, answer.outcome);
+  const bool same_incarnation = CheckIncarnation(*worker, order, answer, now);
   // A start may have been queued before it was sent.
   if (IsUnanswered(answer.outcome))
     worker->OnLeaseOrderUnanswered(order.incarnation, now.monotonic);
@@ -312,11 +309,17 @@
   switch (answer.outcome) {
     case OrderOutcome::kDone:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kRunning;
+      if (same_incarnation) {
+        run->confirmed_incarnation = worker->incarnation;
+      } else if (answer.clock) {
+        worker->OnStartedByOtherIncarnation(*run, now.monotonic);
+      }
       tracker_.OnRunStarted(order.task.job);
       return;
     case OrderOutcome::kNoAnswer:
     case OrderOutcome::kRelaySilent:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kStartUnconfirmed;
+      worker->OnStartUnanswered(*run, now.monotonic);
       worker->report_needed_now = true;
       return;
     case OrderOutcome::kRejected:
@@ -333,19 +336,19 @@
   MarkRunLost(*worker, order.task, ToString(answer.outcome), now);
 }
 
-Run* Scheduler::CompleteRunOrder(const OrderAnswer& answer, PendingOrder& order) {
+Run* Scheduler::CompleteRunOrder(const OrderAnswer& answer, PendingOrder& order, const Now& now) {
   order = CompleteOrder(answer.call);
   WorkerState* worker = FindWorker(order.worker);
   if (worker == nullptr) return nullptr;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
-  NoteWhetherAnswered(*worker, answer.outcome);
+  CheckIncarnation(*worker, order, answer, now);
   Run* run = worker->FindRun(order.task);
   return run != nullptr && run->number == order.run ? run : nullptr;
 }
 
-void Scheduler::OnStopAnswer(const OrderAnswer& answer, const Now& /*now*/) {
+void Scheduler::OnStopAnswer(const OrderAnswer& answer, const Now& now) {
   PendingOrder order;
-  Run* run = CompleteRunOrder(answer, order);
+  Run* run = CompleteRunOrder(answer, order, now);
   if (run == nullptr) return;
   run->stop_in_flight = false;
   if (answer.outcome != OrderOutcome::kDone) return;
@@ -355,9 +358,9 @@
   worker->report_needed_now = true;
 }
 
-void Scheduler::OnPaceAnswer(const OrderAnswer& answer, const Now& /*now*/) {
+void Scheduler::OnPaceAnswer(const OrderAnswer& answer, const Now& now) {
   PendingOrder order;
-  Run* run = CompleteRunOrder(answer, order);
+  Run* run = CompleteRunOrder(answer, order, now);
   if (run == nullptr) return;
   run->pace_order_in_flight = false;
   if (answer.outcome == OrderOutcome::kDone) run->confirmed_cpu_share_percent = order.percent;
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -25,6 +25,8 @@
 // Maximum time from sending an order until the worker's process receives it. A process that starts
 // within this time may receive the order.
 constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
+// Tolerance of clocks that are given in whole milliseconds.
+constexpr WorkerClock kClockTolerance = std::chrono::milliseconds(5);
 
 }  // namespace
 
@@ -100,10 +102,28 @@
 
 void WorkerState::SetClock(WorkerClock clock, Time now) {
   clock_known_ = true;
+  restart_suspected_ = false;
   worker_clock_ = clock;
   clock_read_at_ = now;
 }
 
+bool WorkerState::IsClockPlausible(WorkerClock clock, Time sent_at) const {
+  if (!clock_known_) return true;
+  const std::chrono::duration<double, Duration::period> elapsed = sent_at - clock_read_at_;
+  const double drift = options_->max_clock_drift;
+  // The order may have been sent before the clock was read; then the clock may have been faster.
+  const auto least = elapsed * (elapsed > Duration::zero() ? 1.0 - drift : 1.0 + drift);
+  return clock >= worker_clock_ + duration_cast<WorkerClock>(least) - kClockTolerance;
+}
+
+void WorkerState::SuspectRestart() {
+  restart_suspected_ = true;
+  incarnation_confirmed = false;
+  order_failed_since_hold = true;
+  token_accepted = false;
+  report_needed_now = true;
+}
+
 WorkerClock WorkerState::LeaseEnd(Time now) const {
   return worker_clock_ + duration_cast<WorkerClock>(now - clock_read_at_ + options_->lease);
 }
@@ -116,6 +136,9 @@
 }
 
 void WorkerState::OnLeaseOrderUnanswered(std::int64_t order_incarnation, Time sent_at) {
+  for (auto& [ref, run] : runs_) {
+    if (run.may_run_until != Time{}) OnStartUnanswered(run, sent_at);
+  }
   if (order_incarnation == incarnation) {
     unanswered_lease_order_at_ = std::max(unanswered_lease_order_at_.value_or(sent_at), sent_at);
   } else {
@@ -127,10 +150,22 @@
   return incarnation_confirmed && last_stored_end > acknowledged_end ? last_stored_end : 0;
 }
 
-void WorkerState::AssumeLongestLeaseAt(Time time) {
+void WorkerState::OnStartUnanswered(Run& run, Time now) const {
+  run.may_run_until = std::max(run.may_run_until, LongestLeaseEnd(now + options_->max_order_delay));
+}
+
+void WorkerState::OnStartedByOtherIncarnation(Run& run, Time now) const {
+  run.may_run_until = std::max(run.may_run_until, LongestLeaseEnd(now));
+}
+
+Time WorkerState::LongestLeaseEnd(Time time) const {
   const auto longest = std::chrono::duration<double, Duration::period>(options_->longest_lease) /
                        (1.0 - options_->max_clock_drift);
-  lease_expiry_ = std::max(lease_expiry_, time + duration_cast<Duration>(longest));
+  return time + duration_cast<Duration>(longest);
+}
+
+void WorkerState::AssumeLongestLeaseAt(Time time) {
+  lease_expiry_ = std::max(lease_expiry_, LongestLeaseEnd(time));
 }
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -52,8 +52,11 @@
   int cpu_share_percent = 100;            // As last ordered.
   int confirmed_cpu_share_percent = 100;  // As last confirmed by the worker.
   bool pace_order_in_flight = false;
-  // Incarnation of the last report that listed the run; 0 if none did.
-  std::int64_t reported_incarnation = 0;
+  // Incarnation that certainly began the run, as its report or its answer to the start showed; 0 if
+  // unknown.
+  std::int64_t confirmed_incarnation = 0;
+  // Until then the run may be at work in an incarnation that its owner has not heard of.
+  Time may_run_until;
   // WorkerState::answer_sequence at the last answer to an order for this run. Only the report of a
   // hold that was sent after this answer reflects the order.
   std::uint64_t last_answer_sequence = 0;
@@ -154,7 +157,15 @@
 
   // Records that the worker's clock showed `clock` at some time not after `now`.
   void SetClock(WorkerClock clock, Time now);
-  bool has_clock() const { return clock_known_; }
+  bool has_clock() const { return clock_known_ && !restart_suspected_; }
+
+  // True if the present incarnation may have given an answer with the time `clock` to an order that
+  // was sent at `sent_at`. A new incarnation has a new clock, which is far behind.
+  bool IsClockPlausible(WorkerClock clock, Time sent_at) const;
+
+  // An answer came from another incarnation than the present one. Until a report tells which, the
+  // worker has no clock and has not accepted the token.
+  void SuspectRestart();
 
   // End, on the worker's clock, of a lease that is granted at `now`. Precondition: has_clock().
   WorkerClock LeaseEnd(Time now) const;
@@ -163,6 +174,11 @@
   // Records that an order with a lease by the clock of `order_incarnation`, sent not after
   // `sent_at`, got no answer. The worker may carry it out later.
   void OnLeaseOrderUnanswered(std::int64_t order_incarnation, Time sent_at);
+  // Records that the start of `run` got no answer before `now`. An incarnation of which the owner
+  // has not heard may carry it out later, and then grants it the longest lease.
+  void OnStartUnanswered(Run& run, Time now) const;
+  // Records that another incarnation than the present one began `run` before `now`.
+  void OnStartedByOtherIncarnation(Run& run, Time now) const;
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
@@ -204,6 +220,8 @@
 
  private:
   void AdjustUsage(const Run& run, int sign);
+  // End of the longest lease that a worker may grant at `time`, by any clock.
+  Time LongestLeaseEnd(Time time) const;
   // Assumes that the worker grants the longest possible lease at `time`.
   void AssumeLongestLeaseAt(Time time);
 
@@ -215,6 +233,7 @@
   std::int64_t short_task_use_ = 0;           // Milliprocessors.
   std::map<int, int> serving_runs_by_image_;  // By image index.
   bool clock_known_ = false;
+  bool restart_suspected_ = false;
   WorkerClock worker_clock_{};
   Time clock_read_at_;
   Time lease_expiry_;
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -80,7 +80,7 @@
 
 OrderAnswer FakeWorker::Start(const StartOrder& order, Time now) {
   Advance(now);
-  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone, ""};
+  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone, "", Clock(now)};
   if (!AcceptToken(order.token)) {
     answer.outcome = OrderOutcome::kFenced;
   } else if (rejects_starts_) {
@@ -104,7 +104,7 @@
 
 OrderAnswer FakeWorker::Stop(const StopOrder& order, Time now) {
   Advance(now);
-  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone, ""};
+  OrderAnswer answer{order.call, entry_.id, OrderOutcome::kDone, "", Clock(now)};
   if (!AcceptToken(order.token)) {
     answer.outcome = OrderOutcome::kFenced;
     return answer;
@@ -119,7 +119,8 @@
   Advance(now);
   const bool accepted = AcceptToken(order.token);
   if (accepted) SetCpuSharePercent(order.task, order.percent);
-  return {order.call, entry_.id, accepted ? OrderOutcome::kDone : OrderOutcome::kFenced, ""};
+  return {order.call, entry_.id, accepted ? OrderOutcome::kDone : OrderOutcome::kFenced, "",
+          Clock(now)};
 }
 
 void FakeWorker::FailRun(const TaskRef& task, Time now) {
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -363,7 +363,7 @@
   const auto order_done = []<typename Event>(const auto& order,
                                              const std::optional<OrderAnswer>& answer) -> JobEvent {
     return Event{
-        answer.value_or(OrderAnswer{order.call, order.worker.id, OrderOutcome::kNoAnswer, ""})};
+        answer.value_or(OrderAnswer{order.call, order.worker.id, OrderOutcome::kNoAnswer, "", {}})};
   };
   if (const auto* hold = std::get_if<HoldOrder>(&effect.order)) {
     PerformOrder(
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -103,8 +103,10 @@
     return report;
   }
 
-  void AnswerStart(const StartOrder& start, OrderOutcome outcome) {
-    scheduler.OnStartAnswer({start.call, start.worker.id, outcome, ""}, Clock());
+  // `clock` is that of the worker when it answers.
+  void AnswerStart(const StartOrder& start, OrderOutcome outcome,
+                   std::optional<WorkerClock> clock = std::nullopt) {
+    scheduler.OnStartAnswer({start.call, start.worker.id, outcome, "", clock}, Clock());
   }
 
   // Leaves the open hold of a worker without an answer.
@@ -170,6 +172,47 @@
   CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
 }
 
+TEST_CASE("a run that a restarted worker began counts as running for the longest lease") {
+  // Guards against two runs of a task: the start reached a new incarnation of the worker, which was
+  // then cut off before it had reported, and the owner counted the lease of the earlier one.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.Submit(LongRunningJob(kJob, 1));
+  const auto start = fixture.AwaitOrder<StartOrder>("w1");
+  const Time answered_at = fixture.now;
+  fixture.AnswerStart(start, OrderOutcome::kDone, milliseconds(50));
+  CHECK(fixture.log.find("worker_restart_suspected") == std::string::npos);
+  fixture.RunFor(milliseconds(10));
+  CHECK(fixture.log.find("worker_restart_suspected") != std::string::npos);
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  // The hold that was under way may have renewed the lease of the new incarnation.
+  fixture.RunUntil(answered_at + seconds(16), "w1", "w2");
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w2").has_value());
+  fixture.RunUntil(answered_at + seconds(17), "w1", "w2");
+  CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
+}
+
+TEST_CASE("an incarnation that answered a start is known although it has not reported the run") {
+  // Guards against tasks that wait for 16 s: only a start without an answer may reach a later
+  // incarnation of the worker.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.RunUntil(fixture.now + seconds(11), "none", "w1");
+  fixture.Submit(LongRunningJob(kJob, 1));
+  const auto start = fixture.AwaitOrder<StartOrder>("w1");
+  const WorkerClock clock = std::chrono::duration_cast<WorkerClock>(fixture.now.time_since_epoch());
+  fixture.AnswerStart(start, OrderOutcome::kDone, clock);
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.RunUntil(fixture.now + milliseconds(4300), "w1", "w2");
+  CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
+}
+
 TEST_CASE("a queued start is not sent with a lease by the clock of an earlier incarnation") {
   // Guards against a lease that outlasts what the owner assumes. The worker restarted while starts
   // were queued, and the new incarnation granted them the longest lease.
--- a/packages/jobs/tests/worker_restart_test.cc
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -38,4 +38,20 @@
   }
 }
 
+TEST_CASE("a late start reaches a restarted worker of which its owner has not heard") {
+  // Guards against tasks that run twice: the new incarnation takes the end of the lease, a time on
+  // the earlier clock, for the longest possible lease, while the owner counts the usual one.
+  JobSimulation simulation(31, 1, 2, {});
+  simulation.RunFor(seconds(30));
+  for (int i : {0, 1}) simulation.DelayOrdersTo(i, milliseconds(300), milliseconds(400));
+  simulation.Submit(LongRunningJob(1));
+  simulation.RunFor(milliseconds(300));
+  const bool on_first = simulation.LogLines("run_start").find("worker=w0") != std::string::npos;
+  const int w = on_first ? 0 : 1;
+  simulation.CrashWorker(w);
+  simulation.PartitionWorker(w, seconds(600));
+  simulation.RunFor(seconds(12));
+  CHECK(simulation.violations().empty());
+}
+
 }  // namespace cactusshelf::jobs
