Keep workers that have not reported to the owner in the roster, also if they are listed

Cause: a new owner overwrites the stored roster at its first change. It named the workers that had accepted its token or had a lease of its own, and those of the earlier roster only if they were not listed. A worker that was listed and cut off fell out, although runs of an earlier owner were on it. If it was not listed either when the next owner came, nobody waited for its lease.

The roster now names every worker of the earlier roster that has not reported, until the takeover is complete. A listed worker that the roster leaves out is also marked so, since no task may start on it before a roster names it.

--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -187,13 +187,7 @@
     if (!learned.effects.empty()) batch.records.push_back(Encode(learned));
   }
   if (roster_changed_) {
-    RosterRecord roster;
-    for (const auto& [id, worker] : workers_) {
-      if (worker.token_accepted || !worker.AllLeasesExpired({})) roster.workers.push_back(id);
-    }
-    for (const std::string& id : unreported_workers_) {
-      if (!workers_.contains(id)) roster.workers.push_back(id);
-    }
+    RosterRecord roster = MakeRoster();
     batch.records.push_back(Encode(roster));
     roster_batches_[batch.id] = std::move(roster.workers);
     roster_changed_ = false;
@@ -201,6 +195,19 @@
   return batch;
 }
 
+RosterRecord Scheduler::MakeRoster() {
+  RosterRecord roster;
+  // Workers that an earlier owner may have left running, whether they are listed or not.
+  roster.workers.assign(unreported_workers_.begin(), unreported_workers_.end());
+  for (auto& [id, worker] : workers_) {
+    const bool unreported = unreported_workers_.contains(id);
+    const bool may_run = worker.token_accepted || !worker.AllLeasesExpired({});
+    if (may_run && !unreported) roster.workers.push_back(id);
+    if (!may_run && !unreported) worker.in_stored_roster = false;
+  }
+  return roster;
+}
+
 void Scheduler::OnStored(std::uint64_t batch, const Now& now) {
   last_stored_batch_ = batch;
   const auto roster = roster_batches_.find(batch);
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -131,6 +131,9 @@
   void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
   void ExpireLeases(const Now& now);
   void CheckTakeover(const Now& now);
+  // The workers that may run something on orders of this or an earlier owner. No task starts on any
+  // other worker until a later roster is stored.
+  RosterRecord MakeRoster();
   bool AllListedWorkersAcceptedToken() const;
 
   void SendHolds(const Now& now);
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -71,6 +71,8 @@
   FakeWorker& worker(int i) { return *workers_[static_cast<std::size_t>(i)]; }
   FakeStore& store() { return store_; }
   int CellCount();
+  // The process of a node ends. It starts again after up to 2 s.
+  void KillNode(int i);
   void KillAllNodes();
   // Lists a worker as draining.
   void DrainWorker(int i);
@@ -125,7 +127,6 @@
   void Schedule(Time at, std::function<void()> action);
   Duration Delay();
   void StartNode(int i);
-  void KillNode(int i);
   void Deliver(int i, int incarnation, JobEvent event);
   void PerformEffects(int i);
   void ArmTimer(int i);
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -252,6 +252,31 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("two changes of owner do not forget a worker that no owner has reached since") {
+  // Guards against tasks that run twice: the second owner stored a roster without the workers that
+  // were listed and had not reported to it yet, and the third owner did not wait for one of them.
+  int changes = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    JobSimulation simulation(seed, 4, 4, {});
+    simulation.RunFor(seconds(3));
+    simulation.Submit(LongRunningJob(12));
+    simulation.RunFor(seconds(12));
+    simulation.PartitionWorker(0, seconds(6));
+    simulation.KillNode(simulation.OwnerIndex());
+    for (int i = 0; i < 300 && simulation.OwnerIndex() < 0; ++i)
+      simulation.RunFor(milliseconds(10));
+    simulation.RunFor(milliseconds(200));
+    simulation.store().UnlistWorker(simulation.worker(0).entry().id);
+    if (simulation.OwnerIndex() >= 0) simulation.KillNode(simulation.OwnerIndex());
+    simulation.RunFor(seconds(12));
+    const std::string gained = simulation.LogLines("owner_gained");
+    if (std::count(gained.begin(), gained.end(), '\n') >= 3) ++changes;
+    CheckNoViolations(simulation);
+  }
+  CHECK(changes >= 15);
+}
+
 TEST_CASE("short tasks do not starve a long-running task that needs more processors") {
   // Guards against starvation by fragmentation: processors that became free went to short tasks a
   // few at a time. In a benchmark, a long-running task waited 20 s.
