Store which incarnations of workers hold leases of the usual length only

Cause: a new owner knows neither the lease setting of the earlier ones nor which incarnation they gave it to. With each worker's first report it assumed the longest lease that a worker accepts, 10 s, although only leases of 4 s had been granted.

The owner now stores, under the new key "leases", its lease and the incarnations that hold no longer one. A worker is stored once the long assumption that its own first report needs has run down. A new owner that hears of the stored incarnation assumes that lease from the moment when its token is accepted; for any other incarnation it assumes the longest, as before. Workers that have not reported yet stay stored.

--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -48,6 +48,8 @@
   // The current owner with its epoch. Generation 0 means that there was no owner yet.
   const OwnerRecord& owner() const { return owner_; }
   const std::vector<std::string>& roster() const { return roster_; }
+  // Empty until an owner has stored it.
+  const LeaseRecord& leases() const { return leases_; }
   const InterferenceRecord& interference() const { return interference_; }
   // All entry hosts that have ever announced themselves, by name. Only the first cell's log holds
   // them.
@@ -60,6 +62,7 @@
  private:
   void ApplyRecord(OwnerRecord record, std::int64_t offset);
   void ApplyRecord(RosterRecord record, std::int64_t offset);
+  void ApplyRecord(LeaseRecord record, std::int64_t offset);
   void ApplyRecord(const CellCountRecord& record, std::int64_t offset);
   void ApplyRecord(InterferenceRecord record, std::int64_t offset);
   void ApplyRecord(HostRecord record, std::int64_t offset);
@@ -79,6 +82,7 @@
   std::map<std::string, Claim> claims_;  // The newest claim of each host.
   OwnerRecord owner_;
   std::vector<std::string> roster_;
+  LeaseRecord leases_;
   InterferenceRecord interference_;
   std::map<std::string, HostRecord> hosts_;
   std::uint64_t host_announcements_ = 0;
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -2,6 +2,7 @@
 #define CACTUSSHELF_JOBS_JOB_RECORD_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -36,6 +37,13 @@
   std::vector<std::string> workers;
 };
 
+// Incarnations of workers that hold no other leases than those that owners gave them by the clock
+// of the incarnation, each for at most `lease`.
+struct LeaseRecord {
+  Duration lease{};                                  // Stored in milliseconds, rounded up.
+  std::map<std::string, std::int64_t> incarnations;  // By worker.
+};
+
 // Number of cells into which jobs and workers are divided; decided once.
 struct CellCountRecord {
   int cells = 0;
@@ -79,12 +87,13 @@
 };
 
 using JobLogRecord =
-    std::variant<OwnerRecord, RosterRecord, CellCountRecord, HostRecord, InterferenceRecord,
-                 SubmittedJob, CancelRecord, ProgressRecord, DropRecord>;
+    std::variant<OwnerRecord, RosterRecord, LeaseRecord, CellCountRecord, HostRecord,
+                 InterferenceRecord, SubmittedJob, CancelRecord, ProgressRecord, DropRecord>;
 
 // Thread-safe.
 KeyedRecord Encode(const OwnerRecord& record);
 KeyedRecord Encode(const RosterRecord& record);
+KeyedRecord Encode(const LeaseRecord& record);
 KeyedRecord Encode(const CellCountRecord& record);
 KeyedRecord Encode(const HostRecord& record);
 KeyedRecord Encode(const InterferenceRecord& record);
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -30,6 +30,10 @@
   roster_ = std::move(record.workers);
 }
 
+void JobLogView::ApplyRecord(LeaseRecord record, std::int64_t /*offset*/) {
+  leases_ = std::move(record);
+}
+
 void JobLogView::ApplyRecord(const CellCountRecord& record, std::int64_t /*offset*/) {
   cell_count_ = record.cells;
 }
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr char kRosterKey[] = "roster";
+constexpr char kLeaseKey[] = "leases";
 constexpr char kCellCountKey[] = "layout";
 constexpr char kInterferenceKey[] = "neighbours";
 // Record types, the first character of a key. The name of a host follows in records of owners and
@@ -181,8 +182,17 @@
   return {host, value.at(0), value.at(1), value.at(2)};
 }
 
+LeaseRecord DecodeLeases(const json& value) {
+  LeaseRecord record;
+  record.lease = std::chrono::milliseconds(value.at(0).get<std::int64_t>());
+  record.incarnations = value.at(1).get<std::map<std::string, std::int64_t>>();
+  if (record.lease < Duration::zero()) throw DecodeError("lease record with a negative lease");
+  return record;
+}
+
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
+  if (record_key == kLeaseKey) return DecodeLeases(value);
   if (record_key == kInterferenceKey) return DecodeInterference(value);
   if (record_key == kCellCountKey) return CellCountRecord{value.get<int>()};
   const JobKey key(record_key.substr(2));
@@ -212,6 +222,11 @@
 
 KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
 
+KeyedRecord Encode(const LeaseRecord& record) {
+  const auto lease = std::chrono::ceil<std::chrono::milliseconds>(record.lease).count();
+  return {kLeaseKey, ToBytes(json::array({lease, record.incarnations})), 0};
+}
+
 KeyedRecord Encode(const CellCountRecord& record) {
   return {kCellCountKey, ToBytes(record.cells), 0};
 }
@@ -271,7 +286,8 @@
 JobLogRecord DecodeJobLogRecord(const KeyedRecord& record) {
   const std::string& key = record.key;
   const bool of_job = key.size() > 2 && key[1] == kSeparator;
-  if (!of_job && key != kRosterKey && key != kCellCountKey && key != kInterferenceKey) {
+  const bool of_owner = key == kRosterKey || key == kLeaseKey || key == kCellCountKey;
+  if (!of_job && !of_owner && key != kInterferenceKey) {
     throw DecodeError("job log record with an unknown key");
   }
   if (record.value.empty()) {
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -18,6 +18,9 @@
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(40);
 // Minimum time between two writes of the interference model for the next owner.
 constexpr Duration kInterferenceExportPeriod = std::chrono::seconds(4);
+// Time between two comparisons of the stored leases with the present ones. A new owner assumes the
+// longest lease for a worker that is not stored yet.
+constexpr Duration kLeaseCheckPeriod = std::chrono::seconds(1);
 // Number of bits of a call number below the owner's token, so that call numbers of different owners
 // in one process do not collide.
 constexpr int kCallNumberBits = 24;
@@ -32,7 +35,8 @@
       placer_(options_, interference_),
       tracker_((generation - 1) * kRunsPerOwner),
       next_call_(static_cast<std::uint64_t>(token) << kCallNumberBits),
-      taking_over_(generation > 1) {
+      taking_over_(generation > 1),
+      stored_leases_(log_view.leases()) {
   const auto slow = std::chrono::duration<double, Duration::period>(options.lease) /
                     (1.0 - options.max_clock_drift);
   const Duration notice = predecessor_ended ? Duration::zero() : options.fencing_detection_time;
@@ -108,6 +112,7 @@
   next_decision_ = now.monotonic + kDecisionPeriod;
   ExpireLeases(now);
   CheckTakeover(now);
+  CheckStoredLeases(now);
   SweepRuns(now);
   // If the store is unreachable, ownership is confirmed by all workers accepting the token.
   if (ownership_unconfirmed_ && AllListedWorkersAcceptedToken()) ownership_unconfirmed_ = false;
@@ -186,6 +191,11 @@
     const InterferenceRecord learned = interference_.Export();
     if (!learned.effects.empty()) batch.records.push_back(Encode(learned));
   }
+  if (leases_changed_) {
+    stored_leases_ = MakeLeaseRecord(now.monotonic);
+    batch.records.push_back(Encode(stored_leases_));
+    leases_changed_ = false;
+  }
   if (roster_changed_) {
     RosterRecord roster = MakeRoster();
     batch.records.push_back(Encode(roster));
@@ -195,6 +205,37 @@
   return batch;
 }
 
+void Scheduler::CheckStoredLeases(const Now& now) {
+  if (now.monotonic < next_lease_check_) return;
+  next_lease_check_ = now.monotonic + kLeaseCheckPeriod;
+  const LeaseRecord present = MakeLeaseRecord(now.monotonic);
+  // Workers that are gone may stay stored until another change.
+  const auto is_stored = [this](const auto& it) {
+    const auto stored = stored_leases_.incarnations.find(it.first);
+    return stored != stored_leases_.incarnations.end() && stored->second == it.second;
+  };
+  const bool all_stored =
+      std::all_of(present.incarnations.begin(), present.incarnations.end(), is_stored);
+  leases_changed_ = leases_changed_ || !all_stored || stored_leases_.lease < present.lease;
+}
+
+LeaseRecord Scheduler::MakeLeaseRecord(Time now) const {
+  LeaseRecord record;
+  record.lease = options_.lease;
+  for (const auto& [id, worker] : workers_) {
+    const bool known = worker.incarnation != 0 && worker.token_accepted && worker.has_clock();
+    if (known && worker.HoldsUsualLease(now)) record.incarnations[id] = worker.incarnation;
+  }
+  // Workers that have not reported hold the leases of the earlier owners.
+  for (const std::string& id : unreported_workers_) {
+    const auto it = stored_leases_.incarnations.find(id);
+    if (it == stored_leases_.incarnations.end()) continue;
+    record.incarnations.insert(*it);
+    record.lease = std::max(record.lease, stored_leases_.lease);
+  }
+  return record;
+}
+
 RosterRecord Scheduler::MakeRoster() {
   RosterRecord roster;
   // Workers that an earlier owner may have left running, whether they are listed or not.
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -72,7 +72,7 @@
   // Returns the records to be stored, or nothing. Batches must be stored in order, and each must be
   // confirmed with OnStored.
   std::optional<ChangeBatch> TakeChanges(const Now& now);
-  bool has_changes() const { return tracker_.has_changes() || roster_changed_; }
+  bool has_changes() const { return tracker_.has_changes() || roster_changed_ || leases_changed_; }
   void OnStored(std::uint64_t batch, const Now& now);
 
   // True once a worker has refused the token as outdated: another process is the owner.
@@ -131,6 +131,13 @@
   void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
   void ExpireLeases(const Now& now);
   void CheckTakeover(const Now& now);
+  // The longest lease that earlier owners granted the worker, whose first report to this owner is
+  // `report`, if it is stored.
+  std::optional<Duration> LeaseOfEarlierOwners(const WorkerState& worker,
+                                               const HoldReport& report) const;
+  // Compares the stored leases with the present ones.
+  void CheckStoredLeases(const Now& now);
+  LeaseRecord MakeLeaseRecord(Time now) const;
   // The workers that may run something on orders of this or an earlier owner. No task starts on any
   // other worker until a later roster is stored.
   RosterRecord MakeRoster();
@@ -206,6 +213,9 @@
   bool taking_over_;
   Time takeover_end_;  // Orders of earlier owners can have no effect after this time.
   bool roster_changed_ = false;
+  LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
+  bool leases_changed_ = false;
+  Time next_lease_check_;
   std::map<std::uint64_t, std::vector<std::string>> roster_batches_;
   bool fenced_ = false;
   // The process was suspended, and neither the log nor the workers have confirmed since then that
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -81,7 +81,8 @@
     // Their leases are given by the clock of the earlier incarnation.
     CancelAllQueuedStarts(worker, now);
     ResolveRunsAfterRestart(worker, now);
-    worker.Reset(report.incarnation, report.clock, now.monotonic);
+    worker.Reset(report.incarnation, report.clock, LeaseOfEarlierOwners(worker, report),
+                 now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
   worker.incarnation_confirmed = !worker.order_failed_since_hold;
@@ -92,6 +93,15 @@
   placement_needed_ = true;
 }
 
+std::optional<Duration> Scheduler::LeaseOfEarlierOwners(const WorkerState& worker,
+                                                        const HoldReport& report) const {
+  const bool first_report = worker.incarnation == 0;
+  const auto it = stored_leases_.incarnations.find(worker.entry().id);
+  const bool known = it != stored_leases_.incarnations.end() && it->second == report.incarnation;
+  if (!first_report || !known) return std::nullopt;
+  return stored_leases_.lease;
+}
+
 void Scheduler::ApplyReport(WorkerState& worker, const HoldReport& report, const Now& now) {
   for (const EndedRun& end : report.ended) {
     if (end.number > worker.last_processed_end) ApplyEnd(worker, end, now);
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -30,13 +30,13 @@
 
 }  // namespace
 
-void WorkerState::Reset(std::int64_t new_incarnation, WorkerClock clock, Time now) {
-  AssumeLongestLeaseAt(now);
-  const auto uptime =
-      std::chrono::duration<double, Duration::period>(clock) / (1.0 - options_->max_clock_drift);
-  const Time earliest_start = now - duration_cast<Duration>(uptime);
-  if (unanswered_lease_order_at_ && *unanswered_lease_order_at_ + kMaxConnectTime >= earliest_start)
-    AssumeLongestLeaseAt(*unanswered_lease_order_at_ + options_->max_order_delay);
+void WorkerState::Reset(std::int64_t new_incarnation, WorkerClock clock,
+                        std::optional<Duration> known_lease, Time now) {
+  if (known_lease) {
+    lease_expiry_ = std::max(lease_expiry_, SlowestLeaseEnd(now, *known_lease));
+  } else {
+    AssumeLeasesOfEarlierIncarnation(clock, now);
+  }
   unanswered_lease_order_at_.reset();
   incarnation = new_incarnation;
   token_accepted = false;
@@ -52,6 +52,15 @@
   pressure_headrooms.reset();
 }
 
+void WorkerState::AssumeLeasesOfEarlierIncarnation(WorkerClock clock, Time now) {
+  AssumeLongestLeaseAt(now);
+  const auto uptime =
+      std::chrono::duration<double, Duration::period>(clock) / (1.0 - options_->max_clock_drift);
+  const Time earliest_start = now - duration_cast<Duration>(uptime);
+  if (unanswered_lease_order_at_ && *unanswered_lease_order_at_ + kMaxConnectTime >= earliest_start)
+    AssumeLongestLeaseAt(*unanswered_lease_order_at_ + options_->max_order_delay);
+}
+
 Run* WorkerState::FindRun(const TaskRef& task) {
   const auto it = runs_.find(task);
   return it == runs_.end() ? nullptr : &it->second;
@@ -158,10 +167,18 @@
   run.may_run_until = std::max(run.may_run_until, LongestLeaseEnd(now));
 }
 
+Time WorkerState::SlowestLeaseEnd(Time time, Duration lease) const {
+  const auto slow =
+      std::chrono::duration<double, Duration::period>(lease) / (1.0 - options_->max_clock_drift);
+  return time + duration_cast<Duration>(slow);
+}
+
 Time WorkerState::LongestLeaseEnd(Time time) const {
-  const auto longest = std::chrono::duration<double, Duration::period>(options_->longest_lease) /
-                       (1.0 - options_->max_clock_drift);
-  return time + duration_cast<Duration>(longest);
+  return SlowestLeaseEnd(time, options_->longest_lease);
+}
+
+bool WorkerState::HoldsUsualLease(Time now) const {
+  return lease_expiry_ <= SlowestLeaseEnd(now, options_->lease);
 }
 
 void WorkerState::AssumeLongestLeaseAt(Time time) {
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -131,7 +131,10 @@
   // incarnation of the worker has answered with the time `clock`. Since the new incarnation has a
   // new clock, leases that were granted by the earlier clock are assumed to last for the longest
   // possible lease, also if an order that the new incarnation may have received grants them later.
-  void Reset(std::int64_t incarnation, WorkerClock clock, Time now);
+  // `known_lease` is given if all leases so far were granted by the clock of `incarnation`, and
+  // each for no longer than this.
+  void Reset(std::int64_t incarnation, WorkerClock clock, std::optional<Duration> known_lease,
+             Time now);
 
   Run* FindRun(const TaskRef& task);
   Run& AddRun(Run run);
@@ -182,6 +185,8 @@
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
+  // True if the worker holds no longer lease than one that is granted at `now` as usual.
+  bool HoldsUsualLease(Time now) const;
 
   // Number up to which a hold acknowledges ends, or 0 for none. Another incarnation that gets the
   // hold would take the number for that of an end of its own. Therefore ends are acknowledged only
@@ -220,8 +225,13 @@
 
  private:
   void AdjustUsage(const Run& run, int sign);
+  // End of a lease of `lease` that is granted at `time`, by the slowest clock.
+  Time SlowestLeaseEnd(Time time, Duration lease) const;
   // End of the longest lease that a worker may grant at `time`, by any clock.
   Time LongestLeaseEnd(Time time) const;
+  // Assumes the leases that orders by the clock of the earlier incarnation may have granted to the
+  // new one, whose clock shows `clock` now.
+  void AssumeLeasesOfEarlierIncarnation(WorkerClock clock, Time now);
   // Assumes that the worker grants the longest possible lease at `time`.
   void AssumeLongestLeaseAt(Time time);
 
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -277,6 +277,28 @@
   CHECK(changes >= 15);
 }
 
+TEST_CASE("a change of owner does not delay the tasks of a worker that is lost right after it") {
+  // Guards against tasks that wait for 10 s: a new owner assumes the longest lease that a worker
+  // accepts, although the earlier owner had granted leases of 4 s only.
+  JobSimulation simulation(13, 3, 3, {});
+  simulation.RunFor(seconds(30));
+  simulation.Submit(LongRunningJob(6));
+  simulation.RunFor(seconds(3));
+  REQUIRE(simulation.running_tasks() == 6);
+  simulation.KillAllNodes();
+  for (int i = 0; i < 1000 && simulation.LogLines("takeover_complete").empty(); ++i) {
+    simulation.RunFor(milliseconds(10));
+  }
+  simulation.RunFor(seconds(1));
+  int lost = 0;
+  while (simulation.worker(lost).running().empty()) ++lost;
+  simulation.PartitionWorker(lost, seconds(600));
+  simulation.CrashWorker(lost);
+  simulation.store().UnlistWorker(simulation.worker(lost).entry().id);
+  simulation.RunFor(seconds(5));
+  CHECK(simulation.running_tasks() == 6);
+}
+
 TEST_CASE("short tasks do not starve a long-running task that needs more processors") {
   // Guards against starvation by fragmentation: processors that became free went to short tasks a
   // few at a time. In a benchmark, a long-running task waited 20 s.
--- a/packages/jobs/tests/malformed_input_test.cc
+++ b/packages/jobs/tests/malformed_input_test.cc
@@ -88,8 +88,12 @@
   OwnerRecord owner;
   owner.host = "h0";
   owner.member = "h0/1";
-  return {Encode(job), Encode(progress), Encode(owner), Encode(RosterRecord{{"w0", "w1"}}),
-          Encode(CellCountRecord{2})};
+  return {Encode(job),
+          Encode(progress),
+          Encode(owner),
+          Encode(RosterRecord{{"w0", "w1"}}),
+          Encode(CellCountRecord{2}),
+          Encode(LeaseRecord{std::chrono::seconds(4), {{"w0", 7}}})};
 }
 
 }  // namespace
