Do not take a report without room for all ends for a complete one

Cause: a run that a report listed neither as running nor as ended counted as lost, also when the report had no room for its end. A full report now says that there may be more ends, through relays too, and no run is given up by it. The ends follow once the first ones are acknowledged.

--- a/packages/jobs/include/cactusshelf/jobs/worker_calls.h
+++ b/packages/jobs/include/cactusshelf/jobs/worker_calls.h
@@ -117,7 +117,8 @@
   WorkerClock clock{};
   std::int64_t incarnation = 0;
   std::vector<RunningTask> running;
-  std::vector<EndedRun> ended;  // Unacknowledged ends, oldest first; may be incomplete.
+  std::vector<EndedRun> ended;  // Unacknowledged ends, oldest first.
+  bool more_ended = false;      // There may be later ends that `ended` has no room for.
 };
 
 enum class OrderOutcome : std::uint8_t {
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -144,8 +144,8 @@
     ended.push_back(
         json::array({it.number, ToJson(it.task), it.run, static_cast<int>(it.end), it.checkpoint}));
   }
-  return json::array(
-      {report.clock.count(), report.incarnation, std::move(running), std::move(ended)});
+  return json::array({report.clock.count(), report.incarnation, std::move(running),
+                      std::move(ended), report.more_ended});
 }
 
 // Decodes an enumerator. Throws DecodeError if it is greater than `last`.
@@ -158,6 +158,9 @@
   return static_cast<Enum>(n);
 }
 
+// Number of fields of a report from a host of an earlier version.
+constexpr std::size_t kReportFieldsWithoutMore = 4;
+
 HoldReport ReportFromJson(const json& value) {
   HoldReport report;
   report.clock = WorkerClock(value.at(0).get<std::int64_t>());
@@ -165,6 +168,8 @@
   for (const json& row : value.at(2)) {
     report.running.push_back({TaskFromJson(row.at(0)), row.at(1), row.at(2), row.at(3), row.at(4)});
   }
+  // Relays of earlier versions do not say whether there are more ends.
+  report.more_ended = value.size() > kReportFieldsWithoutMore && value.at(kReportFieldsWithoutMore);
   for (const json& row : value.at(3)) {
     report.ended.push_back({row.at(0), TaskFromJson(row.at(1)), row.at(2),
                             EnumFromJson(row.at(3), RunEnd::kGangStartTimedOut), row.at(4)});
--- a/packages/jobs/src/run_loss.cc
+++ b/packages/jobs/src/run_loss.cc
@@ -12,6 +12,8 @@
 
 bool HasEndedByReport(const WorkerState& worker, const Run& run, const HoldReport& report) {
   const bool reflects_orders = run.last_answer_sequence <= worker.hold_answer_sequence;
+  // The run may be among the ends that the report has no room for.
+  if (report.more_ended) return false;
   const bool cannot_begin = run.phase == RunPhase::kRunning || run.stop_answered;
   return reflects_orders && cannot_begin && !IsListed(report, run);
 }
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -74,7 +74,9 @@
   for (const auto& [task, active] : running_) {
     answer.report.running.push_back({task, active.run, "", ProgressPercentOf(active, now), 0});
   }
-  answer.report.ended = ended_;
+  answer.report.more_ended = ended_.size() >= kMaxListedEnds;
+  const auto listed = static_cast<std::ptrdiff_t>(std::min(ended_.size(), kMaxListedEnds));
+  answer.report.ended.assign(ended_.begin(), ended_.begin() + listed);
   return answer;
 }
 
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -87,6 +87,7 @@
 
  private:
   WorkerClock Clock(Time now) const;
+  static constexpr std::size_t kMaxListedEnds = 500;
   static constexpr WorkerClock kLongestLease = std::chrono::seconds(10);
 
   int ProgressPercentOf(const ActiveRun& active, Time now) const;
--- a/packages/jobs/tests/worker_restart_test.cc
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -38,6 +38,23 @@
   }
 }
 
+TEST_CASE("runs whose ends do not fit into a report are not taken for lost") {
+  // Guards against tasks that run again after they were done: while the store was unreachable, a
+  // worker had more unacknowledged ends than a report lists, and the other runs counted as lost.
+  JobSimulation simulation(5, 1, 1, {});
+  simulation.RunFor(seconds(12));
+  JobSpec many = SimpleJob(16, 500);
+  many.payload = "duration=40";
+  for (int i = 0; i < 90; ++i) simulation.Submit(many);
+  simulation.RunFor(milliseconds(400));
+  simulation.PartitionNodeFromStore(0, seconds(13));
+  simulation.RunFor(seconds(12));
+  REQUIRE(simulation.worker(0).ended().size() > 500);
+  simulation.RunFor(seconds(25));
+  CHECK(simulation.violations() == std::vector<std::string>{});
+  CHECK(simulation.LogLines("reason=not_reported").empty());
+}
+
 TEST_CASE("a late start reaches a restarted worker of which its owner has not heard") {
   // Guards against tasks that run twice: the new incarnation takes the end of the lease, a time on
   // the earlier clock, for the longest possible lease, while the owner counts the usual one.
