--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -318,6 +318,7 @@
       Deliver(i, incarnation, done(order, std::nullopt));
     };
     const bool unreachable = now_ < worker_partitioned_until_[order.worker.id] ||
+                             now_ < link_partitioned_until_[{order.worker.id, i}] ||
                              worker == nullptr || order.worker.address != worker->entry().address;
     if (unreachable) {
       Schedule(now_ + milliseconds(600), no_answer);
@@ -603,6 +604,10 @@
   worker_partitioned_until_[worker(i).entry().id] = now_ + duration;
 }
 
+void JobSimulation::PartitionWorkerFromNode(int worker_index, int node, Duration duration) {
+  link_partitioned_until_[{worker(worker_index).entry().id, node}] = now_ + duration;
+}
+
 void JobSimulation::DelayOrdersTo(int i, Duration duration, Duration delay) {
   order_delays_[worker(i).entry().id] = {now_ + duration, delay};
 }
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -84,6 +84,8 @@
   // Index of the first node that owns a cell, or -1.
   int OwnerIndex() const;
   void PartitionWorker(int i, Duration duration);
+  // Orders of one node do not reach the worker.
+  void PartitionWorkerFromNode(int worker, int node, Duration duration);
   // The worker carries out the orders that are sent to it within `duration` only `delay` later, in
   // whatever incarnation it then is; their senders get no answer.
   void DelayOrdersTo(int i, Duration duration, Duration delay);
@@ -167,6 +169,7 @@
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
   std::map<std::string, Time> worker_partitioned_until_;
+  std::map<std::pair<std::string, int>, Time> link_partitioned_until_;  // By worker and node.
   struct OrderDelay {
     Time until;
     Duration delay{};
