--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -1,6 +1,7 @@
 #include "job_simulation.h"
 
 #include <algorithm>
+#include <catch2/catch.hpp>
 
 #include "cactusshelf/jobs/peer_messages.h"
 #include "job_cell.h"
@@ -39,6 +40,10 @@
 
 }  // namespace
 
+void CheckNoViolations(const JobSimulation& simulation) {
+  for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
+}
+
 Now NowAt(Time time) {
   return {time, WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()))};
 }
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -200,6 +200,9 @@
   std::vector<std::string> log_;
 };
 
+// Fails the running test once for each violation.
+void CheckNoViolations(const JobSimulation& simulation);
+
 // Readings of the monotonic and the wall clock at `time`. Both start at zero.
 Now NowAt(Time time);
 
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -10,10 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void CheckNoViolations(const JobSimulation& simulation) {
-  for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
-}
-
 JobSpec TwoStepJob() {
   JobSpec spec = SimpleJob(3, 1000);
   spec.steps.push_back(spec.steps.front());
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -10,10 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void CheckNoViolations(const JobSimulation& simulation) {
-  for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
-}
-
 bool IsRunning(JobSimulation& simulation, const JobKey& key) {
   const TaskRef task{key, {0, 0, 0}};
   for (int i = 0; i < 5; ++i) {
--- a/packages/jobs/tests/worker_restart_test.cc
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -33,7 +33,7 @@
       simulation.CrashWorker(i % 4);
     }
     simulation.RunFor(seconds(20));
-    CHECK(simulation.violations() == std::vector<std::string>{});
+    CheckNoViolations(simulation);
     CHECK(simulation.running_tasks() == 0);
   }
 }
@@ -51,7 +51,7 @@
   simulation.RunFor(seconds(12));
   REQUIRE(simulation.worker(0).ended().size() > 500);
   simulation.RunFor(seconds(25));
-  CHECK(simulation.violations() == std::vector<std::string>{});
+  CheckNoViolations(simulation);
   CHECK(simulation.LogLines("reason=not_reported").empty());
 }
 
