Keep the first lines of each kind of event out of the log's rate limit

Callers: none see this; whoever explains an outage does. The first 8 lines of each kind of event in a second are written whatever the rate is. The kinds are few, so the bound on lines a second still holds up to a constant. The test failed before the change.

--- a/packages/daemon/src/bounded_log.cc
+++ b/packages/daemon/src/bounded_log.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxPendingBytes = std::size_t{256} * 1024;
 // Largest write that does not block on a pipe that poll() reports as writable (PIPE_BUF on Linux).
 constexpr std::size_t kMaxAtomicWriteBytes = 4096;
+// Lines of each kind of event in a second that the rate limit does not apply to.
+constexpr std::size_t kExemptLinesPerEvent = 8;
 
 bool IsWritable(int fd) {
   pollfd poll_entry{fd, POLLOUT, 0};
@@ -21,20 +23,22 @@
 
 }  // namespace
 
-bool BoundedLog::AdmitLine(WallTime time, LogLevel level) {
+bool BoundedLog::AdmitLine(WallTime time, const LogEvent& event) {
   const WallTime second = std::chrono::floor<std::chrono::seconds>(time);
   if (second != current_second_) {
     current_second_ = second;
     lines_in_second_ = 0;
+    lines_by_event_.clear();
   }
   ++lines_in_second_;
+  const bool exempt = ++lines_by_event_[event.name()] <= kExemptLinesPerEvent;
   // Warnings and errors are rare and are exempt from the limit.
-  return lines_in_second_ <= max_lines_per_second_ || level >= LogLevel::kWarning;
+  return lines_in_second_ <= max_lines_per_second_ || exempt || event.level() >= LogLevel::kWarning;
 }
 
 void BoundedLog::Write(WallTime time, const LogEvent& event) {
   if (event.level() < min_level_) return;
-  if (!AdmitLine(time, event.level()) || pending_.size() >= kMaxPendingBytes) {
+  if (!AdmitLine(time, event) || pending_.size() >= kMaxPendingBytes) {
     ++dropped_lines_;
     return;
   }
--- a/packages/daemon/tests/job_settings_test.cc
+++ b/packages/daemon/tests/job_settings_test.cc
@@ -82,4 +82,20 @@
   close(ends[1]);
 }
 
+TEST_CASE("a burst of one kind of log lines does not hide the other kinds") {
+  // Guards against takeovers without a line of their end: the lines of adopted and ended runs of
+  // the same second had used up the limit.
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  {
+    BoundedLog log(LogLevel::kInfo, ends[1], 10);
+    for (int i = 0; i < 50; ++i) log.Write(WallTime{}, LogEvent(LogLevel::kInfo, "run_adopted"));
+    const std::uint64_t dropped = log.dropped_lines();
+    log.Write(WallTime{}, LogEvent(LogLevel::kInfo, "takeover_complete"));
+    CHECK(log.dropped_lines() == dropped);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace cactusshelf
