Check in virtual time that stopped long-running tasks run again

The simulation had no check of the promise that a long-running task which stopped runs again before 6 s + 3 s have passed, if there was room for it twice over and the last 7 s were calm. RestartCheck takes a sample every 50 ms in all simulations. Room counts at each sample: on one worker or once on each of two. Kills and starts of nodes, lost and late answers and orders, crashes and the loss of a worker disturb when they happen; freezes, partitions, failing or hung workers until they end; a drain while the worker still has runs and when it leaves.

Also, off by default: processor costs of events and effects from docs/CAPACITY.md, during which a node handles nothing else; workers that answer holds late, as ordered; workers that leave for good. Workers are advanced only when a run or lease is due, and records of a job are found by an index.

--- a/packages/jobs/tests/fake_store.cc
+++ b/packages/jobs/tests/fake_store.cc
@@ -45,11 +45,13 @@
   Log& log = logs_[{Stream::kWorkers, 0}];
   log.records.push_back({entry.id, std::to_string(worker_entries_.size()), log.end()});
   worker_entries_.push_back(entry);
+  listed_.insert(entry.id);
 }
 
 void FakeStore::UnlistWorker(const std::string& id) {
   Log& log = logs_[{Stream::kWorkers, 0}];
   log.records.push_back({id, "", log.end()});
+  listed_.erase(id);
 }
 
 // Of the records of one worker, only the effect of the newest one remains.
--- a/packages/jobs/tests/fake_store.h
+++ b/packages/jobs/tests/fake_store.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
   void SetConfiguration(QueueTable table) { configuration_ = std::move(table); }
   void ListWorker(const WorkerEntry& entry);
   void UnlistWorker(const std::string& id);
+  bool IsListed(const std::string& id) const { return listed_.contains(id); }
 
   // Limits the pages of newest records.
   void SetMaxPageRecords(std::size_t n) { max_page_records_ = n; }
@@ -57,6 +59,7 @@
   QueueTable configuration_;
   // A record of the list of workers holds the index of its entry as text, or nothing for a removal.
   std::vector<WorkerEntry> worker_entries_;
+  std::set<std::string> listed_;
   std::size_t max_page_records_ = kMaxPageRecords;
 };
 
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -12,6 +12,7 @@
 // A lease is never shortened, and never lasts longer than kLongestLease from now.
 void FakeWorker::ExtendLease(WorkerClock lease_end, Time now) {
   lease_end_ = std::max(lease_end_, std::min(lease_end, Clock(now) + kLongestLease));
+  next_end_at_ = {};
 }
 
 bool FakeWorker::AcceptToken(std::int64_t token) {
@@ -37,18 +38,35 @@
   highest_ended_[task] = std::max(highest_ended_[task], run);
   ended_.push_back({next_end_++, task, run, end, ""});
   if (end == RunEnd::kDone) done_.insert(task);
+  next_end_at_ = {};
 }
 
-void FakeWorker::Advance(Time now) {
+Time FakeWorker::NextEnd(Time now) const {
+  if (running_.empty() && done_.empty()) return Time::max();
+  const auto uptime = std::chrono::duration<double, std::milli>(lease_end_) / clock_rate_;
+  // A millisecond less than the clock's resolution allows for rounding.
+  Time next = started_at_ + std::chrono::duration_cast<Duration>(uptime) - 2 * WorkerClock(1);
+  if (hung_since_ <= now) return next;
+  for (const auto& [task, active] : running_) next = std::min(next, active.ends);
+  return next;
+}
+
+bool FakeWorker::Advance(Time now) {
+  if (now < next_end_at_) return false;
   std::vector<std::pair<TaskRef, RunEnd>> due;
   for (const auto& [task, active] : running_) {
     if (std::min(now, hung_since_) >= active.ends) due.emplace_back(task, active.end);
   }
   for (const auto& [task, end] : due) EndRun(task, end);
-  if (Clock(now) < lease_end_) return;
-  done_before_lease_expiry_.insert(done_.begin(), done_.end());
-  done_.clear();
-  while (!running_.empty()) EndRun(running_.begin()->first, RunEnd::kLeaseExpired);
+  bool ended = !due.empty();
+  if (Clock(now) >= lease_end_) {
+    done_before_lease_expiry_.insert(done_.begin(), done_.end());
+    done_.clear();
+    ended = ended || !running_.empty();
+    while (!running_.empty()) EndRun(running_.begin()->first, RunEnd::kLeaseExpired);
+  }
+  next_end_at_ = NextEnd(now);
+  return ended;
 }
 
 int FakeWorker::ProgressPercentOf(const ActiveRun& active, Time now) const {
@@ -100,6 +118,7 @@
     observer_(*this, order);
     cpu_shares_.erase(order.task);
     running_[order.task] = {order.run, now, now + plan.duration, plan.end};
+    next_end_at_ = {};
   }
   return answer;
 }
@@ -147,6 +166,7 @@
   lease_end_ = {};
   started_at_ = now;
   hung_since_ = Time::max();
+  next_end_at_ = {};
   ++entry_.incarnation;
 }
 
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -39,8 +39,9 @@
 
   const WorkerEntry& entry() const { return entry_; }
 
-  // Ends the runs that are due by `now`, and all runs if the lease has expired.
-  void Advance(Time now);
+  // Ends the runs that are due by `now`, and all runs if the lease has expired. Returns true if it
+  // ended any.
+  bool Advance(Time now);
 
   HoldAnswer Hold(const HoldOrder& order, Time now);
   OrderAnswer Start(const StartOrder& order, Time now);
@@ -61,7 +62,12 @@
   void RejectStarts() { rejects_starts_ = true; }
 
   // From now on runs make no progress and do not end by themselves, but can be stopped.
-  void Hang(Time now) { hung_since_ = now; }
+  void Hang(Time now) {
+    hung_since_ = now;
+    next_end_at_ = {};
+  }
+  bool hung() const { return hung_since_ != Time::max(); }
+  bool rejects_starts() const { return rejects_starts_; }
 
   // True if the lease has expired since a run of `task` ended as done.
   bool LeaseExpiredSinceDone(const TaskRef& task) const {
@@ -95,6 +101,8 @@
   bool AcceptToken(std::int64_t token);
   void Acknowledge(std::int64_t end);
   void EndRun(TaskRef task, RunEnd end);
+  // A time before which no run ends by itself or with the lease.
+  Time NextEnd(Time now) const;
 
   WorkerEntry entry_;
   double clock_rate_;
@@ -114,6 +122,7 @@
   std::int64_t next_end_ = 1;
   std::int64_t acknowledged_ = 0;
   WorkerClock lease_end_{};
+  Time next_end_at_;  // As NextEnd; zero after each change.
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -18,7 +18,6 @@
 constexpr char kPrefix[] = "/q/";
 constexpr int kAttempts = 3;
 constexpr int kMaxTries = 5;
-constexpr std::int64_t kWorkerMilliprocessors = 8000;
 constexpr std::int64_t kWorkerMemory = std::int64_t{32} << 30;
 // Time after a partition from the store within which a node may not have read all new records.
 constexpr Duration kStoreCatchUpTime = seconds(3);
@@ -27,6 +26,8 @@
 // Maximum delay of starts that were ordered before the owner knew of a cancellation.
 constexpr Duration kMaxCancelDelay = seconds(3);
 
+// Interval between two samples of the running tasks.
+constexpr Duration kRestartCheckPeriod = milliseconds(50);
 // Duration of each run on a worker that fails all its runs.
 constexpr Duration kFailingRunTime = milliseconds(100);
 
@@ -82,7 +83,7 @@
     entry.id = "w" + std::to_string(i);
     entry.address = entry.id;
     entry.pool = "pool";
-    entry.capacity = {kWorkerMilliprocessors, kWorkerMemory, 0};
+    entry.capacity = {options_.worker_milliprocessors, kWorkerMemory, 0};
     entry.incarnation = 1;
     const double rate = 0.98 + 0.04 * random_.Real();
     workers_.push_back(std::make_unique<FakeWorker>(
@@ -108,6 +109,7 @@
         },
         [this](const FakeWorker& worker, const StartOrder& order) { CheckStart(worker, order); }));
     store_.ListWorker(entry);
+    workers_by_id_[entry.id] = workers_.back().get();
   }
   nodes_.resize(static_cast<std::size_t>(nodes));
   for (int i = 0; i < nodes; ++i) {
@@ -115,6 +117,7 @@
     StartNode(i);
   }
   ScheduleFaults();
+  ScheduleRestartCheck();
 }
 
 JobSimulation::~JobSimulation() = default;
@@ -133,10 +136,8 @@
 }
 
 FakeWorker* JobSimulation::FindWorker(const std::string& id) {
-  for (const auto& worker : workers_) {
-    if (worker->entry().id == id) return worker.get();
-  }
-  return nullptr;
+  const auto it = workers_by_id_.find(id);
+  return it == workers_by_id_.end() ? nullptr : it->second;
 }
 
 void JobSimulation::StartNode(int i) {
@@ -149,6 +150,8 @@
   node.node = std::make_unique<JobNode>(options, random_.Next());
   node.held_events.clear();
   node.frozen_until = {};
+  node.busy_until = {};
+  restart_check_.NoteDisturbance(now_);
   node.node->Start(Clock());
   PerformEffects(i);
   ArmTimer(i);
@@ -158,6 +161,9 @@
   Node& node = nodes_[static_cast<std::size_t>(i)];
   if (node.node == nullptr) return;
   node.node.reset();
+  node.inbox.clear();
+  if (std::exchange(node.timer_in_inbox, false)) node.timer_set = false;
+  restart_check_.NoteDisturbance(now_);
   const int incarnation = ++node.incarnation;
   Schedule(now_ + random_.Between(milliseconds(50), seconds(2)), [this, i, incarnation] {
     if (nodes_[static_cast<std::size_t>(i)].incarnation == incarnation) StartNode(i);
@@ -175,11 +181,61 @@
     Schedule(node.frozen_until, [this, i, incarnation, event] { Deliver(i, incarnation, event); });
     return;
   }
+  if (now_ >= node.busy_until && node.inbox.empty()) {
+    Handle(i, std::move(event));
+    return;
+  }
+  if (std::holds_alternative<job_event::Timer>(event)) node.timer_in_inbox = true;
+  node.inbox.push_back(std::move(event));
+  if (node.inbox.size() == 1) ScheduleInbox(i);
+}
+
+void JobSimulation::ScheduleInbox(int i) {
+  const Node& node = nodes_[static_cast<std::size_t>(i)];
+  Schedule(std::max(node.busy_until, node.frozen_until), [this, i, incarnation = node.incarnation] {
+    Node& idle = nodes_[static_cast<std::size_t>(i)];
+    if (idle.incarnation != incarnation || idle.inbox.empty()) return;
+    if (now_ < std::max(idle.busy_until, idle.frozen_until)) {
+      ScheduleInbox(i);
+      return;
+    }
+    JobEvent event = std::move(idle.inbox.front());
+    idle.inbox.pop_front();
+    Handle(i, std::move(event));
+    if (!idle.inbox.empty()) ScheduleInbox(i);
+  });
+}
+
+void JobSimulation::Handle(int i, JobEvent event) {
+  Node& node = nodes_[static_cast<std::size_t>(i)];
+  if (std::holds_alternative<job_event::Timer>(event)) {
+    node.timer_set = false;
+    node.timer_in_inbox = false;
+  }
+  const auto& costs = options_.processor_costs;
+  const Duration busy = costs ? CostOf(event, *costs) : Duration::zero();
   node.node->Handle(Clock(), std::move(event));
-  PerformEffects(i);
+  if (costs) {
+    PerformEffectsSlowly(i, busy);
+  } else {
+    PerformEffects(i);
+  }
   ArmTimer(i);
 }
 
+void JobSimulation::PerformEffectsSlowly(int i, Duration busy) {
+  Node& node = nodes_[static_cast<std::size_t>(i)];
+  for (JobEffect& effect : node.node->TakeEffects()) {
+    busy += CostOf(effect, *options_.processor_costs);
+    Schedule(now_ + busy, [this, i, incarnation = node.incarnation, effect = std::move(effect)] {
+      if (nodes_[static_cast<std::size_t>(i)].incarnation != incarnation) return;
+      std::visit([&](const auto& value) { this->Perform(i, value); }, effect);
+    });
+  }
+  node.busy_until = now_ + busy;
+  busy_time_ += busy;
+}
+
 void JobSimulation::ArmTimer(int i) {
   Node& node = nodes_[static_cast<std::size_t>(i)];
   if (node.node == nullptr || node.timer_set) return;
@@ -189,10 +245,11 @@
   const int incarnation = node.incarnation;
   Schedule(std::max(*wakeup, now_ + milliseconds(1)), [this, i, incarnation] {
     Node& waking = nodes_[static_cast<std::size_t>(i)];
-    waking.timer_set = false;
-    if (waking.incarnation == incarnation) {
+    // Without a node, Deliver drops the event.
+    if (waking.incarnation == incarnation && waking.node != nullptr) {
       Deliver(i, incarnation, job_event::Timer{});
     } else {
+      waking.timer_set = false;
       ArmTimer(i);
     }
   });
@@ -217,7 +274,10 @@
   if (const auto* batch = std::get_if<OrderBatch>(&decoded)) {
     for (const WorkerOrder& order : batch->orders) RecordSentStart(i, order);
   }
-  if (random_.Chance(faults_.lost_peer_message)) return;
+  if (random_.Chance(faults_.lost_peer_message)) {
+    restart_check_.NoteDisturbance(now_);
+    return;
+  }
   const auto to = std::find_if(nodes_.begin(), nodes_.end(),
                                [&](const Node& it) { return it.host == message.address; });
   if (to == nodes_.end()) return;
@@ -247,6 +307,7 @@
   Schedule(now_ + Delay() + wait, [this, i, incarnation, read] {
     const bool partitioned = now_ < nodes_[static_cast<std::size_t>(i)].store_partitioned_until;
     if (partitioned || random_.Chance(faults_.lost_store_answer)) {
+      restart_check_.NoteDisturbance(now_);
       job_event::StreamRead failed;
       failed.stream = read.stream;
       failed.cell = read.cell;
@@ -287,13 +348,17 @@
       return;
     }
     if (random_.Chance(faults_.late_append)) {
-      Schedule(now_ + random_.Between(milliseconds(500), seconds(3)),
-               [this, append] { AppendNow(append); });
+      Schedule(now_ + random_.Between(milliseconds(500), seconds(3)), [this, append] {
+        restart_check_.NoteDisturbance(now_);
+        AppendNow(append);
+      });
+      restart_check_.NoteDisturbance(now_);
       Schedule(now_ + seconds(1), no_answer);
       return;
     }
     const job_event::AppendDone done = AppendNow(append);
     if (random_.Chance(faults_.lost_store_answer)) {
+      restart_check_.NoteDisturbance(now_);
       Schedule(now_ + seconds(1), no_answer);
       return;
     }
@@ -305,7 +370,12 @@
   const auto first = static_cast<std::int64_t>(store_.log(append.cell).size());
   job_event::AppendDone done = store_.Append(append);
   const auto end = static_cast<std::int64_t>(store_.log(append.cell).size());
-  for (std::int64_t i = first; i < end; ++i) stored_at_[{append.cell, i}] = now_;
+  for (std::int64_t i = first; i < end; ++i) {
+    const auto offset = static_cast<std::size_t>(i);
+    const std::string& key = store_.log(append.cell)[offset].key;
+    stored_at_[{append.cell, i}] = now_;
+    record_offsets_[{append.cell, key.substr(key.find('/') + 1)}].push_back(offset);
+  }
   return done;
 }
 
@@ -331,7 +401,10 @@
     }
     const OrderDelay& order_delay = order_delays_[order.worker.id];
     if (now_ < order_delay.until) {
+      restart_check_.NoteDisturbance(now_);
       Schedule(now_ + order_delay.delay, [this, worker, order, call, sent, store_reachable] {
+        restart_check_.NoteDisturbance(now_);
+        if (gone_workers_.contains(worker->entry().id)) return;
         current_order_sent_at_ = sent;
         sender_store_reachable_ = store_reachable;
         call(*worker, order, now_);
@@ -340,10 +413,12 @@
       return;
     }
     if (random_.Chance(faults_.late_order)) {
+      restart_check_.NoteDisturbance(now_);
       Schedule(now_ + random_.Between(milliseconds(500), seconds(5)),
                [this, worker, order, call, sent, store_reachable,
                 incarnation = worker->entry().incarnation] {
                  // An order is addressed to one incarnation of a worker; later ones refuse it.
+                 restart_check_.NoteDisturbance(now_);
                  if (worker->entry().incarnation != incarnation) return;
                  current_order_sent_at_ = sent;
                  sender_store_reachable_ = store_reachable;
@@ -356,15 +431,54 @@
     sender_store_reachable_ = store_reachable;
     const auto answer = call(*worker, order, now_);
     if (random_.Chance(faults_.lost_worker_answer)) {
+      restart_check_.NoteDisturbance(now_);
       Schedule(now_ + milliseconds(600), no_answer);
       return;
     }
+    if constexpr (std::is_same_v<Order, HoldOrder>) {
+      const bool waits = options_.long_polls && answer.outcome == OrderOutcome::kDone &&
+                         order.wait > Duration::zero() && !worker->running().empty() &&
+                         worker->ended().empty();
+      if (waits) {
+        const auto answer_later = [this, i, incarnation, order, call, done, no_answer, worker,
+                                   worker_incarnation = worker->entry().incarnation] {
+          if (worker->entry().incarnation != worker_incarnation ||
+              now_ < worker_partitioned_until_[order.worker.id]) {
+            Schedule(now_ + milliseconds(100), no_answer);
+            return;
+          }
+          const auto report = call(*worker, order, now_);
+          Schedule(now_ + Delay(), [this, i, incarnation, order, done, report] {
+            Deliver(i, incarnation, done(order, std::optional(report)));
+          });
+        };
+        AddWaitingHold(*worker, order.wait, answer_later);
+        return;
+      }
+    }
     Schedule(now_ + Delay(), [this, i, incarnation, order, done, answer] {
       Deliver(i, incarnation, done(order, std::optional(answer)));
     });
   });
 }
 
+void JobSimulation::AddWaitingHold(const FakeWorker& worker, Duration wait,
+                                   std::function<void()> answer) {
+  const std::string id = worker.entry().id;
+  const std::uint64_t n = next_waiting_hold_++;
+  waiting_holds_[id][n] = std::move(answer);
+  Schedule(now_ + wait, [this, id, n] {
+    const auto hold = waiting_holds_[id].extract(n);
+    if (!hold.empty()) hold.mapped()();
+  });
+}
+
+void JobSimulation::AnswerWaitingHolds(const FakeWorker& worker) {
+  const auto it = waiting_holds_.find(worker.entry().id);
+  if (it == waiting_holds_.end()) return;
+  for (const auto& [n, answer] : std::exchange(it->second, {})) answer();
+}
+
 void JobSimulation::Perform(int i, const job_effect::Order& effect) {
   const auto order_done = []<typename Event>(const auto& order,
                                              const std::optional<OrderAnswer>& answer) -> JobEvent {
@@ -541,7 +655,9 @@
     const Event event = events_.top();
     events_.pop();
     now_ = event.at;
-    for (const auto& worker : workers_) worker->Advance(now_);
+    for (const auto& worker : workers_) {
+      if (worker->Advance(now_)) AnswerWaitingHolds(*worker);
+    }
     event.action();
   }
   now_ = end;
@@ -579,10 +695,103 @@
 }
 
 void JobSimulation::CrashWorker(int i) {
+  if (IsGone(i)) return;
+  restart_check_.NoteDisturbance(now_);
   worker(i).Crash(now_);
   store_.ListWorker(worker(i).entry());
 }
 
+void JobSimulation::LoseWorker(int i, Duration unlisted_after) {
+  const std::string id = worker(i).entry().id;
+  restart_check_.NoteDisturbance(now_);
+  gone_workers_.insert(id);
+  worker(i).Crash(now_);
+  worker(i).RejectStarts();
+  worker_partitioned_until_[id] = Time::max();
+  Schedule(now_ + unlisted_after, [this, id] { store_.UnlistWorker(id); });
+}
+
+void JobSimulation::RetireWorker(int i, Duration drain_time) {
+  DrainWorker(i);
+  Schedule(now_ + drain_time, [this, i] { LoseWorker(i, Duration::zero()); });
+}
+
+// What lasts is a disturbance until it ends. A worker that is lost for good disturbs only when it
+// is lost, since nothing changes after that; a worker that is drained, while it still has runs, and
+// when it leaves. A run that fails by its own fault is no disturbance.
+bool JobSimulation::IsDisturbed() {
+  const auto lasts = [this](const auto& it) { return it.second > now_; };
+  const auto link_lasts = [this](const auto& it) {
+    return it.second > now_ && !gone_workers_.contains(it.first);
+  };
+  const bool nodes = std::any_of(nodes_.begin(), nodes_.end(), [this](const Node& it) {
+    return it.node == nullptr || it.frozen_until > now_ || it.store_partitioned_until > now_;
+  });
+  const bool sound_workers =
+      std::none_of(workers_.begin(), workers_.end(), [](const auto& it) { return it->hung(); });
+  const bool draining =
+      std::any_of(draining_workers_.begin(), draining_workers_.end(),
+                  [this](const auto& it) { return !FindWorker(it)->running().empty(); });
+  return nodes || !sound_workers || draining || !failing_workers_.empty() ||
+         std::any_of(worker_partitioned_until_.begin(), worker_partitioned_until_.end(),
+                     link_lasts) ||
+         std::any_of(link_partitioned_until_.begin(), link_partitioned_until_.end(), lasts) ||
+         std::any_of(order_delays_.begin(), order_delays_.end(),
+                     [this](const auto& it) { return it.second.until > now_; });
+}
+
+std::vector<RestartCheck::Task> JobSimulation::DueLongRunningTasks() const {
+  std::set<TaskRef> running;
+  for (const auto& worker : workers_) {
+    for (const auto& [task, active] : worker->running()) running.insert(task);
+  }
+  std::vector<RestartCheck::Task> tasks;
+  for (const auto& [key, submitted] : jobs_) {
+    if (!accepted(key) || submitted.cancel_sent) continue;
+    for (std::size_t s = 0; s < submitted.spec.steps.size(); ++s) {
+      const StepSpec& step = submitted.spec.steps[s];
+      // A task that has run and is in `tasks` has had its turn, whatever it depends on.
+      if (!step.long_running) continue;
+      for (int i = 0; i < step.count; ++i) {
+        const TaskRef task{key, {0, static_cast<int>(s), i}};
+        tasks.push_back({task, step.need, running.contains(task)});
+      }
+    }
+  }
+  return tasks;
+}
+
+std::vector<Resources> JobSimulation::UsableCapacity() {
+  std::vector<Resources> capacity;
+  for (const auto& worker : workers_) {
+    const std::string& id = worker->entry().id;
+    const bool usable = !gone_workers_.contains(id) && !draining_workers_.contains(id) &&
+                        !failing_workers_.contains(id) && !worker->rejects_starts() &&
+                        !worker->hung() && worker_partitioned_until_[id] <= now_ &&
+                        store_.IsListed(id);
+    if (!usable) continue;
+    Resources free = worker->entry().capacity;
+    for (const auto& [task, active] : worker->running()) {
+      free -= jobs_.at(task.job).spec.steps[static_cast<std::size_t>(task.task.step)].need;
+    }
+    capacity.push_back(free);
+  }
+  return capacity;
+}
+
+void JobSimulation::CheckRestarts() {
+  if (IsDisturbed()) restart_check_.NoteDisturbance(now_);
+  for (const std::string& it : restart_check_.Sample(now_, DueLongRunningTasks(), UsableCapacity()))
+    RecordViolation(it);
+}
+
+void JobSimulation::ScheduleRestartCheck() {
+  Schedule(now_ + kRestartCheckPeriod, [this] {
+    CheckRestarts();
+    ScheduleRestartCheck();
+  });
+}
+
 void JobSimulation::StartFailingRuns(int i) {
   failing_workers_.insert(worker(i).entry().id);
   worker(i).FailAllRuns(now_);
@@ -620,6 +829,8 @@
 void JobSimulation::DrainWorker(int i) {
   WorkerEntry entry = worker(i).entry();
   entry.draining = true;
+  draining_workers_.insert(entry.id);
+  restart_check_.NoteDisturbance(now_);
   store_.ListWorker(entry);
 }
 
@@ -660,6 +871,7 @@
 
 void JobSimulation::CheckStart(const FakeWorker& worker, const StartOrder& order) {
   ++starts_;
+  restart_check_.NoteStart(order.task, now_);
   const auto job = jobs_.find(order.task.job);
   const std::string name = jobs::ToString(order.task) + " on " + worker.entry().id;
   if (job == jobs_.end()) {
@@ -702,9 +914,8 @@
   const int cells = nodes_.empty() ? 1 : CellCount();
   const int cell = CellIndexOf(order.task.job.str(), cells);
   Time last_stored_at;  // When the newest record of the job was stored.
-  for (const KeyedRecord& record : store_.log(cell)) {
-    const bool of_job = record.key.ends_with(order.task.job.str());
-    if (!of_job) continue;
+  for (std::size_t offset : record_offsets_[{cell, order.task.job.str()}]) {
+    const KeyedRecord& record = store_.log(cell)[offset];
     log_view.Apply(DecodeJobLogRecord(record), record.offset);
     last_stored_at = stored_at_[{cell, record.offset}];
   }
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -1,9 +1,11 @@
 #ifndef CACTUSSHELF_JOBS_TESTS_JOB_SIMULATION_H_
 #define CACTUSSHELF_JOBS_TESTS_JOB_SIMULATION_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -14,6 +16,8 @@
 #include "cactusshelf/jobs/job_node.h"
 #include "fake_store.h"
 #include "fake_worker.h"
+#include "processor_costs.h"
+#include "restart_check.h"
 
 namespace cactusshelf::jobs {
 
@@ -36,10 +40,17 @@
 struct SimulationOptions {
   bool relays = true;   // Owners may send orders through other nodes.
   JobNodeOptions node;  // Names and addresses are set per node.
+  // Workers delay answers to holds as ordered. Otherwise they answer at once.
+  bool long_polls = false;
+  // While a node is busy with an event and its effects, others wait. Absent: no event takes time.
+  std::optional<ProcessorCosts> processor_costs;
+  // Capacity of a worker.
+  std::int64_t worker_milliprocessors = 8000;
 };
 
 // Deterministic simulation of job nodes, a store and workers in virtual time, with seeded delays
-// and faults. Checks the scheduler's invariants at each start of a task, and collects violations.
+// and faults. Checks the scheduler's invariants at each start of a task, and the promise for
+// long-running tasks that have stopped all the time; collects violations.
 class JobSimulation {
  public:
   JobSimulation(std::uint64_t seed, int nodes, int workers, const SimulationFaults& faults,
@@ -90,6 +101,14 @@
   // whatever incarnation it then is; their senders get no answer.
   void DelayOrdersTo(int i, Duration duration, Duration delay);
   void CrashWorker(int i);
+  // The worker is lost for good. It is no longer listed after `unlisted_after`.
+  void LoseWorker(int i, Duration unlisted_after);
+  // The worker is drained, and lost for good after `drain_time` when it is also unlisted.
+  void RetireWorker(int i, Duration drain_time);
+  // True once the worker was lost for good.
+  bool IsGone(int i) { return gone_workers_.contains(worker(i).entry().id); }
+  // Processor time of all nodes that processor costs have added up to.
+  Duration busy_time() const { return busy_time_; }
   // The worker fails what runs there, and all that is started there until StopFailingRuns.
   void StartFailingRuns(int i);
   void StopFailingRuns(int i);
@@ -110,6 +129,10 @@
     Time store_partitioned_until;
     std::vector<JobEvent> held_events;  // Events that arrived while the node was frozen.
     bool timer_set = false;
+    // With processor costs: events that arrived while the node was busy, and when it is idle again.
+    std::deque<JobEvent> inbox;
+    Time busy_until;
+    bool timer_in_inbox = false;
   };
   struct Submitted {
     JobSpec spec;
@@ -130,6 +153,11 @@
   Duration Delay();
   void StartNode(int i);
   void Deliver(int i, int incarnation, JobEvent event);
+  void Handle(int i, JobEvent event);
+  // Hands a busy node's next event to it once it is idle.
+  void ScheduleInbox(int i);
+  // Carries out a node's effects one after the other, from `now() + busy` on.
+  void PerformEffectsSlowly(int i, Duration busy);
   void PerformEffects(int i);
   void ArmTimer(int i);
   void Perform(int i, const job_effect::Reply& reply);
@@ -148,6 +176,16 @@
   void SendRequest(const JobKey& key, Verb verb, int tries);
   void SendRequestTo(int i, const JobKey& key, Verb verb, int tries);
   void ScheduleFaults();
+  void ScheduleRestartCheck();
+  void CheckRestarts();
+  // True while a fault lasts that a test or the fault schedule has begun.
+  bool IsDisturbed();
+  std::vector<RestartCheck::Task> DueLongRunningTasks() const;
+  // Free capacity of the workers that are listed, not draining and sound.
+  std::vector<Resources> UsableCapacity();
+  // `answer` is called once a run ends on the worker, and after `wait` at the latest.
+  void AddWaitingHold(const FakeWorker& worker, Duration wait, std::function<void()> answer);
+  void AnswerWaitingHolds(const FakeWorker& worker);
   void ScheduleRepeating(Duration SimulationFaults::*period, const std::function<void()>& action);
   void CheckStart(const FakeWorker& worker, const StartOrder& order);
   void RecordViolation(const std::string& text);
@@ -176,6 +214,16 @@
   };
   std::map<std::string, OrderDelay> order_delays_;  // By worker.
   std::set<std::string> failing_workers_;
+  std::set<std::string> gone_workers_;  // Lost for good.
+  std::set<std::string> draining_workers_;
+  std::map<std::string, FakeWorker*> workers_by_id_;
+  // Answers to holds that wait for the end of a run, by worker and in order.
+  std::map<std::string, std::map<std::uint64_t, std::function<void()>>> waiting_holds_;
+  std::uint64_t next_waiting_hold_ = 1;
+  RestartCheck restart_check_;
+  Duration busy_time_{};
+  // Offsets of the records of each job, by cell and job.
+  std::map<std::pair<int, std::string>, std::vector<std::size_t>> record_offsets_;
   std::map<JobKey, Submitted> jobs_;
   std::map<JobKey, bool> accepted_;
   std::uint64_t next_caller_ = 1;
