Log which workers a takeover awaits and why, and when leases are renewed

Callers saw stopped tasks wait for a takeover; the log gave only the number of workers awaited. takeover_waiting (0.5 s after the ownership, then each second) and takeover_complete count them as unlisted, draining, unreachable or unanswered and name some. takeover_complete also has the time since the ownership and that of the last first lease; leases_renewed gives the latter once every reachable worker has one. roster_entry_dropped names each worker that leaves the stored roster. Keys of existing lines are as before. No decision changes.

--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -21,6 +21,8 @@
 // Time between two comparisons of the stored leases with the present ones. A new owner assumes the
 // longest lease for a worker that is not stored yet.
 constexpr Duration kLeaseCheckPeriod = std::chrono::seconds(1);
+// A takeover in which all workers answer ends within this time.
+constexpr Duration kFirstTakeoverReportDelay = std::chrono::milliseconds(500);
 // Number of bits of a call number below the owner's token, so that call numbers of different owners
 // in one process do not collide.
 constexpr int kCallNumberBits = 24;
@@ -36,6 +38,8 @@
       tracker_((generation - 1) * kRunsPerOwner),
       next_call_(static_cast<std::uint64_t>(token) << kCallNumberBits),
       taking_over_(generation > 1),
+      gained_at_(now.monotonic),
+      next_takeover_report_(now.monotonic + kFirstTakeoverReportDelay),
       stored_leases_(log_view.leases()) {
   const auto slow = std::chrono::duration<double, Duration::period>(options.lease) /
                     (1.0 - options.max_clock_drift);
@@ -112,6 +116,7 @@
   next_decision_ = now.monotonic + kDecisionPeriod;
   ExpireLeases(now);
   CheckTakeover(now);
+  ReportRenewedLeases(now);
   CheckStoredLeases(now);
   SweepRuns(now);
   // If the store is unreachable, ownership is confirmed by all workers accepting the token.
@@ -144,7 +149,10 @@
     }
     const bool expired = worker.AllLeasesExpired(now.monotonic);
     if (!worker.listed && expired && worker.runs().empty()) {
-      roster_changed_ = roster_changed_ || worker.in_stored_roster;
+      if (worker.in_stored_roster) {
+        roster_changed_ = true;
+        LogRosterDrop(it->first, "leases_ended");
+      }
       // Their answers must not apply to the state of a worker that is listed under this id later.
       std::erase_if(pending_, [&](const auto& order) { return order.second.worker == it->first; });
       it = workers_.erase(it);
@@ -160,21 +168,6 @@
   });
 }
 
-void Scheduler::CheckTakeover(const Now& now) {
-  if (!taking_over_) return;
-  const bool all_reported = unreported_workers_.empty() && AllListedWorkersAcceptedToken();
-  if (!all_reported && now.monotonic < takeover_end_) return;
-  taking_over_ = false;
-  tracker_.OnAllRunsReported();
-  Log(LogEvent(LogLevel::kInfo, "takeover_complete")
-          .With("workers", workers_.size())
-          .With("unreported", unreported_workers_.size()));
-  // The stored roster still lists the workers that did not report.
-  roster_changed_ = roster_changed_ || !unreported_workers_.empty();
-  unreported_workers_.clear();
-  placement_needed_ = true;
-}
-
 std::vector<WorkerOrder> Scheduler::TakeOrders() { return std::exchange(orders_, {}); }
 
 std::vector<LogEvent> Scheduler::TakeLog() { return std::exchange(log_, {}); }
@@ -236,19 +229,6 @@
   return record;
 }
 
-RosterRecord Scheduler::MakeRoster() {
-  RosterRecord roster;
-  // Workers that an earlier owner may have left running, whether they are listed or not.
-  roster.workers.assign(unreported_workers_.begin(), unreported_workers_.end());
-  for (auto& [id, worker] : workers_) {
-    const bool unreported = unreported_workers_.contains(id);
-    const bool may_run = worker.token_accepted || !worker.AllLeasesExpired({});
-    if (may_run && !unreported) roster.workers.push_back(id);
-    if (!may_run && !unreported) worker.in_stored_roster = false;
-  }
-  return roster;
-}
-
 void Scheduler::OnStored(std::uint64_t batch, const Now& now) {
   last_stored_batch_ = batch;
   const auto roster = roster_batches_.find(batch);
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -131,6 +131,17 @@
   void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
   void ExpireLeases(const Now& now);
   void CheckTakeover(const Now& now);
+  // Logs for which workers the takeover waits, and why.
+  void ReportTakeover(const Now& now);
+  // Why a worker of the stored roster has not reported yet, as a text for the log.
+  std::string_view WhyAwaited(const std::string& id) const;
+  // Adds the number of awaited workers by reason, and the names of some.
+  void AddAwaitedWorkers(LogEvent& event) const;
+  void LogRosterDrop(const std::string& id, std::string_view reason);
+  // Records that the worker answered a hold with a lease.
+  void OnLeaseRenewed(WorkerState& worker, const Now& now);
+  // Logs once how long after the ownership was gained the last worker got its first lease.
+  void ReportRenewedLeases(const Now& now);
   // The longest lease that earlier owners granted the worker, whose first report to this owner is
   // `report`, if it is stored.
   std::optional<Duration> LeaseOfEarlierOwners(const WorkerState& worker,
@@ -211,6 +222,11 @@
   // Workers of the stored roster that have not reported to this owner yet.
   std::set<std::string> unreported_workers_;
   bool taking_over_;
+  Time gained_at_;
+  Time next_takeover_report_;
+  int renewed_workers_ = 0;     // Workers that have got a lease from this owner.
+  Time last_first_renewal_at_;  // When the last of them got its first lease.
+  bool renewal_reported_ = false;
   Time takeover_end_;  // Orders of earlier owners can have no effect after this time.
   bool roster_changed_ = false;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -57,6 +57,7 @@
     }
     counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
     worker->reachable = false;
+    worker->last_hold_failed = true;
     CancelAllQueuedStarts(*worker, now);
     worker->next_hold = now.monotonic + options_.retry_period;
     return;
@@ -68,6 +69,8 @@
     placement_needed_ = true;
   }
   worker->reachable = true;
+  worker->last_hold_failed = false;
+  if (order.lease_sent_at) OnLeaseRenewed(*worker, now);
   worker->next_hold = now.monotonic;
   OnTokenAccepted(*worker, answer.report, now);
   const bool same_incarnation = worker->incarnation == order.incarnation;
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -201,6 +201,8 @@
   bool listed = true;
   bool token_accepted = false;             // The worker has accepted this owner's fencing token.
   bool reachable = false;                  // The last hold was answered.
+  bool last_hold_failed = false;           // The last hold was not answered.
+  bool lease_renewed = false;              // It has answered a hold with a lease of this owner.
   bool in_stored_roster = false;           // The stored roster lists the worker.
   std::int64_t last_processed_end = 0;     // Number of the last end that was processed.
   std::int64_t last_stored_end = 0;        // Number of the last end whose effect is stored.
