--- a/packages/daemon/include/cactusshelf/daemon/http_client.h
+++ b/packages/daemon/include/cactusshelf/daemon/http_client.h
@@ -21,12 +21,24 @@
 
 namespace cactusshelf {
 
-enum class HttpFailure { kConnect, kReset, kTruncated, kTimeout, kTooLarge, kExpired };
+enum class HttpFailure {
+  kConnect,
+  kReset,
+  kTruncated,
+  kTimeout,
+  kTooLarge,
+  kExpired,
+  kWrongConnection,  // HttpCall::accept_connection did not accept the connection.
+};
+
+// Identifies a connection of an HttpClient. Values are not reused.
+enum class HttpConnection : std::uint64_t { kNone = 0 };
 
 struct HttpResponse {
   int status = 0;
   std::vector<HttpHeader> headers;
   Body body;
+  HttpConnection connection = HttpConnection::kNone;  // On which the response came.
 };
 
 struct HttpError {
@@ -47,6 +59,10 @@
   // If this time has been reached when a connection becomes available, before the first byte is
   // written, the request is not sent and the call ends with kExpired.
   std::optional<Time> valid_until;
+  // Optional. Called with the connection that the request is about to be written to. If it returns
+  // false, the request is not sent, the connection is closed, and the call ends with
+  // kWrongConnection. May run from within Start().
+  std::function<bool(HttpConnection)> accept_connection;
   std::function<void()> on_sent;  // Optional.
   std::function<void(HttpResult)> on_done;
 };
@@ -69,6 +85,10 @@
   // Cancels a call; none of its callbacks run afterwards. Does nothing if the call has ended.
   void Cancel(CallId id);
 
+  // True if a request may be written to the connection once no call uses it: neither side is known
+  // to have closed it.
+  bool IsOpen(HttpConnection connection) const;
+
  private:
   struct ActiveCall;
   using ActiveCallPtr = std::shared_ptr<ActiveCall>;
--- a/packages/daemon/src/endpoint_client.cc
+++ b/packages/daemon/src/endpoint_client.cc
@@ -26,6 +26,7 @@
       return {AttemptFailure::kTooLarge, "too_large"};
     case HttpFailure::kConnect:
     case HttpFailure::kExpired:
+    case HttpFailure::kWrongConnection:
       break;
   }
   return {AttemptFailure::kConnect, "connect"};
--- a/packages/daemon/src/http_client.cc
+++ b/packages/daemon/src/http_client.cc
@@ -46,6 +46,7 @@
   std::size_t body_size = 0;
   bool sent = false;
   bool expired = false;
+  bool wrong_connection = false;
 };
 
 HttpClient::HttpClient()
@@ -149,6 +150,13 @@
     }
     active_call.opened_socket.reset();
   }
+  const HttpConnection connection{soup_message_get_connection_id(active_call.message.get())};
+  const auto& accept_connection = active_call.call.accept_connection;
+  if (accept_connection && !accept_connection(connection)) {
+    active_call.wrong_connection = true;
+    g_cancellable_cancel(active_call.cancellable.get());
+    return;
+  }
   active_call.sent = true;
   if (active_call.call.on_sent) active_call.call.on_sent();
 }
@@ -166,6 +174,10 @@
     FailCall(active_call, HttpFailure::kExpired, "valid_until passed before the request was sent");
     return;
   }
+  if (active_call->wrong_connection) {
+    FailCall(active_call, HttpFailure::kWrongConnection, "not sent on another connection");
+    return;
+  }
   if (error) {
     FailCall(active_call, active_call->sent ? HttpFailure::kReset : HttpFailure::kConnect,
              error->message);
@@ -235,6 +247,7 @@
   response.headers =
       CopyEndToEndHeaders(soup_message_get_response_headers(active_call->message.get()));
   response.body = std::make_shared<const std::string>(std::move(active_call->body));
+  response.connection = HttpConnection{soup_message_get_connection_id(active_call->message.get())};
   FinishCall(active_call, std::move(response));
 }
 
@@ -281,6 +294,13 @@
   ReleaseCall(*cancelled, ConnectionDisposition::kCloseConnection);
 }
 
+bool HttpClient::IsOpen(HttpConnection connection) const {
+  const auto it = sockets_->find(static_cast<std::uint64_t>(connection));
+  if (it == sockets_->end() || g_socket_is_closed(it->second)) return false;
+  // An idle connection is readable only if it has been closed by the other side.
+  return (g_socket_condition_check(it->second, G_IO_IN) & G_IO_IN) == 0;
+}
+
 void HttpClient::OnDeadline() {
   while (!deadlines_.empty() && deadlines_.begin()->first <= MonotonicNow()) {
     const ActiveCallPtr active_call = active_calls_.at(deadlines_.begin()->second);
--- a/packages/daemon/tests/test_support.cc
+++ b/packages/daemon/tests/test_support.cc
@@ -83,6 +83,10 @@
   for (const auto& connection : connections_) connection->Close();
 }
 
+void ScriptedServer::CloseConnections() {
+  for (const auto& connection : connections_) connection->Close();
+}
+
 void ScriptedServer::Accept(GSocketConnection* connection) {
   connections_.push_back(std::make_unique<RawConnection>(RefGObject(connection)));
   RawConnection& accepted = *connections_.back();
--- a/packages/daemon/tests/test_support.h
+++ b/packages/daemon/tests/test_support.h
@@ -72,7 +72,10 @@
 
   const std::string& address() const { return address_; }
   const std::vector<std::string>& requests() const { return requests_; }
+  // Number of connections accepted so far.
   std::size_t connections() const { return connections_.size(); }
+  // Closes all connections, as the end of the server's process does. The server goes on listening.
+  void CloseConnections();
 
  private:
   void Accept(GSocketConnection* connection);
