Bind starts and leases to the incarnation by whose clock they are given

Callers saw long-running tasks that stopped run again only after 16 s (a start without an answer on a worker that was lost) or 10 s (a lost worker that was new to its owner after changes of owner).

Cause: run_loss and WorkerState assumed that an unanswered order reaches another incarnation up to 6 s later, and that this one grants the longest lease of 10.2 s. Owners that lived for less than 10.2 s stored no known leases, so that changes of owner in a row kept the assumption alive.

Change: starts, and holds with a lease or an acknowledgement, name their incarnation, in peer messages too, and are sent through BoundClient by the owner and by relays. - An unanswered start is bounded by the usual lease: a late start past its deadline is refused by the incarnation itself, and no other gets it. OnStartUnanswered, OnLeaseOrderUnanswered, AssumeLeasesOfEarlierIncarnation and kMaxConnectTime are gone. - All runs of an earlier incarnation have ended once another one reports, whether their starts were answered or not. - The first report of an incarnation bounds its leases by the larger of the own and the stored lease. The stored record says that all leases are bound. Records of earlier versions do not; with them the longest lease is assumed as before, until every worker holds the usual one. - Hosts announce that they bind orders; others are not used as relays. A start without incarnation from an earlier version is refused, a hold of that kind renews no lease. - LeaseEnd counts the time since the clock was read by the slowest clock, so that no lease is longer than the setting on the worker's clock, which the bound above presumes. - start_failed logs lease_left_ms, run_lost logs phase, ms_since_start and ms_since_lease. A start whose answer shows the clock of another incarnation still counts for the longest lease: it must not happen any more, and is counted as a suspected restart.

Tests changed, and why they are as strict: - The simulation plays the sender: an order that names an incarnation is carried out by no other, at once or delayed; stops, pace orders and holds without a lease still reach whatever incarnation there is. "a late start reaches a restarted worker ..." stands unchanged.

--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -37,11 +37,14 @@
   std::vector<std::string> workers;
 };
 
-// Incarnations of workers that hold no other leases than those that owners gave them by the clock
-// of the incarnation, each for at most `lease`.
+// The longest lease that owners have granted and that may still last.
 struct LeaseRecord {
-  Duration lease{};                                  // Stored in milliseconds, rounded up.
-  std::map<std::string, std::int64_t> incarnations;  // By worker.
+  Duration lease{};  // Stored in milliseconds, rounded up.
+  // If not bound: the incarnations, by worker, that hold only leases given by their own clock.
+  std::map<std::string, std::int64_t> incarnations;
+  // All leases were granted on connections that had answered as the incarnation by whose clock they
+  // are given. Not set in records of earlier versions.
+  bool bound = false;
 };
 
 // Number of cells into which jobs and workers are divided; decided once.
@@ -55,6 +58,8 @@
   std::string peer_address;
   std::string domain;
   int milliprocessors = 0;
+  // The host sends orders only to the incarnation that they name. Hosts of earlier versions do not.
+  bool binds_orders = true;
   friend bool operator==(const HostRecord&, const HostRecord&) = default;
 };
 
--- a/packages/jobs/include/cactusshelf/jobs/worker_calls.h
+++ b/packages/jobs/include/cactusshelf/jobs/worker_calls.h
@@ -14,6 +14,11 @@
 //
 // Each worker has its own clock. A WorkerClock value may be compared only with values of the same
 // incarnation of the same worker.
+//
+// An order that grants a lease, or that acknowledges ends, names the incarnation that it is for.
+// Whoever sends it to the worker writes it only to a connection on which this incarnation has
+// answered. A connection does not outlive the worker's process, so no other incarnation carries the
+// order out, however late that happens.
 namespace cactusshelf::jobs {
 
 // Time since an arbitrary epoch on a worker's clock.
@@ -51,7 +56,10 @@
   std::int64_t token = 0;
   std::int64_t acknowledged_end = 0;
   std::optional<WorkerClock> lease_end;  // Absent: the lease is not renewed.
-  Duration wait{};                       // Maximum delay of the answer until a run ends.
+  // Incarnation that the lease and the acknowledgement are for; 0 if the order has neither. Another
+  // incarnation gets the order without both, and answers it.
+  std::int64_t incarnation = 0;
+  Duration wait{};  // Maximum delay of the answer until a run ends.
 };
 
 struct StartOrder {
@@ -63,6 +71,7 @@
   std::string payload;
   std::string checkpoint;
   WorkerClock lease_end{};
+  std::int64_t incarnation = 0;  // By whose clock lease_end is given. Others do not get the order.
 };
 
 struct StopOrder {
@@ -128,7 +137,7 @@
   kExpired,  // The lease in the order had already expired.
   kNoRoom,
   kRejected,       // Refused without effect for another reason.
-  kOtherInstance,  // Another incarnation of the worker answered.
+  kOtherInstance,  // Another incarnation of the worker answered, and did not get the order.
   kNoAnswer,       // The order may have been carried out, or may still be.
   kRelaySilent,    // As kNoAnswer, because the relay of the order does not answer.
 };
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -179,13 +179,16 @@
 }
 
 HostRecord DecodeHost(const std::string& host, const json& value) {
-  return {host, value.at(0), value.at(1), value.at(2)};
+  HostRecord record{host, value.at(0), value.at(1), value.at(2)};
+  record.binds_orders = value.size() > 3 && value.at(3).get<bool>();
+  return record;
 }
 
 LeaseRecord DecodeLeases(const json& value) {
   LeaseRecord record;
   record.lease = std::chrono::milliseconds(value.at(0).get<std::int64_t>());
   record.incarnations = value.at(1).get<std::map<std::string, std::int64_t>>();
+  record.bound = value.size() > 2 && value.at(2).get<bool>();
   if (record.lease < Duration::zero()) throw DecodeError("lease record with a negative lease");
   return record;
 }
@@ -224,7 +227,7 @@
 
 KeyedRecord Encode(const LeaseRecord& record) {
   const auto lease = std::chrono::ceil<std::chrono::milliseconds>(record.lease).count();
-  return {kLeaseKey, ToBytes(json::array({lease, record.incarnations})), 0};
+  return {kLeaseKey, ToBytes(json::array({lease, record.incarnations, record.bound})), 0};
 }
 
 KeyedRecord Encode(const CellCountRecord& record) {
@@ -241,7 +244,8 @@
 
 KeyedRecord Encode(const HostRecord& record) {
   return {KeyOf(kHostPrefix, record.host),
-          ToBytes(json::array({record.peer_address, record.domain, record.milliprocessors}))};
+          ToBytes(json::array(
+              {record.peer_address, record.domain, record.milliprocessors, record.binds_orders}))};
 }
 
 KeyedRecord Encode(const SubmittedJob& record) {
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -74,7 +74,9 @@
   json value = Head(kHold, order);
   value.push_back(order.acknowledged_end);
   value.push_back(order.wait.count());
-  if (order.lease_end) value.push_back(order.lease_end->count());
+  if (order.incarnation == 0) return value;
+  value.push_back(order.lease_end ? json(order.lease_end->count()) : json(nullptr));
+  value.push_back(order.incarnation);
   return value;
 }
 
@@ -83,6 +85,7 @@
   value.push_back(order.payload);
   value.push_back(order.checkpoint);
   value.push_back(order.lease_end.count());
+  value.push_back(order.incarnation);
   return value;
 }
 
@@ -98,9 +101,12 @@
   auto order = OrderFromHead<HoldOrder>(value);
   order.acknowledged_end = value.at(kHeadFields);
   order.wait = Duration(value.at(kHeadFields + 1).get<std::int64_t>());
-  if (value.size() > kHeadFields + 2) {
-    order.lease_end = WorkerClock(value.at(kHeadFields + 2).get<std::int64_t>());
-  }
+  // Hosts of earlier versions do not name the incarnation. Their leases are not renewed, since
+  // another incarnation might take them for longer ones.
+  if (value.size() <= kHeadFields + 3) return order;
+  const json& lease_end = value.at(kHeadFields + 2);
+  if (!lease_end.is_null()) order.lease_end = WorkerClock(lease_end.get<std::int64_t>());
+  order.incarnation = value.at(kHeadFields + 3);
   return order;
 }
 
@@ -109,6 +115,8 @@
   order.payload = value.at(kRunHeadFields);
   order.checkpoint = value.at(kRunHeadFields + 1);
   order.lease_end = WorkerClock(value.at(kRunHeadFields + 2).get<std::int64_t>());
+  // A start without an incarnation, from a host of an earlier version, is refused when it is sent.
+  if (value.size() > kRunHeadFields + 3) order.incarnation = value.at(kRunHeadFields + 3);
   return order;
 }
 
--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -54,13 +54,17 @@
                      .With("reason", std::string(reason)));
 }
 
+bool RelayPool::CanRelay(const Relay& relay) {
+  return relay.responsive && !relay.leaving && relay.host.binds_orders;
+}
+
 int RelayPool::MaxCapacity(const std::string* domain) const {
   const auto matches_domain = [domain](const HostRecord& host) {
     return domain == nullptr || host.domain == *domain;
   };
   int max_capacity = matches_domain(self_) ? self_.milliprocessors : 0;
   for (const auto& [name, relay] : relays_) {
-    const bool usable = relay.responsive && !relay.leaving && matches_domain(relay.host);
+    const bool usable = CanRelay(relay) && matches_domain(relay.host);
     if (usable) max_capacity = std::max(max_capacity, relay.host.milliprocessors);
   }
   return max_capacity;
@@ -84,7 +88,7 @@
     };
     consider(self_, options_.local_weight, "");
     for (const auto& [name, relay] : relays_) {
-      if (relay.responsive && !relay.leaving) consider(relay.host, 1.0, name);
+      if (CanRelay(relay)) consider(relay.host, 1.0, name);
     }
     if (best_score > 0) return best;
   }
--- a/packages/jobs/src/relay_pool.h
+++ b/packages/jobs/src/relay_pool.h
@@ -98,6 +98,7 @@
   const std::string& RelayFor(const WorkerTarget& worker);
   std::string ChooseRelay(const WorkerTarget& worker) const;
   // Milliprocessors of the largest usable host in `domain`, or in all domains if `domain` is null.
+  static bool CanRelay(const Relay& relay);
   int MaxCapacity(const std::string* domain) const;
   void SetRelayState(Relay& relay, bool responsive, bool leaving, std::string_view reason);
 
--- a/packages/jobs/src/run_loss.cc
+++ b/packages/jobs/src/run_loss.cc
@@ -18,7 +18,9 @@
   return reflects_orders && cannot_begin && !IsListed(report, run);
 }
 
-bool HasEndedByRestart(const Run& run) { return run.confirmed_incarnation != 0; }
+bool HasEndedByRestart(const Run& run, std::int64_t incarnation) {
+  return run.incarnation != 0 && run.incarnation != incarnation;
+}
 
 bool HasEndedByLease(const WorkerState& worker, const Run& run, Time now) {
   const bool order_open = run.phase == RunPhase::kStarting;
--- a/packages/jobs/src/run_loss.h
+++ b/packages/jobs/src/run_loss.h
@@ -13,8 +13,8 @@
 // began. Precondition: `worker.incarnation` is that of the report, whose ends have been processed.
 bool HasEndedByReport(const WorkerState& worker, const Run& run, const HoldReport& report);
 
-// True if the run has ended because a new incarnation of its worker has answered.
-bool HasEndedByRestart(const Run& run);
+// True if the run has ended, or will never begin, because `incarnation` of its worker has answered.
+bool HasEndedByRestart(const Run& run, std::int64_t incarnation);
 
 // True if every lease that an unreachable worker may hold for the run has expired at `now`.
 bool HasEndedByLease(const WorkerState& worker, const Run& run, Time now);
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -18,8 +18,7 @@
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(40);
 // Minimum time between two writes of the interference model for the next owner.
 constexpr Duration kInterferenceExportPeriod = std::chrono::seconds(4);
-// Time between two comparisons of the stored leases with the present ones. A new owner assumes the
-// longest lease for a worker that is not stored yet.
+// Time between two comparisons of the stored lease with the longest one that any worker holds.
 constexpr Duration kLeaseCheckPeriod = std::chrono::seconds(1);
 // Number of bits of a call number below the owner's token, so that call numbers of different owners
 // in one process do not collide.
@@ -36,9 +35,11 @@
       tracker_((generation - 1) * kRunsPerOwner),
       next_call_(static_cast<std::uint64_t>(token) << kCallNumberBits),
       taking_over_(generation > 1),
-      stored_leases_(log_view.leases()) {
-  const auto slow = std::chrono::duration<double, Duration::period>(options.lease) /
-                    (1.0 - options.max_clock_drift);
+      stored_leases_(log_view.leases()),
+      earlier_leases_bound_(generation <= 1 || stored_leases_.bound) {
+  const Duration max_lease = std::max(options.lease, stored_leases_.lease);
+  const auto slow =
+      std::chrono::duration<double, Duration::period>(max_lease) / (1.0 - options.max_clock_drift);
   const Duration notice = predecessor_ended ? Duration::zero() : options.fencing_detection_time;
   takeover_end_ = now.monotonic + notice + std::chrono::duration_cast<Duration>(slow);
   for (const auto& [key, entry] : log_view.entries()) {
@@ -192,7 +193,7 @@
     if (!learned.effects.empty()) batch.records.push_back(Encode(learned));
   }
   if (leases_changed_) {
-    stored_leases_ = MakeLeaseRecord(now.monotonic);
+    stored_leases_ = MakeLeaseRecord(AllWorkersHoldUsualLease(now.monotonic));
     batch.records.push_back(Encode(stored_leases_));
     leases_changed_ = false;
   }
@@ -208,31 +209,26 @@
 void Scheduler::CheckStoredLeases(const Now& now) {
   if (now.monotonic < next_lease_check_) return;
   next_lease_check_ = now.monotonic + kLeaseCheckPeriod;
-  const LeaseRecord present = MakeLeaseRecord(now.monotonic);
-  // Workers that are gone may stay stored until another change.
-  const auto is_stored = [this](const auto& it) {
-    const auto stored = stored_leases_.incarnations.find(it.first);
-    return stored != stored_leases_.incarnations.end() && stored->second == it.second;
-  };
-  const bool all_stored =
-      std::all_of(present.incarnations.begin(), present.incarnations.end(), is_stored);
-  leases_changed_ = leases_changed_ || !all_stored || stored_leases_.lease < present.lease;
+  const bool all_usual = AllWorkersHoldUsualLease(now.monotonic);
+  earlier_leases_bound_ = earlier_leases_bound_ || all_usual;
+  // Until then the record of the earlier owner still says which of its leases are known.
+  if (!earlier_leases_bound_) return;
+  const LeaseRecord present = MakeLeaseRecord(all_usual);
+  leases_changed_ =
+      leases_changed_ || !stored_leases_.bound || stored_leases_.lease != present.lease;
 }
 
-LeaseRecord Scheduler::MakeLeaseRecord(Time now) const {
-  LeaseRecord record;
-  record.lease = options_.lease;
-  for (const auto& [id, worker] : workers_) {
-    const bool known = worker.incarnation != 0 && worker.token_accepted && worker.has_clock();
-    if (known && worker.HoldsUsualLease(now)) record.incarnations[id] = worker.incarnation;
-  }
+bool Scheduler::AllWorkersHoldUsualLease(Time now) const {
   // Workers that have not reported hold the leases of the earlier owners.
-  for (const std::string& id : unreported_workers_) {
-    const auto it = stored_leases_.incarnations.find(id);
-    if (it == stored_leases_.incarnations.end()) continue;
-    record.incarnations.insert(*it);
-    record.lease = std::max(record.lease, stored_leases_.lease);
-  }
+  return unreported_workers_.empty() &&
+         std::all_of(workers_.begin(), workers_.end(),
+                     [now](const auto& it) { return it.second.HoldsUsualLease(now); });
+}
+
+LeaseRecord Scheduler::MakeLeaseRecord(bool all_usual) const {
+  LeaseRecord record;
+  record.bound = true;
+  record.lease = all_usual ? options_.lease : std::max(options_.lease, stored_leases_.lease);
   return record;
 }
 
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -89,7 +89,6 @@
     std::int64_t incarnation = 0;  // Of the worker when the order was made.
     Time made_at;
     std::int64_t acknowledged_end = 0;  // Of a hold.
-    std::optional<Time> lease_sent_at;  // When the order was sent, if it is a hold with a lease.
   };
 
   WorkerState* FindWorker(const std::string& id);
@@ -128,16 +127,17 @@
     for (const TaskRef& ref : lost) MarkRunLost(worker, ref, reason, now);
   }
   // Handles the runs of a worker of which a new incarnation has answered.
-  void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
+  void ResolveRunsAfterRestart(WorkerState& worker, std::int64_t incarnation, const Now& now);
   void ExpireLeases(const Now& now);
   void CheckTakeover(const Now& now);
-  // The longest lease that earlier owners granted the worker, whose first report to this owner is
-  // `report`, if it is stored.
-  std::optional<Duration> LeaseOfEarlierOwners(const WorkerState& worker,
-                                               const HoldReport& report) const;
+  // The longest lease that earlier owners may have granted to the incarnation of the worker whose
+  // first report to this owner is `report`.
+  Duration MaxEarlierLease(const WorkerState& worker, const HoldReport& report) const;
   // Compares the stored leases with the present ones.
   void CheckStoredLeases(const Now& now);
-  LeaseRecord MakeLeaseRecord(Time now) const;
+  // True if no worker that may run tasks holds a longer lease than this owner grants.
+  bool AllWorkersHoldUsualLease(Time now) const;
+  LeaseRecord MakeLeaseRecord(bool all_usual) const;
   // The workers that may run something on orders of this or an earlier owner. No task starts on any
   // other worker until a later roster is stored.
   RosterRecord MakeRoster();
@@ -215,6 +215,8 @@
   bool roster_changed_ = false;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
   bool leases_changed_ = false;
+  // All leases that any owner has granted, and that may still last, are bound to an incarnation.
+  bool earlier_leases_bound_;
   Time next_lease_check_;
   std::map<std::uint64_t, std::vector<std::string>> roster_batches_;
   bool fenced_ = false;
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -118,12 +118,12 @@
                       worker.last_stored_end == worker.last_processed_end;
     if (wait) order.wait = options_.hold_wait;
   }
+  if (order.lease_end || order.acknowledged_end > 0) order.incarnation = worker.incarnation;
   worker.hold_in_flight = true;
   worker.order_failed_since_hold = false;
   worker.hold_answer_sequence = worker.answer_sequence;
   PendingOrder& pending = AddPendingOrder(order.call, worker, {}, 0, now);
   pending.acknowledged_end = order.acknowledged_end;
-  if (order.lease_end) pending.lease_sent_at = now.monotonic;
   Enqueue(worker, std::move(order));
 }
 
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -16,6 +16,12 @@
   return outcome == OrderOutcome::kNoAnswer || outcome == OrderOutcome::kRelaySilent;
 }
 
+// Time since `time` in milliseconds, or -1 if `time` is zero.
+std::int64_t MillisecondsSince(Time time, Time now) {
+  if (time == Time{}) return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+}
+
 }  // namespace
 
 Scheduler::PendingOrder Scheduler::TakePendingOrder(CallId call) {
@@ -39,8 +45,6 @@
   worker->hold_in_flight = false;
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
   NoteWhetherAnswered(*worker, answer.outcome);
-  if (IsUnanswered(answer.outcome) && order.lease_sent_at)
-    worker->OnLeaseOrderUnanswered(order.incarnation, *order.lease_sent_at);
   if (answer.outcome == OrderOutcome::kRelaySilent) {
     // The relay failed, not necessarily the worker: the hold is sent again through another relay.
     counters_.Add("cactusshelf_hold_failures_total", ToString(answer.outcome));
@@ -80,9 +84,8 @@
   if (worker.incarnation != report.incarnation) {
     // Their leases are given by the clock of the earlier incarnation.
     CancelAllQueuedStarts(worker, now);
-    ResolveRunsAfterRestart(worker, now);
-    worker.Reset(report.incarnation, report.clock, LeaseOfEarlierOwners(worker, report),
-                 now.monotonic);
+    ResolveRunsAfterRestart(worker, report.incarnation, now);
+    worker.Reset(report.incarnation, MaxEarlierLease(worker, report), now.monotonic);
   }
   worker.SetClock(report.clock, now.monotonic);
   worker.incarnation_confirmed = !worker.order_failed_since_hold;
@@ -93,13 +96,13 @@
   placement_needed_ = true;
 }
 
-std::optional<Duration> Scheduler::LeaseOfEarlierOwners(const WorkerState& worker,
-                                                        const HoldReport& report) const {
-  const bool first_report = worker.incarnation == 0;
+Duration Scheduler::MaxEarlierLease(const WorkerState& worker, const HoldReport& report) const {
   const auto it = stored_leases_.incarnations.find(worker.entry().id);
   const bool known = it != stored_leases_.incarnations.end() && it->second == report.incarnation;
-  if (!first_report || !known) return std::nullopt;
-  return stored_leases_.lease;
+  const bool first_report = worker.incarnation == 0;
+  if (earlier_leases_bound_ || (first_report && known))
+    return std::max(options_.lease, stored_leases_.lease);
+  return options_.longest_lease;
 }
 
 void Scheduler::ApplyReport(WorkerState& worker, const HoldReport& report, const Now& now) {
@@ -172,7 +175,7 @@
     run->phase = RunPhase::kRunning;
     tracker_.OnRunStarted(running.task.job);
   }
-  run->confirmed_incarnation = worker.incarnation;
+  run->incarnation = worker.incarnation;
   run->may_run_until = {};
   ApplyProgress(worker, *run, running.progress_percent, now);
   run->load = running.load;
@@ -219,7 +222,7 @@
   run.load = running.load;
   run.checkpoint = running.checkpoint;
   run.progress_percent = running.progress_percent;
-  run.confirmed_incarnation = worker.incarnation;
+  run.incarnation = worker.incarnation;
   run.confirmed_cpu_share_percent = kUnknownCpuShare;
   AddRun(worker, std::move(run));
   Log(LogEvent(LogLevel::kInfo, should_run ? "run_adopted" : "run_unwanted")
@@ -267,15 +270,20 @@
           .With("task", jobs::ToString(ref))
           .With("run", number)
           .With("worker", worker.entry().id)
-          .With("reason", std::string(reason)));
+          .With("reason", std::string(reason))
+          .With("phase", std::string(ToString(run->phase)))
+          .With("ms_since_start", MillisecondsSince(run->started_at, now.monotonic))
+          .With("ms_since_lease", MillisecondsSince(worker.lease_sent_at(), now.monotonic)));
   counters_.Add("cactusshelf_lost_runs_total", reason);
   RemoveRun(worker, ref);
   tracker_.OnRunLost(ref, number, begun, checkpoint, now.monotonic);
   placement_needed_ = true;
 }
 
-void Scheduler::ResolveRunsAfterRestart(WorkerState& worker, const Now& now) {
-  MarkRunsLostIf(worker, HasEndedByRestart, "worker_restarted", now);
+void Scheduler::ResolveRunsAfterRestart(WorkerState& worker, std::int64_t incarnation,
+                                        const Now& now) {
+  const auto ended = [incarnation](const Run& run) { return HasEndedByRestart(run, incarnation); };
+  MarkRunsLostIf(worker, ended, "worker_restarted", now);
   // The stop of a start without an answer held for the earlier incarnation only.
   for (auto& [ref, run] : worker.runs()) run.stop_answered = false;
 }
@@ -302,34 +310,31 @@
   if (answer.outcome == OrderOutcome::kFenced) fenced_ = true;
   counters_.Add("cactusshelf_start_answers_total", ToString(answer.outcome));
   if (answer.outcome != OrderOutcome::kDone) {
-    Log(LogEvent(LogLevel::kWarning, "start_failed")
-            .With("task", jobs::ToString(order.task))
-            .With("run", order.run)
-            .With("worker", order.worker)
-            .With("reason", std::string(ToString(answer.outcome)))
-            .With("detail", answer.reason));
+    LogEvent event(LogLevel::kWarning, "start_failed");
+    event.With("task", jobs::ToString(order.task))
+        .With("run", order.run)
+        .With("worker", order.worker)
+        .With("reason", std::string(ToString(answer.outcome)))
+        .With("detail", answer.reason);
+    // The run is given up at the end of the lease if the worker is not heard of again.
+    if (IsUnanswered(answer.outcome))
+      event.With("lease_left_ms", MillisecondsSince(now.monotonic, worker->lease_expiry()));
+    Log(std::move(event));
   }
   const bool same_incarnation = CheckIncarnation(*worker, order, answer, now);
-  // A start may have been queued before it was sent.
-  if (IsUnanswered(answer.outcome))
-    worker->OnLeaseOrderUnanswered(order.incarnation, now.monotonic);
   Run* run = worker->FindRun(order.task);
   if (run == nullptr || run->number != order.run) return;
   run->last_answer_sequence = ++worker->answer_sequence;
   switch (answer.outcome) {
     case OrderOutcome::kDone:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kRunning;
-      if (same_incarnation) {
-        run->confirmed_incarnation = worker->incarnation;
-      } else if (answer.clock) {
+      if (!same_incarnation && answer.clock)
         worker->OnStartedByOtherIncarnation(*run, now.monotonic);
-      }
       tracker_.OnRunStarted(order.task.job);
       return;
     case OrderOutcome::kNoAnswer:
     case OrderOutcome::kRelaySilent:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kStartUnconfirmed;
-      worker->OnStartUnanswered(*run, now.monotonic);
       worker->report_needed_now = true;
       return;
     case OrderOutcome::kRejected:
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -22,22 +22,13 @@
 
 namespace {
 
-// Maximum time from sending an order until the worker's process receives it. A process that starts
-// within this time may receive the order.
-constexpr Duration kMaxConnectTime = std::chrono::seconds(1);
 // Tolerance of clocks that are given in whole milliseconds.
 constexpr WorkerClock kClockTolerance = std::chrono::milliseconds(5);
 
 }  // namespace
 
-void WorkerState::Reset(std::int64_t new_incarnation, WorkerClock clock,
-                        std::optional<Duration> known_lease, Time now) {
-  if (known_lease) {
-    lease_expiry_ = std::max(lease_expiry_, SlowestLeaseEnd(now, *known_lease));
-  } else {
-    AssumeLeasesOfEarlierIncarnation(clock, now);
-  }
-  unanswered_lease_order_at_.reset();
+void WorkerState::Reset(std::int64_t new_incarnation, Duration max_lease, Time now) {
+  lease_expiry_ = std::max(lease_expiry_, SlowestLeaseEnd(now, max_lease));
   incarnation = new_incarnation;
   token_accepted = false;
   last_processed_end = 0;
@@ -52,15 +43,6 @@
   pressure_headrooms.reset();
 }
 
-void WorkerState::AssumeLeasesOfEarlierIncarnation(WorkerClock clock, Time now) {
-  AssumeLongestLeaseAt(now);
-  const auto uptime =
-      std::chrono::duration<double, Duration::period>(clock) / (1.0 - options_->max_clock_drift);
-  const Time earliest_start = now - duration_cast<Duration>(uptime);
-  if (unanswered_lease_order_at_ && *unanswered_lease_order_at_ + kMaxConnectTime >= earliest_start)
-    AssumeLongestLeaseAt(*unanswered_lease_order_at_ + options_->max_order_delay);
-}
-
 Run* WorkerState::FindRun(const TaskRef& task) {
   const auto it = runs_.find(task);
   return it == runs_.end() ? nullptr : &it->second;
@@ -134,7 +116,9 @@
 }
 
 WorkerClock WorkerState::LeaseEnd(Time now) const {
-  return worker_clock_ + duration_cast<WorkerClock>(now - clock_read_at_ + options_->lease);
+  const std::chrono::duration<double, Duration::period> elapsed = now - clock_read_at_;
+  const auto least = elapsed * (1.0 - options_->max_clock_drift);
+  return worker_clock_ + duration_cast<WorkerClock>(least + options_->lease);
 }
 
 void WorkerState::OnLeaseGranted(WorkerClock end, Time now) {
@@ -142,29 +126,16 @@
   const auto slow =
       std::chrono::duration<double, Duration::period>(left) / (1.0 - options_->max_clock_drift);
   lease_expiry_ = std::max({lease_expiry_, now, clock_read_at_ + duration_cast<Duration>(slow)});
-}
-
-void WorkerState::OnLeaseOrderUnanswered(std::int64_t order_incarnation, Time sent_at) {
-  for (auto& [ref, run] : runs_) {
-    if (run.may_run_until != Time{}) OnStartUnanswered(run, sent_at);
-  }
-  if (order_incarnation == incarnation) {
-    unanswered_lease_order_at_ = std::max(unanswered_lease_order_at_.value_or(sent_at), sent_at);
-  } else {
-    AssumeLongestLeaseAt(sent_at + options_->max_order_delay);
-  }
+  lease_sent_at_ = now;
 }
 
 std::int64_t WorkerState::AcknowledgeableEnd() const {
   return incarnation_confirmed && last_stored_end > acknowledged_end ? last_stored_end : 0;
 }
 
-void WorkerState::OnStartUnanswered(Run& run, Time now) const {
-  run.may_run_until = std::max(run.may_run_until, LongestLeaseEnd(now + options_->max_order_delay));
-}
-
 void WorkerState::OnStartedByOtherIncarnation(Run& run, Time now) const {
-  run.may_run_until = std::max(run.may_run_until, LongestLeaseEnd(now));
+  run.incarnation = 0;
+  run.may_run_until = std::max(run.may_run_until, SlowestLeaseEnd(now, options_->longest_lease));
 }
 
 Time WorkerState::SlowestLeaseEnd(Time time, Duration lease) const {
@@ -173,16 +144,8 @@
   return time + duration_cast<Duration>(slow);
 }
 
-Time WorkerState::LongestLeaseEnd(Time time) const {
-  return SlowestLeaseEnd(time, options_->longest_lease);
-}
-
 bool WorkerState::HoldsUsualLease(Time now) const {
   return lease_expiry_ <= SlowestLeaseEnd(now, options_->lease);
 }
 
-void WorkerState::AssumeLongestLeaseAt(Time time) {
-  lease_expiry_ = std::max(lease_expiry_, LongestLeaseEnd(time));
-}
-
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -52,9 +52,9 @@
   int cpu_share_percent = 100;            // As last ordered.
   int confirmed_cpu_share_percent = 100;  // As last confirmed by the worker.
   bool pace_order_in_flight = false;
-  // Incarnation that certainly began the run, as its report or its answer to the start showed; 0 if
-  // unknown.
-  std::int64_t confirmed_incarnation = 0;
+  // The only incarnation of the worker that may begin the run; 0 if the answer to its start showed
+  // the clock of another one.
+  std::int64_t incarnation = 0;
   // Until then the run may be at work in an incarnation that its owner has not heard of.
   Time may_run_until;
   // WorkerState::answer_sequence at the last answer to an order for this run. Only the report of a
@@ -128,13 +128,9 @@
   void Update(WorkerEntry entry) { entry_ = std::move(entry); }
 
   // Resets the positions in the worker's list of ends and the observed load after another
-  // incarnation of the worker has answered with the time `clock`. Since the new incarnation has a
-  // new clock, leases that were granted by the earlier clock are assumed to last for the longest
-  // possible lease, also if an order that the new incarnation may have received grants them later.
-  // `known_lease` is given if all leases so far were granted by the clock of `incarnation`, and
-  // each for no longer than this.
-  void Reset(std::int64_t incarnation, WorkerClock clock, std::optional<Duration> known_lease,
-             Time now);
+  // incarnation of the worker has answered before `now`. No owner has granted it a lease of more
+  // than `max_lease` before that.
+  void Reset(std::int64_t incarnation, Duration max_lease, Time now);
 
   Run* FindRun(const TaskRef& task);
   Run& AddRun(Run run);
@@ -170,17 +166,16 @@
   // worker has no clock and has not accepted the token.
   void SuspectRestart();
 
-  // End, on the worker's clock, of a lease that is granted at `now`. Precondition: has_clock().
+  // End, on the worker's clock, of a lease that is granted at `now`. It is at most
+  // SchedulerOptions::lease after the time that the clock then shows, however slow the clock is.
+  // Precondition: has_clock().
   WorkerClock LeaseEnd(Time now) const;
   // Records that a lease until `end` was sent at `now`.
   void OnLeaseGranted(WorkerClock end, Time now);
-  // Records that an order with a lease by the clock of `order_incarnation`, sent not after
-  // `sent_at`, got no answer. The worker may carry it out later.
-  void OnLeaseOrderUnanswered(std::int64_t order_incarnation, Time sent_at);
-  // Records that the start of `run` got no answer before `now`. An incarnation of which the owner
-  // has not heard may carry it out later, and then grants it the longest lease.
-  void OnStartUnanswered(Run& run, Time now) const;
-  // Records that another incarnation than the present one began `run` before `now`.
+  // When a lease was last sent; zero before that.
+  Time lease_sent_at() const { return lease_sent_at_; }
+  // Records that another incarnation than the present one seems to have begun `run` before `now`,
+  // and assumes that it took the lease for the longest one.
   void OnStartedByOtherIncarnation(Run& run, Time now) const;
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
@@ -227,13 +222,6 @@
   void AdjustUsage(const Run& run, int sign);
   // End of a lease of `lease` that is granted at `time`, by the slowest clock.
   Time SlowestLeaseEnd(Time time, Duration lease) const;
-  // End of the longest lease that a worker may grant at `time`, by any clock.
-  Time LongestLeaseEnd(Time time) const;
-  // Assumes the leases that orders by the clock of the earlier incarnation may have granted to the
-  // new one, whose clock shows `clock` now.
-  void AssumeLeasesOfEarlierIncarnation(WorkerClock clock, Time now);
-  // Assumes that the worker grants the longest possible lease at `time`.
-  void AssumeLongestLeaseAt(Time time);
 
   WorkerEntry entry_;
   const SchedulerOptions* options_;
@@ -247,8 +235,7 @@
   WorkerClock worker_clock_{};
   Time clock_read_at_;
   Time lease_expiry_;
-  // When the last unanswered order with a lease by the present clock was sent.
-  std::optional<Time> unanswered_lease_order_at_;
+  Time lease_sent_at_;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -86,8 +86,9 @@
   void PartitionWorker(int i, Duration duration);
   // Orders of one node do not reach the worker.
   void PartitionWorkerFromNode(int worker, int node, Duration duration);
-  // The worker carries out the orders that are sent to it within `duration` only `delay` later, in
-  // whatever incarnation it then is; their senders get no answer.
+  // The worker carries out the orders that are sent to it within `duration` only `delay` later;
+  // their senders get no answer. Orders that name an incarnation are lost with the connection if it
+  // ends before; any other order is carried out in whatever incarnation the worker then is.
   void DelayOrdersTo(int i, Duration duration, Duration delay);
   void CrashWorker(int i);
   // The worker fails what runs there, and all that is started there until StopFailingRuns.
@@ -142,6 +143,8 @@
   void Perform(int i, const job_effect::Stop& stop);
   // Records when a start was first sent, and whether its sender could reach the store.
   void RecordSentStart(int i, const WorkerOrder& order);
+  template <typename Order, typename Call>
+  auto CallWorker(FakeWorker& worker, const Order& order, const Call& call);
   template <typename Order, typename Call, typename Done>
   void PerformOrder(int i, const Order& order, Call call, Done done);
   JobKey NewJob(JobSpec spec);
--- a/packages/jobs/tests/relay_test.cc
+++ b/packages/jobs/tests/relay_test.cc
@@ -25,6 +25,7 @@
   order.worker = {worker, worker + ":2", "north"};
   order.token = 7;
   order.lease_end = WorkerClock(1234);
+  order.incarnation = 17;
   order.wait = milliseconds(500);
   return order;
 }
@@ -39,6 +40,7 @@
   order.payload = "payload";
   order.checkpoint = "c";
   order.lease_end = WorkerClock(99);
+  order.incarnation = 17;
   return order;
 }
 
@@ -69,6 +71,27 @@
 
 }  // namespace
 
+TEST_CASE("a relay grants a lease without the incarnation that it is for") {
+  // Guards against tasks that run twice: the order comes from a host of an earlier version, and
+  // another incarnation of the worker would take the end of the lease for the longest one.
+  HoldOrder hold = HoldOf("w", 1);
+  hold.incarnation = 0;
+  OrderBatch orders{"o:1", std::nullopt, {hold}};
+  const auto read = std::get<OrderBatch>(DecodePeerMessage(Encode(orders)));
+  CHECK_FALSE(std::get<HoldOrder>(read.orders.at(0)).lease_end.has_value());
+}
+
+TEST_CASE("orders go through a relay of an earlier version") {
+  // Guards against tasks that run twice: such a relay writes orders on any connection, whichever
+  // incarnation they name.
+  PoolFixture fixture;
+  HostRecord old_host = Host("north-1", "north");
+  old_host.binds_orders = false;
+  fixture.pool.SetHosts({{"north-1", old_host}});
+  fixture.pool.OnAnswers(SignOfLife("north-1"));
+  CHECK(fixture.pool.Send(StartOf("w", 1), Time{}).has_value());
+}
+
 TEST_CASE("peer messages lose no field when they are encoded and decoded") {
   OrderBatch orders{"o:1", RelayTimestamp{seconds(3), milliseconds(4)}, {}};
   orders.orders = {HoldOf("w", 1), StartOf("w", 2)};
@@ -79,10 +102,12 @@
   const auto& hold = std::get<HoldOrder>(read_orders.orders[0]);
   CHECK(hold.lease_end == WorkerClock(1234));
   CHECK(hold.wait == milliseconds(500));
+  CHECK(hold.incarnation == 17);
   const auto& start = std::get<StartOrder>(read_orders.orders[1]);
   CHECK(start.task == StartOf("w", 2).task);
   CHECK(start.payload == "payload");
   CHECK(start.worker.address == "w:2");
+  CHECK(start.incarnation == 17);
 
   AnswerBatch answers = SignOfLife("h");
   answers.leaving = true;
