--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -89,7 +89,7 @@
     std::int64_t incarnation = 0;  // Of the worker when the order was made.
     Time made_at;
     std::int64_t acknowledged_end = 0;  // Of a hold.
-    std::optional<Time> lease_sent_at;  // When the order was sent, if it is a hold with a lease.
+    bool renews_lease = false;          // A hold with a lease.
   };
 
   WorkerState* FindWorker(const std::string& id);
@@ -128,7 +128,7 @@
     for (const TaskRef& ref : lost) MarkRunLost(worker, ref, reason, now);
   }
   // Handles the runs of a worker of which a new incarnation has answered.
-  void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
+  void ResolveRunsAfterRestart(WorkerState& worker, std::int64_t incarnation, const Now& now);
   void ExpireLeases(const Now& now);
   void CheckTakeover(const Now& now);
   // Logs for which workers the takeover waits, and why.
@@ -142,13 +142,14 @@
   void OnLeaseRenewed(WorkerState& worker, const Now& now);
   // Logs once how long after the ownership was gained the last worker got its first lease.
   void ReportRenewedLeases(const Now& now);
-  // The longest lease that earlier owners granted the worker, whose first report to this owner is
-  // `report`, if it is stored.
-  std::optional<Duration> LeaseOfEarlierOwners(const WorkerState& worker,
-                                               const HoldReport& report) const;
+  // The longest lease that earlier owners may have granted to the incarnation of the worker whose
+  // first report to this owner is `report`.
+  Duration MaxEarlierLease(const WorkerState& worker, const HoldReport& report) const;
   // Compares the stored leases with the present ones.
   void CheckStoredLeases(const Now& now);
-  LeaseRecord MakeLeaseRecord(Time now) const;
+  // True if no worker that may run tasks holds a longer lease than this owner grants.
+  bool AllWorkersHoldUsualLease(Time now) const;
+  LeaseRecord MakeLeaseRecord(bool all_usual) const;
   // Whether the roster has to list the worker, which has reported to this owner or was in no roster
   // of earlier ones. It need not if nothing runs there on orders of this or an earlier owner and
   // nothing is started there without a later roster. Each run is tracked from the decision to start
@@ -243,6 +244,8 @@
   Time next_roster_drop_;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
   bool leases_changed_ = false;
+  // All leases that any owner has granted, and that may still last, are bound to an incarnation.
+  bool earlier_leases_bound_;
   Time next_lease_check_;
   std::map<std::uint64_t, std::vector<std::string>> roster_batches_;
   bool fenced_ = false;
