A stop of a start without an answer does not wait behind other orders

Callers could see a task start again up to 80 ms after the owner had learned that it was done.

Cause: a start may wait for its batch to a relay, where a stop of the same run takes it back; but the stop itself waited in the queue of the worker behind two orders in flight, one of which was this start.

Change: the stop of a run whose start has no answer is handed over at once.

--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -173,6 +173,8 @@
 
   // Sends a hold at once. Queues other orders while the worker has too many orders in flight.
   void Enqueue(WorkerState& worker, WorkerOrder order);
+  // As Enqueue, without regard to the number of orders in flight.
+  void SendAtOnce(WorkerState& worker, WorkerOrder order);
   void SendQueuedOrders(WorkerState& worker);
   // Removes an answered order, and sends the next queued order of its worker.
   PendingOrder CompleteOrder(CallId call);
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -47,6 +47,11 @@
   SendQueuedOrders(worker);
 }
 
+void Scheduler::SendAtOnce(WorkerState& worker, WorkerOrder order) {
+  orders_.push_back(std::move(order));
+  ++worker.orders_in_flight;
+}
+
 void Scheduler::SendQueuedOrders(WorkerState& worker) {
   while (worker.orders_in_flight < kMaxOrdersInFlight && !worker.queued_orders.empty()) {
     orders_.push_back(std::move(worker.queued_orders.front()));
@@ -149,7 +154,13 @@
           .With("task", jobs::ToString(run.task))
           .With("run", run.number)
           .With("worker", worker.entry().id));
-  Enqueue(worker, std::move(order));
+  const bool start_open = run.started_at != Time{} && run.last_answer_sequence == 0;
+  // Behind other orders the stop would come too late for a start that waits to be relayed.
+  if (start_open) {
+    SendAtOnce(worker, std::move(order));
+  } else {
+    Enqueue(worker, std::move(order));
+  }
 }
 
 bool Scheduler::ShouldRun(const TaskRef& ref) {
