--- a/packages/jobs/include/cactusshelf/jobs/scheduler_options.h
+++ b/packages/jobs/include/cactusshelf/jobs/scheduler_options.h
@@ -16,8 +16,6 @@
   Duration longest_lease = std::chrono::seconds(10);
   // Fraction by which a worker's clock may run slower than the owner's clock.
   double max_clock_drift = 0.02;
-  // Time after sending within which a worker may still carry out an order that got no answer.
-  Duration max_order_delay = std::chrono::seconds(6);
   // Long-poll time of a hold: a worker with runs delays its answer by up to this time until a run
   // ends.
   Duration hold_wait = std::chrono::milliseconds(500);
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -318,7 +318,8 @@
         .With("detail", answer.reason);
     // The run is given up at the end of the lease if the worker is not heard of again.
     if (IsUnanswered(answer.outcome))
-      event.With("lease_left_ms", MillisecondsSince(now.monotonic, worker->lease_expiry()));
+      event.With("bound_to", order.incarnation)
+          .With("lease_left_ms", MillisecondsSince(now.monotonic, worker->lease_expiry()));
     Log(std::move(event));
   }
   const bool same_incarnation = CheckIncarnation(*worker, order, answer, now);
