Wait per task for workers on which only known tasks may run

On a worker that gets no starts without a later roster, only the tasks of its tracked runs may run. The record roster_tasks, right after its roster in the same append, names them; with any other roster it is void, also one of an earlier program. A new owner starts everything else once the workers on which any task may run have reported, and these tasks when their worker has reported or the leases have ended. Such a worker is listed in full again before a task starts there.

Tests: "a new owner starts no task because a lost worker may run others", "tasks of a worker in an earlier roster ...". "a takeover waits for workers that were drained ..." asked for unreported=0, also for a worker that is alive and whose tasks are known; it now asks that the worker that left is named in no line of the takeover, and keeps its bound of 5 s.

--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -48,6 +48,8 @@
   // The current owner with its epoch. Generation 0 means that there was no owner yet.
   const OwnerRecord& owner() const { return owner_; }
   const std::vector<std::string>& roster() const { return roster_; }
+  // Workers of the roster on which no other than the given tasks may run.
+  const std::map<std::string, std::vector<TaskRef>>& roster_tasks() const;
   // Empty until an owner has stored it.
   const LeaseRecord& leases() const { return leases_; }
   const InterferenceRecord& interference() const { return interference_; }
@@ -62,6 +64,7 @@
  private:
   void ApplyRecord(OwnerRecord record, std::int64_t offset);
   void ApplyRecord(RosterRecord record, std::int64_t offset);
+  void ApplyRecord(RosterTasksRecord record, std::int64_t offset);
   void ApplyRecord(LeaseRecord record, std::int64_t offset);
   void ApplyRecord(const CellCountRecord& record, std::int64_t offset);
   void ApplyRecord(InterferenceRecord record, std::int64_t offset);
@@ -82,6 +85,9 @@
   std::map<std::string, Claim> claims_;  // The newest claim of each host.
   OwnerRecord owner_;
   std::vector<std::string> roster_;
+  std::int64_t roster_offset_ = -1;
+  RosterTasksRecord roster_tasks_;
+  std::int64_t roster_tasks_offset_ = -1;
   LeaseRecord leases_;
   InterferenceRecord interference_;
   std::map<std::string, HostRecord> hosts_;
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -37,6 +37,12 @@
   std::vector<std::string> workers;
 };
 
+// Workers of the roster on which no other than the given tasks may run. Stored right after its
+// roster record, and void with any other.
+struct RosterTasksRecord {
+  std::map<std::string, std::vector<TaskRef>> tasks;  // By worker.
+};
+
 // Incarnations of workers that hold no other leases than those that owners gave them by the clock
 // of the incarnation, each for at most `lease`.
 struct LeaseRecord {
@@ -86,13 +92,14 @@
   JobKey key;
 };
 
-using JobLogRecord =
-    std::variant<OwnerRecord, RosterRecord, LeaseRecord, CellCountRecord, HostRecord,
-                 InterferenceRecord, SubmittedJob, CancelRecord, ProgressRecord, DropRecord>;
+using JobLogRecord = std::variant<OwnerRecord, RosterRecord, RosterTasksRecord, LeaseRecord,
+                                  CellCountRecord, HostRecord, InterferenceRecord, SubmittedJob,
+                                  CancelRecord, ProgressRecord, DropRecord>;
 
 // Thread-safe.
 KeyedRecord Encode(const OwnerRecord& record);
 KeyedRecord Encode(const RosterRecord& record);
+KeyedRecord Encode(const RosterTasksRecord& record);
 KeyedRecord Encode(const LeaseRecord& record);
 KeyedRecord Encode(const CellCountRecord& record);
 KeyedRecord Encode(const HostRecord& record);
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -26,8 +26,21 @@
   if (owner_.epoch == 0) owner_.epoch = holder.offset + 1;
 }
 
-void JobLogView::ApplyRecord(RosterRecord record, std::int64_t /*offset*/) {
+void JobLogView::ApplyRecord(RosterRecord record, std::int64_t offset) {
   roster_ = std::move(record.workers);
+  roster_offset_ = offset;
+}
+
+void JobLogView::ApplyRecord(RosterTasksRecord record, std::int64_t offset) {
+  roster_tasks_ = std::move(record);
+  roster_tasks_offset_ = offset;
+}
+
+// The two records may be read in any order, and a later roster may have no tasks.
+const std::map<std::string, std::vector<TaskRef>>& JobLogView::roster_tasks() const {
+  static const std::map<std::string, std::vector<TaskRef>> kNone;
+  const bool together = roster_offset_ >= 0 && roster_tasks_offset_ == roster_offset_ + 1;
+  return together ? roster_tasks_.tasks : kNone;
 }
 
 void JobLogView::ApplyRecord(LeaseRecord record, std::int64_t /*offset*/) {
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr char kRosterKey[] = "roster";
+constexpr char kRosterTasksKey[] = "roster_tasks";
 constexpr char kLeaseKey[] = "leases";
 constexpr char kCellCountKey[] = "layout";
 constexpr char kInterferenceKey[] = "neighbours";
@@ -190,8 +191,18 @@
   return record;
 }
 
+RosterTasksRecord DecodeRosterTasks(const json& value) {
+  RosterTasksRecord record;
+  for (const auto& [worker, names] : value.items()) {
+    std::vector<TaskRef>& tasks = record.tasks[worker];
+    for (const auto& name : names) tasks.push_back(ParseTaskRef(name.get<std::string>()));
+  }
+  return record;
+}
+
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
+  if (record_key == kRosterTasksKey) return DecodeRosterTasks(value);
   if (record_key == kLeaseKey) return DecodeLeases(value);
   if (record_key == kInterferenceKey) return DecodeInterference(value);
   if (record_key == kCellCountKey) return CellCountRecord{value.get<int>()};
@@ -222,6 +233,16 @@
 
 KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
 
+KeyedRecord Encode(const RosterTasksRecord& record) {
+  json workers = json::object();
+  for (const auto& [worker, tasks] : record.tasks) {
+    json names = json::array();
+    for (const TaskRef& it : tasks) names.push_back(ToString(it));
+    workers[worker] = std::move(names);
+  }
+  return {kRosterTasksKey, ToBytes(workers), 0};
+}
+
 KeyedRecord Encode(const LeaseRecord& record) {
   const auto lease = std::chrono::ceil<std::chrono::milliseconds>(record.lease).count();
   return {kLeaseKey, ToBytes(json::array({lease, record.incarnations})), 0};
@@ -286,7 +307,8 @@
 JobLogRecord DecodeJobLogRecord(const KeyedRecord& record) {
   const std::string& key = record.key;
   const bool of_job = key.size() > 2 && key[1] == kSeparator;
-  const bool of_owner = key == kRosterKey || key == kLeaseKey || key == kCellCountKey;
+  const bool of_owner =
+      key == kRosterKey || key == kRosterTasksKey || key == kLeaseKey || key == kCellCountKey;
   if (!of_job && !of_owner && key != kInterferenceKey) {
     throw DecodeError("job log record with an unknown key");
   }
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -53,6 +53,10 @@
   }
   interference_.Import(log_view.interference());
   unreported_workers_.insert(log_view.roster().begin(), log_view.roster().end());
+  for (const auto& [worker, tasks] : log_view.roster_tasks()) {
+    if (unreported_workers_.contains(worker)) awaited_tasks_[worker] = tasks;
+  }
+  UpdateAwaitedTasks();
 }
 
 WorkerState* Scheduler::FindWorker(const std::string& id) {
@@ -191,9 +195,7 @@
     leases_changed_ = false;
   }
   if (roster_changed_) {
-    RosterRecord roster = MakeRoster(now);
-    batch.records.push_back(Encode(roster));
-    roster_batches_[batch.id] = std::move(roster.workers);
+    AddRosterRecords(batch, now);
     roster_changed_ = false;
   }
   return batch;
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -130,7 +130,13 @@
   // Handles the runs of a worker of which a new incarnation has answered.
   void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
   void ExpireLeases(const Now& now);
+  // A new owner starts no jobs of earlier owners until all workers on which any task may run have
+  // reported, or the leases of earlier owners have ended. Tasks that may run on other workers wait
+  // for those.
   void CheckTakeover(const Now& now);
+  void CompleteTakeover(const Now& now);
+  void DropAwaitedWorkers();
+  void UpdateAwaitedTasks();
   // Logs for which workers the takeover waits, and why.
   void ReportTakeover(const Now& now);
   // Why a worker of the stored roster has not reported yet, as a text for the log.
@@ -149,19 +155,22 @@
   // Compares the stored leases with the present ones.
   void CheckStoredLeases(const Now& now);
   LeaseRecord MakeLeaseRecord(Time now) const;
-  // Whether the roster has to list the worker, which has reported to this owner or was in no roster
-  // of earlier ones. It need not if nothing runs there on orders of this or an earlier owner and
-  // nothing is started there without a later roster. Each run is tracked from the decision to start
-  // it until it has certainly ended; orders of earlier owners are refused by the accepted token.
+  // How the roster has to list the worker, which has reported to this owner or was in no roster of
+  // earlier ones. While nothing is started there without a later roster, only those tasks may run
+  // there whose runs are tracked: each run is tracked from the decision to start it until it has
+  // certainly ended, and orders of earlier owners are refused by the accepted token.
   static RosterEntry RosterEntryOf(const WorkerState& worker, const Now& now);
+  // True if the last roster lists the worker without a task that may run there.
+  static bool RunsUnlistedTask(const WorkerState& worker);
   // Processes the first report of a worker that was in the stored roster when the ownership was
   // gained.
-  static void OnAwaitedWorkerReported(WorkerState& worker);
-  // Sets roster_changed_ if the roster lacks a worker, or lists workers in vain.
+  void OnAwaitedWorkerReported(WorkerState& worker);
+  // Sets roster_changed_ if the roster lacks a worker or a task, or lists some in vain.
   void CheckRoster(const Now& now);
-  // The workers that may run something on orders of this or an earlier owner. No task starts on any
-  // other worker until a later roster is stored.
-  RosterRecord MakeRoster(const Now& now);
+  // Adds the workers that may run something on orders of this or an earlier owner. No task starts
+  // on a worker that is not listed for any task until a later roster is stored.
+  void AddRosterRecords(ChangeBatch& batch, const Now& now);
+  void UpdateRosterEntry(WorkerState& worker, const Now& now);
   void OnRosterStored(std::uint64_t batch);
   bool AllListedWorkersAcceptedToken() const;
 
@@ -232,6 +241,9 @@
   std::uint64_t last_stored_batch_ = 0;
   // Workers of the stored roster that have not reported to this owner yet.
   std::set<std::string> unreported_workers_;
+  // Those of them on which only the given tasks may run, and these tasks together.
+  std::map<std::string, std::vector<TaskRef>> awaited_tasks_;
+  std::set<TaskRef> awaited_task_set_;
   bool taking_over_;
   Time gained_at_;
   Time next_takeover_report_;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -121,7 +121,7 @@
     if (task.phase != TaskPhase::kWaiting || now.monotonic < task.retry_at) continue;
     id.index = static_cast<int>(i);
     // The task cannot start while an earlier run of it is still being stopped.
-    if (task.present_runs > 0) continue;
+    if (task.present_runs > 0 || awaited_task_set_.contains({job.job->key, id})) continue;
     // The tasks of a step differ only in whether they may start on a worker in quarantine.
     const Duration waited = now.monotonic - step.WaitingSince(task);
     if (unplaceable && !MayProbe(job, id, waited)) continue;
@@ -146,7 +146,9 @@
   const int count = job.SpecOf(id).count;
   for (int i = 0; i < count; ++i) {
     const TaskStatus& task = step.tasks[static_cast<std::size_t>(i)];
-    const bool startable = task.phase == TaskPhase::kWaiting && task.present_runs == 0;
+    id.index = i;
+    const bool startable = task.phase == TaskPhase::kWaiting && task.present_runs == 0 &&
+                           !awaited_task_set_.contains({job.job->key, id});
     if (!startable || now.monotonic < task.retry_at) return;
   }
   std::set<std::string> racks{""};
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -46,26 +46,48 @@
 }
 
 void Scheduler::CheckTakeover(const Now& now) {
-  if (!taking_over_) return;
+  if (!taking_over_ && unreported_workers_.empty()) return;
+  const bool leases_ended = now.monotonic >= takeover_end_;
   // Other workers than those of the stored roster run nothing, whether they are listed or not.
-  if (!unreported_workers_.empty() && now.monotonic < takeover_end_) {
+  const bool any_task_awaited = unreported_workers_.size() > awaited_tasks_.size();
+  if (taking_over_ && any_task_awaited && !leases_ended) {
     ReportTakeover(now);
     return;
   }
+  if (taking_over_) CompleteTakeover(now);
+  if (leases_ended) DropAwaitedWorkers();
+}
+
+void Scheduler::CompleteTakeover(const Now& now) {
   taking_over_ = false;
   tracker_.OnAllRunsReported();
   LogEvent event(LogLevel::kInfo, "takeover_complete");
   event.With("workers", workers_.size())
       .With("unreported", unreported_workers_.size())
       .With("ms", Milliseconds(now.monotonic - gained_at_))
-      .With("renewed", renewed_workers_)
-      .With("last_renewal_ms", Milliseconds(last_first_renewal_at_ - gained_at_));
+      .With("awaited_tasks", awaited_task_set_.size())
+      .With("renewed", renewed_workers_);
+  if (renewed_workers_ > 0)
+    event.With("last_renewal_ms", Milliseconds(last_first_renewal_at_ - gained_at_));
   AddAwaitedWorkers(event);
   Log(std::move(event));
-  // The stored roster still lists the workers that did not report.
+  placement_needed_ = true;
+}
+
+// What ran on the workers that did not report has ended.
+void Scheduler::DropAwaitedWorkers() {
+  // The stored roster still lists them.
   roster_changed_ = roster_changed_ || !unreported_workers_.empty();
   for (const std::string& id : unreported_workers_) LogRosterDrop(id, "unreported");
   unreported_workers_.clear();
+  awaited_tasks_.clear();
+  UpdateAwaitedTasks();
+}
+
+void Scheduler::UpdateAwaitedTasks() {
+  awaited_task_set_.clear();
+  for (const auto& [id, tasks] : awaited_tasks_)
+    awaited_task_set_.insert(tasks.begin(), tasks.end());
   placement_needed_ = true;
 }
 
@@ -114,16 +136,21 @@
       !worker.reachable && now.monotonic - worker.unreachable_since >= kMinUnreachableTime;
   const bool gets_no_starts = !worker.listed || worker.entry().draining || lost;
   // Without the token, orders of earlier owners may still be carried out.
-  if (!gets_no_starts || !worker.token_accepted) return RosterEntry::kPresent;
+  if (!gets_no_starts || !worker.token_accepted) return RosterEntry::kAnyTask;
   const bool idle =
       worker.runs().empty() && worker.orders_in_flight == 0 && worker.queued_orders.empty();
-  return idle ? RosterEntry::kAbsent : RosterEntry::kPresent;
+  return idle ? RosterEntry::kAbsent : RosterEntry::kWithTasks;
 }
 
 void Scheduler::OnAwaitedWorkerReported(WorkerState& worker) {
-  // The roster of the earlier owner lists it, and each one that this owner has made since.
-  worker.roster_entry = RosterEntry::kPresent;
-  worker.in_stored_roster = true;
+  // The roster of the earlier owner lists it, and so does each one that this owner has made since.
+  const auto it = awaited_tasks_.find(worker.entry().id);
+  worker.in_stored_roster = it == awaited_tasks_.end();
+  worker.roster_entry = worker.in_stored_roster ? RosterEntry::kAnyTask : RosterEntry::kWithTasks;
+  if (worker.in_stored_roster) return;
+  worker.roster_tasks = std::move(it->second);
+  awaited_tasks_.erase(it);
+  UpdateAwaitedTasks();
 }
 
 void Scheduler::CheckRoster(const Now& now) {
@@ -133,32 +160,57 @@
     if (roster_changed_) return;
     if (unreported_workers_.contains(id)) continue;
     const RosterEntry wanted = RosterEntryOf(worker, now);
-    if (wanted > worker.roster_entry || (may_drop && wanted < worker.roster_entry))
-      roster_changed_ = true;
+    const bool with_tasks = wanted == RosterEntry::kWithTasks && wanted == worker.roster_entry;
+    const bool more = wanted > worker.roster_entry || (with_tasks && RunsUnlistedTask(worker));
+    const bool less = wanted < worker.roster_entry ||
+                      (with_tasks && worker.runs().size() < worker.roster_tasks.size());
+    if (more || (less && may_drop)) roster_changed_ = true;
   }
 }
 
-RosterRecord Scheduler::MakeRoster(const Now& now) {
+bool Scheduler::RunsUnlistedTask(const WorkerState& worker) {
+  const std::vector<TaskRef>& listed = worker.roster_tasks;
+  return std::any_of(worker.runs().begin(), worker.runs().end(), [&listed](const auto& run) {
+    return std::find(listed.begin(), listed.end(), run.first) == listed.end();
+  });
+}
+
+void Scheduler::AddRosterRecords(ChangeBatch& batch, const Now& now) {
   RosterRecord roster;
+  RosterTasksRecord with_tasks;
   // Workers that an earlier owner may have left running, whether they are listed or not.
   roster.workers.assign(unreported_workers_.begin(), unreported_workers_.end());
+  with_tasks.tasks = awaited_tasks_;
+  std::vector<std::string>& startable = roster_batches_[batch.id];
   for (auto& [id, worker] : workers_) {
     if (unreported_workers_.contains(id)) continue;
-    const RosterEntry entry = RosterEntryOf(worker, now);
-    if (entry < worker.roster_entry) {
-      LogRosterDrop(id, worker.entry().draining ? "draining"
-                        : !worker.listed        ? "unlisted"
-                                                : "unreachable");
-    }
-    worker.roster_entry = entry;
-    if (entry == RosterEntry::kPresent) {
-      roster.workers.push_back(id);
+    UpdateRosterEntry(worker, now);
+    if (worker.roster_entry == RosterEntry::kAbsent) continue;
+    roster.workers.push_back(id);
+    if (worker.roster_entry == RosterEntry::kAnyTask) {
+      startable.push_back(id);
     } else {
-      // No task starts there from now on, whatever becomes of the smaller roster.
-      worker.in_stored_roster = false;
+      with_tasks.tasks[id] = worker.roster_tasks;
     }
   }
-  return roster;
+  batch.records.push_back(Encode(roster));
+  if (!with_tasks.tasks.empty()) batch.records.push_back(Encode(with_tasks));
+}
+
+void Scheduler::UpdateRosterEntry(WorkerState& worker, const Now& now) {
+  const RosterEntry entry = RosterEntryOf(worker, now);
+  if (entry == RosterEntry::kAbsent && entry < worker.roster_entry) {
+    LogRosterDrop(worker.entry().id, worker.entry().draining ? "draining"
+                                     : !worker.listed        ? "unlisted"
+                                                             : "unreachable");
+  }
+  worker.roster_entry = entry;
+  worker.roster_tasks.clear();
+  if (entry == RosterEntry::kAnyTask) return;
+  // No task starts there from now on, whatever becomes of the smaller roster.
+  worker.in_stored_roster = false;
+  if (entry == RosterEntry::kAbsent) return;
+  for (const auto& [ref, run] : worker.runs()) worker.roster_tasks.push_back(ref);
 }
 
 void Scheduler::OnRosterStored(std::uint64_t batch) {
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -84,7 +84,7 @@
     counters_.Add("cactusshelf_waiting_steps_total", reason);
     return event.With("reason", reason);
   };
-  if (job.may_run_unreported) {
+  if (job.may_run_unreported || awaited_task_set_.contains(ref)) {
     with_reason("takeover").With("awaited_workers", unreported_workers_.size());
   } else if (task.phase == TaskPhase::kPlaced) {
     with_reason("placed_without_run");
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -116,8 +116,9 @@
   Time next_probe_;
 };
 
-// Whether the owner's roster lists a worker.
-enum class RosterEntry : std::uint8_t { kAbsent, kPresent };
+// Whether the owner's roster lists a worker: not, with all tasks that may run there, or as one on
+// which any task may run. A higher value allows more to run.
+enum class RosterEntry : std::uint8_t { kAbsent, kWithTasks, kAnyTask };
 
 // The owner's view of one worker: its runs, the expiry of its lease, and which ends of runs are
 // stored. Not thread-safe.
@@ -208,8 +209,9 @@
   bool lease_renewed = false;     // It has answered a hold with a lease of this owner.
   Time unreachable_since;         // Valid while the worker is not reachable.
   RosterEntry roster_entry = RosterEntry::kAbsent;  // In the last roster handed over to be stored.
-  bool in_stored_roster = false;                    // The stored roster lists the worker.
-  std::int64_t last_processed_end = 0;              // Number of the last end that was processed.
+  std::vector<TaskRef> roster_tasks;       // In the same roster, if roster_entry is kWithTasks.
+  bool in_stored_roster = false;           // The stored roster lists the worker for any task.
+  std::int64_t last_processed_end = 0;     // Number of the last end that was processed.
   std::int64_t last_stored_end = 0;        // Number of the last end whose effect is stored.
   std::int64_t acknowledged_end = 0;       // Number up to which the worker has discarded ends.
   std::uint64_t processed_ends_batch = 0;  // Batch that stores the effect of last_processed_end.
--- a/packages/jobs/tests/job_log_test.cc
+++ b/packages/jobs/tests/job_log_test.cc
@@ -120,6 +120,28 @@
   CHECK(log_view.owner().epoch == 61);
 }
 
+TEST_CASE("tasks of a worker in an earlier roster are taken for those of a later one") {
+  // Guards against tasks that run twice: a later roster lists the worker for any task, and the
+  // newest records of both keys were read, in whatever order.
+  const TaskRef task{Key(), {0, 1, 2}};
+  const auto at = [](KeyedRecord record, std::int64_t offset) {
+    record.offset = offset;
+    return record;
+  };
+  const KeyedRecord roster = Encode(RosterRecord{{"w0", "w1"}});
+  const KeyedRecord tasks = Encode(RosterTasksRecord{{{"w1", {task}}}});
+  JobLogView forward;
+  Apply(forward, at(roster, 7));
+  Apply(forward, at(tasks, 8));
+  CHECK(forward.roster_tasks().at("w1") == std::vector<TaskRef>{task});
+  JobLogView backward;
+  Apply(backward, at(tasks, 8));
+  Apply(backward, at(roster, 7));
+  CHECK(backward.roster_tasks().size() == 1);
+  Apply(forward, at(roster, 9));
+  CHECK(forward.roster_tasks().empty());
+}
+
 TEST_CASE("a repeated submission does not undo a cancellation, and a dropped job is unknown") {
   JobLogView log_view;
   Apply(log_view, Encode(FullJob()));
--- a/packages/jobs/tests/malformed_input_test.cc
+++ b/packages/jobs/tests/malformed_input_test.cc
@@ -92,6 +92,7 @@
           Encode(progress),
           Encode(owner),
           Encode(RosterRecord{{"w0", "w1"}}),
+          Encode(RosterTasksRecord{{{"w0", {{JobKey(kJob), {0, 0, 1}}}}}}),
           Encode(CellCountRecord{2}),
           Encode(LeaseRecord{std::chrono::seconds(4), {{"w0", 7}}})};
 }
--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -92,9 +92,9 @@
     simulation->KillNode(simulation->OwnerIndex());
     const Duration waited = TimeUntilAllRun(*simulation);
     CHECK(waited < seconds(5));
-    const std::string lines = simulation->LogLines("event=takeover_complete");
-    CHECK(lines.find("unreported=0") != std::string::npos);
-    CHECK(lines.find("unreported=1") == std::string::npos);
+    CHECK_FALSE(simulation->LogLines("event=takeover_complete").empty());
+    // The log names the workers that are awaited.
+    CHECK(simulation->LogLines(simulation->worker(left).entry().id + ":").empty());
     CheckNoViolations(*simulation);
   }
 }
@@ -124,6 +124,34 @@
   }
 }
 
+TEST_CASE("a new owner starts no task because a lost worker may run others") {
+  // Guards against tasks that wait for the leases of a worker on which they cannot run: the roster
+  // said that a worker may run something, but not what.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    const auto simulation = BusySimulation(seed);
+    const int lost = BusyWorker(*simulation, 0);
+    const auto lost_tasks = static_cast<int>(simulation->worker(lost).running().size());
+    const int draining = BusyWorker(*simulation, lost + 1);
+    simulation->PartitionWorker(lost, seconds(600));
+    simulation->RunFor(milliseconds(2200));
+    DrainUntilIdle(*simulation, draining);
+    simulation->KillNode(simulation->OwnerIndex());
+    const Time killed_at = simulation->now();
+    // All tasks but those of the lost worker run, whether its lease has ended or not.
+    const auto running_elsewhere = [&] {
+      return simulation->running_tasks() -
+             static_cast<int>(simulation->worker(lost).running().size());
+    };
+    while (running_elsewhere() < kTasks - lost_tasks && simulation->now() < killed_at + seconds(20))
+      simulation->RunFor(milliseconds(10));
+    CHECK(simulation->now() - killed_at < milliseconds(4500));
+    simulation->RunFor(seconds(10));
+    CHECK(running_elsewhere() == kTasks);
+    CheckNoViolations(*simulation);
+  }
+}
+
 TEST_CASE("an idle draining worker stays in the stored roster") {
   // Guards against a roster that shrinks only once all leases of a worker that is gone have ended.
   const auto simulation = BusySimulation(3);
