Say since when a task has no run, whether it ran before, and what is short

Callers saw a long-running task that stopped at 9.07 s and ran again at 33.31 s while run_start said waited_ms=39580: that counts from when the step was ready. task_waiting showed no_capacity on all workers beside 5,200 free milliprocessors: the most was taken over all workers, also those that are leaving, and no line told processors from memory.

Both lines now end with without_run_ms (since the last end) and restart; the lines of reason=no_worker also with the memory needed and free and the number of workers short of each resource. Keys of today stay, max_free_milliprocessors counts usable workers that the task may use. Both new tests fail without the change.

--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -148,7 +148,10 @@
   if (task == nullptr || !IsPlacedWith(*task, run)) return;
   task->phase = TaskPhase::kWaiting;
   task->retry_at = now;
-  if (begun) task->waiting_since = now;
+  if (begun) {
+    task->waiting_since = now;
+    task->has_run = true;
+  }
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
 }
 
@@ -175,6 +178,7 @@
   if (placed) {
     task->phase = TaskPhase::kWaiting;
     task->waiting_since = now;
+    task->has_run = true;
     task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
   }
   if (end == RunEnd::kFailed && !spec.long_running) RecordFailure(job, ref, run);
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -159,6 +159,24 @@
   return counts;
 }
 
+CapacitySummary Placer::SummarizeCapacity(const PlacementRequest& request,
+                                          const std::vector<WorkerState*>& workers) const {
+  const Resources need = CapacityNeed(request.step());
+  CapacitySummary summary;
+  Resources& most = summary.max_free;
+  for (const WorkerState* worker : workers) {
+    if (!MatchesConstraints(*worker, request)) continue;
+    const Resources free = worker->Free();
+    most.milliprocessors = std::max(most.milliprocessors, free.milliprocessors);
+    most.memory_bytes = std::max(most.memory_bytes, free.memory_bytes);
+    most.accelerators = std::max(most.accelerators, free.accelerators);
+    if (need.milliprocessors > free.milliprocessors) ++summary.short_of_processors;
+    if (need.memory_bytes > free.memory_bytes) ++summary.short_of_memory;
+    if (need.accelerators > free.accelerators) ++summary.short_of_accelerators;
+  }
+  return summary;
+}
+
 bool Placer::IsReserved(const WorkerState& worker) const {
   return Contains(reserved_workers_, worker) || Contains(reserved_before_, worker);
 }
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -44,6 +44,15 @@
 // Number of workers by the obstacle that rules each out.
 using ObstacleCounts = std::array<int, kPlacementObstacleCount>;
 
+// What the workers that a task may use have free, and what is short on those without room for it.
+struct CapacitySummary {
+  Resources max_free;  // The most of each resource that is free, not all on the same worker.
+  // Workers with less free than the task needs. One that is short of two resources counts twice.
+  int short_of_processors = 0;
+  int short_of_memory = 0;
+  int short_of_accelerators = 0;
+};
+
 // Chooses the worker on which a task starts.
 //
 // Serving tasks are packed on workers with tasks of the same image, to keep the number of different
@@ -70,6 +79,11 @@
   ObstacleCounts CountObstacles(const PlacementRequest& request,
                                 const std::vector<WorkerState*>& workers, Time now) const;
 
+  // Returns what those of the given workers have free that match the task's pool, rack, label and
+  // limit per worker.
+  CapacitySummary SummarizeCapacity(const PlacementRequest& request,
+                                    const std::vector<WorkerState*>& workers) const;
+
   // Reserves a worker for a long-running task that fits nowhere: no short task is placed on this
   // worker in this and the next pass, so that its capacity becomes free as running tasks end. A
   // worker that is reserved already is preferred.
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -154,7 +154,6 @@
 
   // Logs why tasks wait, for the tasks that have waited longest.
   void ReportWaitingTasks(const Now& now);
-  std::int64_t MaxFreeMilliprocessors() const;
   LogEvent ExplainWait(const ReadyStep& ready, int index, const Now& now);
 
   void PlaceReadySteps(const Now& now);
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -30,6 +30,10 @@
   auto operator<=>(const Rank&) const = default;
 };
 
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 Rank RankOf(const TrackedJob& job, Time now) {
   const auto limit =
       std::chrono::duration<double, Duration::period>(job.objective) * kMaxObjectiveFactor;
@@ -231,13 +235,16 @@
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
   AddPendingOrder(order.call, worker, ref, number, now);
-  const auto waited = now.monotonic - job.StepOf(task).ready_since;
+  const StepStatus& step = job.StepOf(task);
+  const TaskStatus& status = step.tasks[static_cast<std::size_t>(task.index)];
   Log(LogEvent(LogLevel::kInfo, "run_start")
           .With("task", jobs::ToString(ref))
           .With("run", number)
           .With("worker", worker.entry().id)
-          .With("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
-          .With("free_milliprocessors", worker.Free().milliprocessors));
+          .With("waited_ms", Milliseconds(now.monotonic - step.ready_since))
+          .With("free_milliprocessors", worker.Free().milliprocessors)
+          .With("without_run_ms", Milliseconds(now.monotonic - step.WaitingSince(status)))
+          .With("restart", static_cast<int>(status.has_run)));
   Enqueue(worker, std::move(order));
 }
 
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -31,6 +31,10 @@
   return ready.job->StepOf({ready.occurrence, ready.step, 0});
 }
 
+const TaskStatus& TaskOf(const WaitingTask& waiting) {
+  return StatusOf(waiting.step).tasks[static_cast<std::size_t>(waiting.index)];
+}
+
 // Appends the first task of a step that has no run although all it depends on is done.
 void CollectWaitingTask(const ReadyStep& ready, Time now, std::vector<WaitingTask>& waiting) {
   const StepStatus& step = StatusOf(ready);
@@ -63,16 +67,12 @@
     const WaitingTask& it = waiting[i];
     Log(ExplainWait(it.step, it.index, now)
             .With("waited_ms", Milliseconds(now.monotonic - it.since))
-            .With("waiting_steps", waiting.size()));
+            .With("waiting_steps", waiting.size())
+            .With("without_run_ms", Milliseconds(now.monotonic - it.since))
+            .With("restart", static_cast<int>(TaskOf(it).has_run)));
   }
 }
 
-std::int64_t Scheduler::MaxFreeMilliprocessors() const {
-  std::int64_t most = 0;
-  for (const auto& [id, worker] : workers_) most = std::max(most, worker.Free().milliprocessors);
-  return most;
-}
-
 LogEvent Scheduler::ExplainWait(const ReadyStep& ready, int index, const Now& now) {
   TrackedJob& job = *ready.job;
   const TaskId id{ready.occurrence, ready.step, index};
@@ -105,14 +105,21 @@
     const PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
     const std::vector<WorkerState*> usable = PlaceableWorkers();
     const ObstacleCounts counts = placer_.CountObstacles(request, usable, now.monotonic);
+    const CapacitySummary capacity = placer_.SummarizeCapacity(request, usable);
+    const Resources need = CapacityNeed(request.step());
     with_reason("no_worker")
-        .With("need_milliprocessors", CapacityNeed(request.step()).milliprocessors)
-        .With("max_free_milliprocessors", MaxFreeMilliprocessors())
+        .With("need_milliprocessors", need.milliprocessors)
+        .With("max_free_milliprocessors", capacity.max_free.milliprocessors)
         .With("workers", workers_.size())
         .With("unusable", workers_.size() - usable.size());
     for (std::size_t i = 0; i < counts.size(); ++i) {
       event.With(std::string(ToString(static_cast<PlacementObstacle>(i))), counts[i]);
     }
+    event.With("need_memory_bytes", need.memory_bytes)
+        .With("max_free_memory_bytes", capacity.max_free.memory_bytes)
+        .With("short_of_processors", capacity.short_of_processors)
+        .With("short_of_memory", capacity.short_of_memory)
+        .With("short_of_accelerators", capacity.short_of_accelerators);
   }
   return event;
 }
--- a/packages/jobs/tests/task_wait_test.cc
+++ b/packages/jobs/tests/task_wait_test.cc
@@ -24,6 +24,39 @@
         std::string::npos);
 }
 
+TEST_CASE("the log counts the wait of a task that has stopped from its first start") {
+  // Guards against a record that calls a wait of 3 s one of 15 s, and that tells neither whether
+  // the task ran before nor which resource is short.
+  const auto simulation = FilledSimulation();
+  simulation->RunFor(seconds(5));
+  const TaskRef task = simulation->worker(0).running().begin()->first;
+  simulation->StartRejecting(0);
+  simulation->worker(0).FailRun(task, simulation->now());
+  simulation->RunFor(seconds(4));
+  const std::string lines = simulation->LogLines("event=task_waiting task=" + jobs::ToString(task));
+  CHECK(lines.find(" without_run_ms=3") != std::string::npos);
+  CHECK(lines.find(" restart=1") != std::string::npos);
+  const JobKey key = simulation->Submit(LongRunningJob(1, 9000));
+  simulation->RunFor(seconds(3));
+  const std::string first = simulation->LogLines("task=" + key.str());
+  CHECK(first.find(" restart=0") != std::string::npos);
+  CHECK(first.find(" short_of_processors=2 short_of_memory=0 short_of_accelerators=0") !=
+        std::string::npos);
+}
+
+TEST_CASE("the most that is free on a worker counts workers that the task cannot use") {
+  // Guards against a line that shows room where there is none: a worker that is about to leave, or
+  // that is of another pool, had it.
+  const auto simulation = FilledSimulation();
+  simulation->Submit(LongRunningJob(1, 3000));
+  simulation->DrainWorker(0);
+  simulation->RunFor(seconds(4));
+  REQUIRE(simulation->worker(0).running().empty());
+  const std::string lines = simulation->LogLines("reason=no_worker");
+  CHECK(lines.find("max_free_milliprocessors=0 workers=2 unusable=1") != std::string::npos);
+  CHECK(lines.find("max_free_milliprocessors=8000") == std::string::npos);
+}
+
 TEST_CASE("long-running tasks of a large pool starve since two workers are reserved at a time") {
   // Guards against waits of 20 s and more: on a pool full of short tasks two workers at a time were
   // kept for waiting long-running tasks, however many tasks waited and workers there were.
