Start long-running tasks that stopped before all others, in room kept for them

Cause: room went by priority and the job's due time, which for a long-running job is minutes away: short tasks took what a stopped task left, and first starts took the workers that are reserved after 2.5 s, one for a step in a pass.

Now a long-running task that has run before is placed before all others, by the time of its stop, and claims room at once: what it left on its worker, or else the worker that is expected to have room first by the estimates of its short tasks. Nobody else takes claimed room. While a restart can claim none, no long-running task begins that never ran, for 9 s at most. The reserve for short tasks does not hold restarts. Room that short tasks give back now includes their memory.

--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -29,7 +29,8 @@
   Time retry_at;           // Earliest time of the next start.
   // End of the last run that has begun. A start that was refused does not change it.
   Time waiting_since;
-  bool has_run = false;  // A run has begun, as far as this owner knows.
+  bool has_run = false;     // A run has begun, as far as this owner knows.
+  std::string last_worker;  // Of the last run that this owner started or adopted.
 };
 
 struct StepStatus {
@@ -67,6 +68,13 @@
     return occurrences[static_cast<std::size_t>(task.occurrence)]
         .steps[static_cast<std::size_t>(task.step)];
   }
+  // True for a long-running task that has run before. Its next start is a restart, which callers
+  // are owed within a fixed time. The tasks of a gang start together only, and are no restarts.
+  bool IsRestart(const TaskId& task) {
+    const StepSpec& spec = SpecOf(task);
+    if (!spec.long_running || spec.gang) return false;
+    return StepOf(task).tasks[static_cast<std::size_t>(task.index)].has_run;
+  }
 };
 
 // A step of one occurrence of a job whose dependencies are done, so that its tasks may start.
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -38,6 +38,11 @@
 constexpr int kMaxReservationScans = 4;
 // A small pool keeps workers for short tasks: at most one of this many is reserved.
 constexpr std::size_t kMinWorkersPerReserved = 4;
+// Maximum number of times in one pass that all workers are searched for room to claim.
+constexpr int kMaxClaimSearches = 4;
+// A long-running task that has stopped is owed to its caller again within this time, if workers
+// have room. A wait beyond it shows that they have none.
+constexpr Duration kMaxRestartTime = std::chrono::seconds(9);
 // A long-running task that has waited for this time may use the reserve for short tasks.
 constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
 
@@ -75,8 +80,15 @@
   return need;
 }
 
-void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
+void Placer::BeginPass(const std::vector<WorkerState*>& workers,
+                       const std::set<TaskRef>& restarts) {
   workers_ = workers;
+  claims_.KeepWorkers(workers);
+  claims_.KeepTasks(restarts);
+  unclaimed_needs_.clear();
+  // Without a limit reached in the pass before, each task without a claim has had its turn.
+  if (claim_searches_left_ > 0) searched_in_vain_.clear();
+  claim_searches_left_ = kMaxClaimSearches;
   unplaceable_.clear();
   const std::vector<const WorkerState*> previous = std::exchange(reserved_workers_, {});
   reserved_before_.clear();
@@ -91,7 +103,10 @@
   }
 }
 
-void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step) {
+void Placer::OnPlaced(const WorkerState& worker, const TaskRef& task, const StepSpec& step) {
+  const WorkerState* claimed = claims_.WorkerOf(task);
+  claims_.Remove(task);
+  if (claimed != nullptr && claimed != &worker) OnCapacityFreed();
   pool_free_[worker.entry().pool] -= CapacityNeed(step);
 }
 
@@ -99,7 +114,7 @@
   const StepSpec& step = request.step();
   return std::any_of(unplaceable_.begin(), unplaceable_.end(), [&](const UnplaceableRequest& it) {
     const bool same_kind = it.best_effort == step.best_effort &&
-                           it.long_running == step.long_running &&
+                           it.long_running == step.long_running && it.restart == request.restart &&
                            (it.may_probe || !request.may_probe) &&
                            (!step.best_effort || it.image_index == request.image_index);
     return same_kind && it.service == request.service && it.rack == request.rack &&
@@ -109,7 +124,7 @@
 
 bool Placer::LeavesShortTaskReserve(const PlacementRequest& request) const {
   const StepSpec& step = request.step();
-  if (!step.long_running || step.best_effort) return true;
+  if (!step.long_running || step.best_effort || request.restart) return true;
   if (request.waited >= kMaxReserveWait) return true;
   const auto free = pool_free_.find(request.service);
   if (free == pool_free_.end()) return false;
@@ -141,11 +156,9 @@
   if (now < worker.starts_paused_until) return PlacementObstacle::kStartsPaused;
   const bool may_probe = request.may_probe && worker.quarantine.CanProbe(now);
   if (worker.quarantine.active(now) && !may_probe) return PlacementObstacle::kQuarantine;
-  if (step.best_effort) {
-    if (!KeepsNeighbourHeadroom(worker, request)) return PlacementObstacle::kNeighbourLoad;
-  } else if (!step.long_running && IsReserved(worker)) {
-    return PlacementObstacle::kReserved;
-  }
+  if (step.best_effort && !KeepsNeighbourHeadroom(worker, request))
+    return PlacementObstacle::kNeighbourLoad;
+  if (IsKeptForOthers(worker, request)) return PlacementObstacle::kReserved;
   return std::nullopt;
 }
 
@@ -186,13 +199,94 @@
   return std::min(std::max(kMinReservableWorkers, workers_.size() / kReservableDivisor), most);
 }
 
+bool Placer::LeavesClaimedRoom(const WorkerState& worker, const PlacementRequest& request) const {
+  if (claims_.empty()) return true;
+  const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
+  return Fits(CapacityNeed(request.step()) + claimed, worker.Free());
+}
+
+bool Placer::IsKeptForOthers(const WorkerState& worker, const PlacementRequest& request) const {
+  if (!LeavesClaimedRoom(worker, request)) return true;
+  const StepSpec& step = request.step();
+  if (step.best_effort || request.restart) return false;
+  return step.long_running ? IsOwedToRestarts(worker) : IsReserved(worker);
+}
+
+bool Placer::IsOwedToRestarts(const WorkerState& worker) const {
+  const WorkerEntry& entry = worker.entry();
+  return std::any_of(
+      unclaimed_needs_.begin(), unclaimed_needs_.end(), [&](const UnclaimedNeed& it) {
+        const bool usable = it.service == entry.pool && Fits(it.need, entry.capacity);
+        return usable && (it.label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
+                                                        it.label) != entry.labels.end());
+      });
+}
+
+std::optional<Time> Placer::ClaimableAt(const WorkerState& worker, const PlacementRequest& request,
+                                        Time now) const {
+  if (now < worker.starts_paused_until || worker.quarantine.active(now)) return std::nullopt;
+  if (!MatchesConstraints(worker, request)) return std::nullopt;
+  const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
+  return ExpectedRoomAt(worker, CapacityNeed(request.step()) + claimed, now);
+}
+
+WorkerState* Placer::FindClaimable(const PlacementRequest& request, Time now) {
+  WorkerState* best = nullptr;
+  Time best_at;
+  for (WorkerState* worker : workers_) {
+    ++comparison_count_;
+    const auto at = ClaimableAt(*worker, request, now);
+    if (!at) continue;
+    const std::int64_t free = worker->Free().milliprocessors;
+    const bool is_better =
+        best == nullptr || *at < best_at || (*at == best_at && free < best->Free().milliprocessors);
+    if (!is_better) continue;
+    best = worker;
+    best_at = *at;
+  }
+  return best;
+}
+
+void Placer::AddUnclaimedNeed(const PlacementRequest& request) {
+  if (request.waited >= kMaxRestartTime) return;
+  const StepSpec& step = request.step();
+  const Resources need = CapacityNeed(step);
+  const bool known =
+      std::any_of(unclaimed_needs_.begin(), unclaimed_needs_.end(), [&](const UnclaimedNeed& it) {
+        return it.service == request.service && it.label == step.required_label &&
+               Fits(it.need, need);
+      });
+  if (!known) unclaimed_needs_.push_back({request.service, step.required_label, need});
+}
+
+void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
+  const TaskRef task = request.ref();
+  const WorkerState* claimed = claims_.WorkerOf(task);
+  if (claimed != nullptr && ClaimableAt(*claimed, request, now)) return;
+  claims_.Remove(task);
+  WorkerState* last = request.last_worker;
+  if (last != nullptr && ClaimableAt(*last, request, now) == now) {
+    claims_.Add(task, *last, CapacityNeed(request.step()));
+    return;
+  }
+  if (claim_searches_left_ > 0 && searched_in_vain_.insert(task).second) {
+    --claim_searches_left_;
+    WorkerState* worker = FindClaimable(request, now);
+    if (worker != nullptr) {
+      searched_in_vain_.erase(task);
+      claims_.Add(task, *worker, CapacityNeed(request.step()));
+      return;
+    }
+  }
+  AddUnclaimedNeed(request);
+}
+
 bool Placer::CanReserve(const WorkerState& worker, const PlacementRequest& request,
                         Time now) const {
   if (Contains(reserved_workers_, worker) || !MatchesConstraints(worker, request)) return false;
   if (now < worker.starts_paused_until || worker.quarantine.active(now)) return false;
-  Resources eventually_free = worker.Free();
-  eventually_free.milliprocessors += worker.short_task_milliprocessors();
-  return Fits(CapacityNeed(request.step()), eventually_free);
+  const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
+  return Fits(CapacityNeed(request.step()) + claimed, worker.Free() + worker.short_task_use());
 }
 
 template <typename Workers>
@@ -213,6 +307,7 @@
   const WorkerState* worker = FindReservable(reserved_before_, request, now);
   if (worker == nullptr && reservation_scans_left_ > 0) {
     --reservation_scans_left_;
+    comparison_count_ += workers_.size();
     worker = FindReservable(workers_, request, now);
   }
   if (worker != nullptr) reserved_workers_.push_back(worker);
@@ -268,22 +363,40 @@
   return score;
 }
 
-WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
-  if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
+WorkerState* Placer::FindBest(const PlacementRequest& request, Time now) {
   WorkerState* best = nullptr;
   double best_score = 0;
   for (WorkerState* worker : workers_) {
+    ++comparison_count_;
     if (FindObstacle(*worker, request, now)) continue;
     const double score = Score(*worker, request, now);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
     best_score = score;
   }
+  return best;
+}
+
+WorkerState* Placer::ChooseClaimed(const PlacementRequest& request, Time now) const {
+  WorkerState* worker = claims_.WorkerOf(request.ref());
+  const bool fits = worker != nullptr && !FindObstacle(*worker, request, now);
+  return fits ? worker : nullptr;
+}
+
+std::string Placer::ClaimedWorkerOf(const TaskRef& task) const {
+  const WorkerState* worker = claims_.WorkerOf(task);
+  return worker == nullptr ? "" : worker->entry().id;
+}
+
+WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
+  if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
+  WorkerState* best = FindBest(request, now);
   const StepSpec& step = request.step();
   // A request that failed because of its own step's limit per worker does not rule out others.
   if (best == nullptr && step.max_per_worker == 0) {
     unplaceable_.push_back({request.service, request.rack, step.required_label, request.image_index,
-                            step.best_effort, step.long_running, request.may_probe, step.need});
+                            step.best_effort, step.long_running, request.may_probe, request.restart,
+                            step.need});
   }
   return best;
 }
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -10,6 +10,7 @@
 
 #include "interference_model.h"
 #include "job_tracker.h"
+#include "room_claims.h"
 #include "worker_state.h"
 
 namespace cactusshelf::jobs {
@@ -22,8 +23,11 @@
   std::string rack;     // Required rack; empty: any.
   int image_index = 0;
   Duration waited{};
-  bool may_probe = false;  // The task may start on a worker in quarantine.
+  bool may_probe = false;              // The task may start on a worker in quarantine.
+  bool restart = false;                // A long-running task that has run before.
+  WorkerState* last_worker = nullptr;  // Where a restart ran; null if that worker is not usable.
 
+  TaskRef ref() const { return {job->key, task}; }
   const StepSpec& step() const { return job->spec.steps[static_cast<std::size_t>(task.step)]; }
 };
 
@@ -33,7 +37,7 @@
   kConstraint,     // Pool, rack, label or limit per worker.
   kStartsPaused,   // The worker has just refused a start.
   kQuarantine,     // Runs of several jobs have failed on the worker.
-  kReserved,       // For a long-running task that has waited long.
+  kReserved,       // For a long-running task that has stopped, or that has waited long.
   kNeighbourLoad,  // A best-effort task would bring a serving neighbour near its target.
 };
 inline constexpr std::size_t kPlacementObstacleCount = 6;
@@ -59,6 +63,10 @@
 // image pairs on a worker low. Long-running tasks leave a reserve for short tasks, since callers
 // wait for those. Best-effort tasks go to workers with idle processors where they do not bring a
 // serving task near its latency target.
+//
+// Room may be claimed for a long-running task that has stopped. No other task takes it. While room
+// is claimed for none of the workers, no long-running task begins that never ran, unless the wait
+// has outlasted the time after which callers are owed the restart.
 // Not thread-safe.
 class Placer {
  public:
@@ -69,12 +77,19 @@
   // Starts a placement pass over `workers`, which must outlive the pass. After the free capacity of
   // a worker has grown in a pass, call OnCapacityFreed, since requests that fitted nowhere are not
   // tried again.
-  void BeginPass(const std::vector<WorkerState*>& workers);
+  // Room stays claimed for those of the tasks in `restarts` that had claimed it before.
+  void BeginPass(const std::vector<WorkerState*>& workers, const std::set<TaskRef>& restarts = {});
   void OnCapacityFreed() { unplaceable_.clear(); }
 
   // Returns the best worker for one task, or null if no worker can run the task now.
   WorkerState* Choose(const PlacementRequest& request, Time now);
 
+  // Returns the worker on which the task has claimed room, if it fits there now, or null.
+  WorkerState* ChooseClaimed(const PlacementRequest& request, Time now) const;
+
+  // Name of the worker on which the task has claimed room; empty if on none.
+  std::string ClaimedWorkerOf(const TaskRef& task) const;
+
   // Counts, for a task that fits nowhere, the given workers by the obstacle on each.
   ObstacleCounts CountObstacles(const PlacementRequest& request,
                                 const std::vector<WorkerState*>& workers, Time now) const;
@@ -89,8 +104,18 @@
   // worker that is reserved already is preferred.
   void ReserveWorker(const PlacementRequest& request, Time now);
 
-  // Records that a task was placed on `worker` in this pass.
-  void OnPlaced(const WorkerState& worker, const StepSpec& step);
+  // Claims room for a restart that cannot start now: what it has left on its last worker if that is
+  // still free, or else on the worker that is expected to have room first, once short tasks there
+  // have ended. Does nothing if the task has a claim that still
+  // holds. The number of searches in one pass is limited; tasks without a claim take turns.
+  // Precondition: request.restart.
+  void ClaimRoom(const PlacementRequest& request, Time now);
+
+  // Records that a task was placed on `worker` in this pass. Ends its claim.
+  void OnPlaced(const WorkerState& worker, const TaskRef& task, const StepSpec& step);
+
+  // Number of times that a worker was compared with a task, which is the main cost of a pass.
+  std::uint64_t comparison_count() const { return comparison_count_; }
 
  private:
   // A request that did not fit on any worker in this pass.
@@ -102,6 +127,13 @@
     bool best_effort = false;
     bool long_running = false;
     bool may_probe = false;
+    bool restart = false;
+    Resources need;
+  };
+  // A restart of this size could claim room on no worker.
+  struct UnclaimedNeed {
+    std::string service;
+    std::string label;
     Resources need;
   };
 
@@ -110,6 +142,22 @@
   // True if placing the task leaves enough processors of the pool to short tasks.
   bool LeavesShortTaskReserve(const PlacementRequest& request) const;
   bool IsReserved(const WorkerState& worker) const;
+  // True if other tasks go before this one on the worker.
+  bool IsKeptForOthers(const WorkerState& worker, const PlacementRequest& request) const;
+  // True if the task fits beside what other tasks claim on the worker.
+  bool LeavesClaimedRoom(const WorkerState& worker, const PlacementRequest& request) const;
+  // True if room on the worker is owed to restarts that could claim none yet, so that no
+  // long-running task may begin there that never ran.
+  bool IsOwedToRestarts(const WorkerState& worker) const;
+  // Time at which the worker is expected to have room for the restart, or nothing.
+  std::optional<Time> ClaimableAt(const WorkerState& worker, const PlacementRequest& request,
+                                  Time now) const;
+  // Returns the worker that is expected to have room first, or null. Of those that have it at the
+  // same time, the one with the fewest free processors.
+  WorkerState* FindClaimable(const PlacementRequest& request, Time now);
+  void AddUnclaimedNeed(const PlacementRequest& request);
+  // The best worker for the task, without regard to what is known to be unplaceable.
+  WorkerState* FindBest(const PlacementRequest& request, Time now);
   std::size_t MaxReservedWorkers() const;
   // True if the worker is not reserved in this pass, and the task fits once the short tasks there
   // have ended.
@@ -141,6 +189,12 @@
   std::vector<const WorkerState*> reserved_before_;  // In the pass before.
   std::vector<const WorkerState*> reserved_workers_;
   int reservation_scans_left_ = 0;
+  RoomClaims claims_;
+  std::vector<UnclaimedNeed> unclaimed_needs_;  // In this pass.
+  // Tasks that were searched room for in vain since all others without a claim had their turn.
+  std::set<TaskRef> searched_in_vain_;
+  int claim_searches_left_ = 0;
+  std::uint64_t comparison_count_ = 0;
 };
 
 // Resources that a task of `step` reserves of a worker's capacity. Best-effort tasks reserve no
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -158,6 +158,23 @@
 
   void PlaceReadySteps(const Now& now);
   std::vector<WorkerState*> PlaceableWorkers();
+  // True if tasks may be placed on the worker.
+  static bool IsPlaceable(const WorkerState& worker);
+  // A long-running task that has stopped and waits for a worker.
+  struct WaitingRestart {
+    ReadyStep step;
+    int index = 0;
+    Time since;  // When it stopped.
+
+    TaskId task() const { return {step.occurrence, step.step, index}; }
+  };
+  // Returns the restarts of the given steps, those first that stopped first. Includes tasks whose
+  // retry delay has not ended.
+  static std::vector<WaitingRestart> CollectRestarts(const std::vector<ReadyStep>& ready,
+                                                     bool best_effort_due);
+  // Starts the given tasks where they fit, and claims room for the others, before any other task is
+  // placed in the pass.
+  void PlaceRestarts(const std::vector<WaitingRestart>& restarts, const Now& now);
   void PlaceStep(const ReadyStep& ready, const Now& now);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
   PlacementRequest MakePlacementRequest(TrackedJob& job, const TaskId& task, Time now);
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -17,6 +17,7 @@
 void Scheduler::AddRun(WorkerState& worker, Run run) {
   TaskStatus* task = tracker_.Find(run.task);
   if (task != nullptr && worker.FindRun(run.task) == nullptr) ++task->present_runs;
+  if (task != nullptr) task->last_worker = worker.entry().id;
   worker.AddRun(std::move(run));
 }
 
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -95,7 +95,11 @@
     ranked.push_back({RankOf(*it.job, now.monotonic), it});
   }
   std::sort(ranked.begin(), ranked.end());
-  placer_.BeginPass(workers);
+  const std::vector<WaitingRestart> restarts = CollectRestarts(ready, best_effort_due);
+  std::set<TaskRef> restarting;
+  for (const WaitingRestart& it : restarts) restarting.insert({it.step.job->job->key, it.task()});
+  placer_.BeginPass(workers, restarting);
+  PlaceRestarts(restarts, now);
   for (const RankedStep& it : ranked) {
     if (SpecOf(it.step).gang) {
       PlaceGang(it.step, workers, now);
@@ -108,13 +112,17 @@
 std::vector<WorkerState*> Scheduler::PlaceableWorkers() {
   std::vector<WorkerState*> workers;
   for (auto& [id, worker] : workers_) {
-    const bool usable =
-        worker.listed && worker.token_accepted && worker.reachable && worker.in_stored_roster;
-    if (usable && !worker.entry().draining) workers.push_back(&worker);
+    if (IsPlaceable(worker)) workers.push_back(&worker);
   }
   return workers;
 }
 
+bool Scheduler::IsPlaceable(const WorkerState& worker) {
+  const bool usable =
+      worker.listed && worker.token_accepted && worker.reachable && worker.in_stored_roster;
+  return usable && !worker.entry().draining;
+}
+
 void Scheduler::PlaceStep(const ReadyStep& ready, const Now& now) {
   TrackedJob& job = *ready.job;
   TaskId id{ready.occurrence, ready.step, 0};
@@ -124,6 +132,7 @@
     const TaskStatus& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting || now.monotonic < task.retry_at) continue;
     id.index = static_cast<int>(i);
+    if (job.IsRestart(id)) continue;
     // The task cannot start while an earlier run of it is still being stopped.
     if (task.present_runs > 0) continue;
     // The tasks of a step differ only in whether they may start on a worker in quarantine.
@@ -195,6 +204,7 @@
   request.waited = now - step.WaitingSince(step.tasks[static_cast<std::size_t>(task.index)]);
   request.image_index = interference_.ImageIndex(job.SpecOf(task).image);
   request.may_probe = MayProbe(job, task, request.waited);
+  request.restart = job.IsRestart(task);
   return request;
 }
 
@@ -230,7 +240,7 @@
   Run run = MakeRun(*job.job, task, number);
   run.checkpoint = order.checkpoint;
   run.started_at = now.monotonic;
-  placer_.OnPlaced(worker, job.SpecOf(task));
+  placer_.OnPlaced(worker, ref, job.SpecOf(task));
   worker.quarantine.OnPlaced(ref, now.monotonic);
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -73,7 +73,7 @@
   const bool serving = run.latency_target > Duration::zero();
   expected_use_ += sign * static_cast<std::int64_t>(
                               serving ? requested * options_->serving_utilization : requested);
-  if (!run.long_running) short_task_use_ += sign * run.need.milliprocessors;
+  if (!run.long_running) short_task_use_ += run.need * sign;
   if (!serving) return;
   const int n = serving_runs_by_image_[run.image_index] += sign;
   if (n == 0) serving_runs_by_image_.erase(run.image_index);
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -150,8 +150,8 @@
   std::int64_t IdleMilliprocessors() const {
     return entry_.capacity.milliprocessors - expected_use_;
   }
-  // Reserved milliprocessors of tasks that are not long-running.
-  std::int64_t short_task_milliprocessors() const { return short_task_use_; }
+  // Reserved by tasks that are not long-running.
+  const Resources& short_task_use() const { return short_task_use_; }
   // Number of images of tasks with a latency target, other than `image_index`.
   int CountOtherServingImages(int image_index) const;
 
@@ -239,8 +239,8 @@
   const SchedulerOptions* options_;
   std::map<TaskRef, Run> runs_;
   Resources used_;
-  std::int64_t expected_use_ = 0;             // Milliprocessors.
-  std::int64_t short_task_use_ = 0;           // Milliprocessors.
+  std::int64_t expected_use_ = 0;  // Milliprocessors.
+  Resources short_task_use_;
   std::map<int, int> serving_runs_by_image_;  // By image index.
   bool clock_known_ = false;
   bool restart_suspected_ = false;
--- /dev/null
+++ b/packages/jobs/tests/restart_wait_test.cc
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+
+#include "job_simulation.h"
+
+// Tests of the time after which a long-running task that has stopped runs again.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Callers are owed a long-running task that has stopped at work again within this time.
+constexpr Duration kMaxRestartTime = seconds(9);
+constexpr int kWorkers = 16;
+constexpr Duration kLoadPeriod = milliseconds(250);
+
+// A pool on which long-running tasks hold most processors, short tasks take the rest, and more of
+// both kinds wait. The first starts of the long-running tasks that wait are due sooner than the
+// jobs that run already.
+struct BusyPool {
+  BusyPool() : simulation(31, 2, kWorkers, {}) {
+    simulation.RunFor(seconds(3));
+    for (int i = 0; i < 12; ++i) {
+      JobSpec spec = LongRunningJob(4, 1000 + 500 * (i % 4));
+      spec.steps.front().estimate = seconds(20);
+      jobs.push_back(simulation.Submit(spec));
+    }
+    simulation.RunFor(seconds(3));
+    REQUIRE(RunningTasks().size() == Tasks().size());
+    for (int i = 0; i < 24; ++i) simulation.Submit(LongRunningJob(1, 1500));
+    for (int i = 0; i < 24; ++i) simulation.Submit(LongRunningJob(1, 500));
+    RunLoaded(seconds(6));
+  }
+
+  // Advances time while short tasks keep coming, more than the pool can run.
+  void RunLoaded(Duration duration) {
+    const Time end = simulation.now() + duration;
+    while (simulation.now() < end) {
+      for (int i = 0; i < 4; ++i) simulation.Submit(SimpleJob(8, 500));
+      simulation.RunFor(kLoadPeriod);
+    }
+  }
+
+  std::vector<TaskRef> Tasks() const {
+    std::vector<TaskRef> tasks;
+    for (const JobKey& job : jobs) {
+      for (int i = 0; i < 4; ++i) tasks.push_back({job, {0, 0, i}});
+    }
+    return tasks;
+  }
+
+  // The tasks of the first jobs that run.
+  std::vector<TaskRef> RunningTasks() const {
+    std::vector<TaskRef> running;
+    for (const TaskRef& it : Tasks()) {
+      if (simulation.IsRunning(it)) running.push_back(it);
+    }
+    return running;
+  }
+
+  // Fails a task wherever it runs.
+  void FailTask(const TaskRef& task) {
+    for (int i = 0; i < kWorkers; ++i) {
+      if (simulation.worker(i).running().contains(task))
+        simulation.worker(i).FailRun(task, simulation.now());
+    }
+  }
+
+  // Checks that all tasks run after the time that they are owed.
+  void CheckRestarts() {
+    RunLoaded(kMaxRestartTime);
+    const std::vector<TaskRef> running = RunningTasks();
+    for (const TaskRef& it : Tasks()) {
+      if (std::find(running.begin(), running.end(), it) != running.end()) continue;
+      UNSCOPED_INFO(simulation.LogLines("task=" + ToString(it) + " "));
+    }
+    CHECK(running.size() == Tasks().size());
+    CheckNoViolations(simulation);
+  }
+
+  JobSimulation simulation;
+  std::vector<JobKey> jobs;
+};
+
+}  // namespace
+
+TEST_CASE("long-running tasks that fail on a full pool wait behind first starts and short tasks") {
+  // Guards against tasks that were away for 24 s: their own room went to others that ranked first.
+  BusyPool pool;
+  const std::vector<TaskRef> tasks = pool.Tasks();
+  for (std::size_t i = 0; i < tasks.size(); i += 3) pool.FailTask(tasks[i]);
+  pool.CheckRestarts();
+}
+
+TEST_CASE(
+    "long-running tasks of a lost worker wait behind first starts on the worker that returns") {
+  // Guards against a worker that comes back empty and is given to tasks that never ran.
+  BusyPool pool;
+  for (int i = 0; i < 3; ++i) pool.simulation.CrashWorker(i);
+  pool.CheckRestarts();
+}
+
+TEST_CASE("long-running tasks that were stopped on draining workers wait behind first starts") {
+  // Guards against room that a cancelled job leaves and that first starts take, a part at a time.
+  BusyPool pool;
+  const std::vector<JobKey> cancelled(pool.jobs.end() - 4, pool.jobs.end());
+  pool.jobs.resize(pool.jobs.size() - 4);
+  for (const JobKey& it : cancelled) pool.simulation.Cancel(it);
+  for (int i = 0; i < 2; ++i) pool.simulation.DrainWorker(i);
+  pool.CheckRestarts();
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/tests/room_claims_test.cc
@@ -0,0 +1,183 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "placer.h"
+
+// Tests of room that is claimed for restarts, with a placer and workers alone.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time kStart{seconds(100)};
+constexpr std::int64_t kGiB = std::int64_t{1} << 30;
+
+SubmittedJob LongRunningJob(std::uint64_t number, std::int64_t milliprocessors) {
+  StepSpec step;
+  step.count = 1;
+  step.long_running = true;
+  step.need.milliprocessors = milliprocessors;
+  SubmittedJob job;
+  job.key = JobKey(fmt::format("{:016x}", number));
+  job.spec.steps = {step};
+  return job;
+}
+
+PlacementRequest RestartOf(const SubmittedJob& job) {
+  PlacementRequest request;
+  request.job = &job;
+  request.service = "pool";
+  request.restart = true;
+  return request;
+}
+
+PlacementRequest FirstStartOf(const SubmittedJob& job) {
+  PlacementRequest request = RestartOf(job);
+  request.restart = false;
+  request.waited = seconds(2);
+  return request;
+}
+
+// Workers of 16 processors and 64 GiB.
+struct Pool {
+  explicit Pool(int count) {
+    for (int i = 0; i < count; ++i) {
+      WorkerEntry entry;
+      entry.id = "w" + std::to_string(i);
+      entry.pool = "pool";
+      entry.capacity = {16000, 64 * kGiB, 0};
+      owned.push_back(std::make_unique<WorkerState>(entry, options));
+      workers.push_back(owned.back().get());
+    }
+  }
+
+  // Adds a run that takes `need` and ends `estimate` after kStart, unless it is long-running.
+  void AddRun(int worker, const Resources& need, Duration estimate, bool long_running) {
+    Run run;
+    run.task = {JobKey(fmt::format("f{:015x}", ++runs)), {}};
+    run.need = need;
+    run.long_running = long_running;
+    run.started_at = kStart;
+    run.estimate = estimate;
+    workers[static_cast<std::size_t>(worker)]->AddRun(run);
+  }
+
+  // Places the restarts as a pass does. Returns the number of those that fit.
+  int PlaceRestarts(const std::vector<SubmittedJob>& jobs, Time now) {
+    std::set<TaskRef> tasks;
+    for (const SubmittedJob& it : jobs) tasks.insert(RestartOf(it).ref());
+    placer.BeginPass(workers, tasks);
+    int n = 0;
+    for (const SubmittedJob& it : jobs) {
+      const PlacementRequest request = RestartOf(it);
+      const bool fits =
+          placer.Choose(request, now) != nullptr || placer.ChooseClaimed(request, now) != nullptr;
+      if (!fits) placer.ClaimRoom(request, now);
+      n += fits ? 1 : 0;
+    }
+    return n;
+  }
+
+  SchedulerOptions options;
+  InterferenceModel interference;
+  std::vector<std::unique_ptr<WorkerState>> owned;
+  std::vector<WorkerState*> workers;
+  Placer placer{options, interference};
+  std::uint64_t runs = 0;
+};
+
+// Number of comparisons of a pass with `count` restarts on a full pool, once claims have settled.
+std::uint64_t ComparisonsOfPass(int count) {
+  Pool pool(490);
+  for (int i = 0; i < 490; ++i) {
+    pool.AddRun(i, {10000, 0, 0}, {}, true);
+    pool.AddRun(i, {6000, 0, 0}, seconds(2), false);
+  }
+  std::vector<SubmittedJob> jobs;
+  jobs.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i)
+    jobs.push_back(LongRunningJob(static_cast<std::uint64_t>(i), 3000 + (7919 * i + 1500) % 2000));
+  for (int i = 0; i < count; ++i) pool.PlaceRestarts(jobs, kStart);
+  const std::uint64_t before = pool.placer.comparison_count();
+  CHECK(pool.PlaceRestarts(jobs, kStart) == 0);
+  return pool.placer.comparison_count() - before;
+}
+
+}  // namespace
+
+TEST_CASE("each restart that waits on a full pool is compared with all workers in each pass") {
+  // Guards against an owner that is held up by its own placement while hundreds of tasks wait.
+  const std::uint64_t few = ComparisonsOfPass(50);
+  const std::uint64_t many = ComparisonsOfPass(400);
+  INFO(few << " comparisons with 50 restarts, " << many << " with 400");
+  CHECK(many <= 2 * few);
+}
+
+TEST_CASE("room is claimed only by processors") {
+  // Guards against a worker that is taken for full since its memory is, which short tasks hold.
+  Pool pool(1);
+  pool.AddRun(0, {4000, 60 * kGiB, 0}, seconds(1), false);
+  SubmittedJob job = LongRunningJob(1, 4000);
+  job.spec.steps.front().need.memory_bytes = 8 * kGiB;
+  CHECK(pool.PlaceRestarts({job}, kStart) == 0);
+  CHECK(pool.placer.ClaimedWorkerOf(RestartOf(job).ref()) == "w0");
+}
+
+TEST_CASE("a restart claims room that is not free in time") {
+  // Guards against a claim on the worker with the most free processors, whose tasks run for
+  // minutes.
+  Pool pool(2);
+  pool.AddRun(0, {13000, 0, 0}, std::chrono::minutes(2), false);
+  pool.AddRun(1, {16000, 0, 0}, seconds(1), false);
+  const SubmittedJob job = LongRunningJob(1, 4000);
+  CHECK(pool.PlaceRestarts({job}, kStart) == 0);
+  CHECK(pool.placer.ClaimedWorkerOf(RestartOf(job).ref()) == "w1");
+}
+
+TEST_CASE("a first start takes room that is claimed for a restart") {
+  // Guards against claims that hold back short tasks only.
+  Pool pool(1);
+  pool.AddRun(0, {13000, 0, 0}, seconds(1), false);
+  const SubmittedJob stopped = LongRunningJob(1, 4000);
+  const SubmittedJob other = LongRunningJob(2, 2000);
+  CHECK(pool.PlaceRestarts({stopped}, kStart) == 0);
+  CHECK(pool.placer.Choose(FirstStartOf(other), kStart) == nullptr);
+}
+
+TEST_CASE("first starts begin for ever nowhere beside a restart that fits nowhere") {
+  // Guards against a pool that stands still for a task that is too large for what is left of it.
+  Pool pool(1);
+  pool.AddRun(0, {10000, 0, 0}, {}, true);
+  const SubmittedJob large = LongRunningJob(1, 8000);
+  const SubmittedJob small = LongRunningJob(2, 2000);
+  for (const Duration waited : {Duration(seconds(1)), Duration(seconds(9))}) {
+    PlacementRequest request = RestartOf(large);
+    request.waited = waited;
+    pool.placer.BeginPass(pool.workers, {request.ref()});
+    CHECK(pool.placer.Choose(request, kStart) == nullptr);
+    pool.placer.ClaimRoom(request, kStart);
+    const WorkerState* worker = pool.placer.Choose(FirstStartOf(small), kStart);
+    CHECK((worker != nullptr) == (waited == Duration(seconds(9))));
+  }
+}
+
+TEST_CASE("a small restart takes the room that a large one has just left") {
+  // Guards against large tasks that find no room since small ones changed their places.
+  Pool pool(2);
+  pool.AddRun(0, {14000, 0, 0}, {}, true);
+  pool.AddRun(0, {2000, 0, 0}, seconds(1), false);
+  pool.AddRun(1, {10000, 0, 0}, {}, true);
+  const SubmittedJob small = LongRunningJob(1, 2000);
+  const SubmittedJob large = LongRunningJob(2, 6000);
+  pool.placer.BeginPass(pool.workers, {RestartOf(small).ref(), RestartOf(large).ref()});
+  PlacementRequest request = RestartOf(large);
+  request.last_worker = pool.workers[1];
+  pool.placer.ClaimRoom(request, kStart);
+  CHECK(pool.placer.Choose(RestartOf(small), kStart) == nullptr);
+  CHECK(pool.placer.ChooseClaimed(request, kStart) == pool.workers[1]);
+}
+
+}  // namespace cactusshelf::jobs
