Name stopped long-running tasks first among those that wait

Restarts come first now, with the worker on which they claim room. The new test fails without the change.

--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 #include "scheduler.h"
 
@@ -15,11 +17,14 @@
   ReadyStep step;
   int index = 0;
   bool long_running = false;
+  bool restart = false;
   Time since;
 
-  // Long-running tasks first, since nothing but a start ends their wait; then by time.
+  // Restarts first, since callers are owed them within a fixed time; then other long-running tasks,
+  // since nothing but a start ends their wait; then by time.
   bool operator<(const WaitingTask& other) const {
-    return std::tuple(!long_running, since) < std::tuple(!other.long_running, other.since);
+    return std::tuple(!restart, !long_running, since) <
+           std::tuple(!other.restart, !other.long_running, other.since);
   }
 };
 
@@ -35,19 +40,23 @@
   return StatusOf(waiting.step).tasks[static_cast<std::size_t>(waiting.index)];
 }
 
-// Appends the first task of a step that has no run although all it depends on is done.
+// Appends the task of a step that has waited longest without a run although all it depends on is
+// done; of its restarts, if there are any.
 void CollectWaitingTask(const ReadyStep& ready, Time now, std::vector<WaitingTask>& waiting) {
   const StepStatus& step = StatusOf(ready);
   const bool long_running = ready.job->SpecOf({ready.occurrence, ready.step, 0}).long_running;
+  std::optional<WaitingTask> first;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
     const bool without_run = task.phase == TaskPhase::kPlaced && task.present_runs == 0;
     if (task.phase != TaskPhase::kWaiting && !without_run) continue;
     const Time since = step.WaitingSince(task);
     if (now - since < kMinReportedWait) continue;
-    waiting.push_back({ready, static_cast<int>(i), long_running, since});
-    return;
+    const TaskId id{ready.occurrence, ready.step, static_cast<int>(i)};
+    const WaitingTask it{ready, id.index, long_running, ready.job->IsRestart(id), since};
+    if (!first || it < *first) first = it;
   }
+  if (first) waiting.push_back(*first);
 }
 
 }  // namespace
@@ -119,7 +128,8 @@
         .With("max_free_memory_bytes", capacity.max_free.memory_bytes)
         .With("short_of_processors", capacity.short_of_processors)
         .With("short_of_memory", capacity.short_of_memory)
-        .With("short_of_accelerators", capacity.short_of_accelerators);
+        .With("short_of_accelerators", capacity.short_of_accelerators)
+        .With("claimed_worker", placer_.ClaimedWorkerOf(ref));
   }
   return event;
 }
--- a/packages/jobs/tests/task_wait_test.cc
+++ b/packages/jobs/tests/task_wait_test.cc
@@ -44,6 +44,20 @@
         std::string::npos);
 }
 
+TEST_CASE("the log names first starts that wait and no task that has stopped") {
+  // Guards against a record without a line on the tasks that are owed soonest: at most four tasks
+  // are named each second, and five first starts had waited longer.
+  const auto simulation = FilledSimulation();
+  for (int i = 0; i < 5; ++i) simulation->Submit(LongRunningJob(1, 3000));
+  simulation->RunFor(seconds(5));
+  const TaskRef task = simulation->worker(0).running().begin()->first;
+  simulation->StartRejecting(0);
+  simulation->worker(0).FailRun(task, simulation->now());
+  simulation->RunFor(seconds(4));
+  const std::string part = "event=task_waiting task=" + jobs::ToString(task);
+  CHECK_FALSE(simulation->LogLines(part).empty());
+}
+
 TEST_CASE("the most that is free on a worker counts workers that the task cannot use") {
   // Guards against a line that shows room where there is none: a worker that is about to leave, or
   // that is of another pool, had it.
