Keep what stopped tasks are owed from first starts until they run

Cause: no worker had room for them even without its short tasks; first starts were held back for 9 s only and then took, a part at a time, what became free. First starts also took the room between the loss of a worker and the end of its lease.

A stopped task without room to claim now awaits it on the worker that lacks least, without a time limit: short tasks go on there, long-running tasks that never ran take nothing of it. So do the tasks of workers that do not answer or are leaving. Tasks claim room on the worker where they ran first, so that tasks that stop together don't lose room to fragments. A new owner takes waiting tasks of running jobs for stopped ones and places no new long-running task during its takeover.

"long-running tasks that fail during a change of owner" failed before.

--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -87,6 +87,15 @@
 }
 
 void JobTracker::Restore(TrackedJob& job, const JobProgress& progress) {
+  // Which tasks of a running job have run is not stored. Those that have not are few, since the
+  // tasks of a step are placed together.
+  if (progress.state == JobState::kRunning) {
+    for (OccurrenceStatus& occurrence : job.occurrences) {
+      for (StepStatus& step : occurrence.steps) {
+        for (TaskStatus& task : step.tasks) task.has_run = true;
+      }
+    }
+  }
   for (const TaskProgress& stored : progress.tasks) {
     if (!HasTask(job, stored.id)) continue;
     StepStatus& step = job.StepOf(stored.id);
--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -29,7 +29,7 @@
   Time retry_at;           // Earliest time of the next start.
   // End of the last run that has begun. A start that was refused does not change it.
   Time waiting_since;
-  bool has_run = false;     // A run has begun, as far as this owner knows.
+  bool has_run = false;     // A run has begun, or may have begun under an earlier owner.
   std::string last_worker;  // Of the last run that this owner started or adopted.
 };
 
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -1,6 +1,7 @@
 #include "placer.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "best_effort_throttle.h"
@@ -40,9 +41,9 @@
 constexpr std::size_t kMinWorkersPerReserved = 4;
 // Maximum number of times in one pass that all workers are searched for room to claim.
 constexpr int kMaxClaimSearches = 4;
-// A long-running task that has stopped is owed to its caller again within this time, if workers
-// have room. A wait beyond it shows that they have none.
-constexpr Duration kMaxRestartTime = std::chrono::seconds(9);
+// A long-running task that has stopped is owed to its caller again after this time, if workers have
+// room.
+constexpr Duration kRestartDelay = std::chrono::seconds(6);
 // A long-running task that has waited for this time may use the reserve for short tasks.
 constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
 
@@ -85,6 +86,8 @@
   workers_ = workers;
   claims_.KeepWorkers(workers);
   claims_.KeepTasks(restarts);
+  awaited_room_.KeepWorkers(workers);
+  awaited_room_.KeepTasks(restarts);
   unclaimed_needs_.clear();
   // Without a limit reached in the pass before, each task without a claim has had its turn.
   if (claim_searches_left_ > 0) searched_in_vain_.clear();
@@ -106,6 +109,7 @@
 void Placer::OnPlaced(const WorkerState& worker, const TaskRef& task, const StepSpec& step) {
   const WorkerState* claimed = claims_.WorkerOf(task);
   claims_.Remove(task);
+  awaited_room_.Remove(task);
   if (claimed != nullptr && claimed != &worker) OnCapacityFreed();
   pool_free_[worker.entry().pool] -= CapacityNeed(step);
 }
@@ -209,10 +213,14 @@
   if (!LeavesClaimedRoom(worker, request)) return true;
   const StepSpec& step = request.step();
   if (step.best_effort || request.restart) return false;
-  return step.long_running ? IsOwedToRestarts(worker) : IsReserved(worker);
+  return step.long_running ? IsOwedToRestarts(worker, request) : IsReserved(worker);
 }
 
-bool Placer::IsOwedToRestarts(const WorkerState& worker) const {
+bool Placer::IsOwedToRestarts(const WorkerState& worker, const PlacementRequest& request) const {
+  const TaskRef task = request.ref();
+  const Resources owed = CapacityNeed(request.step()) + claims_.ClaimedByOthers(worker, task) +
+                         awaited_room_.ClaimedByOthers(worker, task);
+  if (!Fits(owed, worker.Free())) return true;
   const WorkerEntry& entry = worker.entry();
   return std::any_of(
       unclaimed_needs_.begin(), unclaimed_needs_.end(), [&](const UnclaimedNeed& it) {
@@ -230,25 +238,40 @@
   return ExpectedRoomAt(worker, CapacityNeed(request.step()) + claimed, now);
 }
 
-WorkerState* Placer::FindClaimable(const PlacementRequest& request, Time now) {
-  WorkerState* best = nullptr;
+std::int64_t Placer::Shortfall(const WorkerState& worker, const PlacementRequest& request) const {
+  const TaskRef task = request.ref();
+  const Resources owed = CapacityNeed(request.step()) + claims_.ClaimedByOthers(worker, task) +
+                         awaited_room_.ClaimedByOthers(worker, task);
+  return (owed - worker.Free() - worker.short_task_use()).milliprocessors;
+}
+
+Placer::RoomSearch Placer::SearchRoom(const PlacementRequest& request, Time now) {
+  RoomSearch found;
   Time best_at;
+  std::pair<bool, std::int64_t> best_shortfall;
   for (WorkerState* worker : workers_) {
     ++comparison_count_;
+    const bool ever_fits = Fits(CapacityNeed(request.step()), worker->entry().capacity);
+    if (!ever_fits || !MatchesConstraints(*worker, request)) continue;
+    const std::int64_t shortfall = Shortfall(*worker, request);
+    const std::pair key(shortfall > 0, std::abs(shortfall));
+    if (found.awaited == nullptr || key < best_shortfall) {
+      found.awaited = worker;
+      best_shortfall = key;
+    }
     const auto at = ClaimableAt(*worker, request, now);
     if (!at) continue;
     const std::int64_t free = worker->Free().milliprocessors;
-    const bool is_better =
-        best == nullptr || *at < best_at || (*at == best_at && free < best->Free().milliprocessors);
+    const bool is_better = found.claimable == nullptr || *at < best_at ||
+                           (*at == best_at && free < found.claimable->Free().milliprocessors);
     if (!is_better) continue;
-    best = worker;
+    found.claimable = worker;
     best_at = *at;
   }
-  return best;
+  return found;
 }
 
 void Placer::AddUnclaimedNeed(const PlacementRequest& request) {
-  if (request.waited >= kMaxRestartTime) return;
   const StepSpec& step = request.step();
   const Resources need = CapacityNeed(step);
   const bool known =
@@ -259,26 +282,39 @@
   if (!known) unclaimed_needs_.push_back({request.service, step.required_label, need});
 }
 
-void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
+bool Placer::ClaimOnKnownWorker(const PlacementRequest& request, Time now) {
   const TaskRef task = request.ref();
   const WorkerState* claimed = claims_.WorkerOf(task);
-  if (claimed != nullptr && ClaimableAt(*claimed, request, now)) return;
+  if (claimed != nullptr && ClaimableAt(*claimed, request, now)) return true;
   claims_.Remove(task);
-  WorkerState* last = request.last_worker;
-  if (last != nullptr && ClaimableAt(*last, request, now) == now) {
-    claims_.Add(task, *last, CapacityNeed(request.step()));
-    return;
+  for (WorkerState* worker : {request.last_worker, awaited_room_.WorkerOf(task)}) {
+    if (worker == nullptr) continue;
+    const auto at = ClaimableAt(*worker, request, now);
+    if (!at || *at > now - request.waited + kRestartDelay) continue;
+    awaited_room_.Remove(task);
+    claims_.Add(task, *worker, CapacityNeed(request.step()));
+    return true;
   }
+  return false;
+}
+
+void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
+  const TaskRef task = request.ref();
+  if (request.restart && ClaimOnKnownWorker(request, now)) return;
+  if (!request.restart && awaited_room_.WorkerOf(task) != nullptr) return;
   if (claim_searches_left_ > 0 && searched_in_vain_.insert(task).second) {
     --claim_searches_left_;
-    WorkerState* worker = FindClaimable(request, now);
-    if (worker != nullptr) {
+    const RoomSearch found = SearchRoom(request, now);
+    if (request.restart && found.claimable != nullptr) {
       searched_in_vain_.erase(task);
-      claims_.Add(task, *worker, CapacityNeed(request.step()));
+      awaited_room_.Remove(task);
+      claims_.Add(task, *found.claimable, CapacityNeed(request.step()));
       return;
     }
+    if (found.awaited != nullptr)
+      awaited_room_.Add(task, *found.awaited, CapacityNeed(request.step()));
   }
-  AddUnclaimedNeed(request);
+  if (awaited_room_.WorkerOf(task) == nullptr) AddUnclaimedNeed(request);
 }
 
 bool Placer::CanReserve(const WorkerState& worker, const PlacementRequest& request,
@@ -383,11 +419,6 @@
   return fits ? worker : nullptr;
 }
 
-std::string Placer::ClaimedWorkerOf(const TaskRef& task) const {
-  const WorkerState* worker = claims_.WorkerOf(task);
-  return worker == nullptr ? "" : worker->entry().id;
-}
-
 WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
   if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
   WorkerState* best = FindBest(request, now);
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -64,9 +64,10 @@
 // wait for those. Best-effort tasks go to workers with idle processors where they do not bring a
 // serving task near its latency target.
 //
-// Room may be claimed for a long-running task that has stopped. No other task takes it. While room
-// is claimed for none of the workers, no long-running task begins that never ran, unless the wait
-// has outlasted the time after which callers are owed the restart.
+// Room may be claimed for a long-running task that has stopped: room that is free, or that is
+// expected to be free once short tasks have ended. No other task takes it. If there is none, the
+// task awaits room on the worker that lacks least of it. Short tasks go on there, but no
+// long-running task that never ran takes a part of it.
 // Not thread-safe.
 class Placer {
  public:
@@ -87,8 +88,10 @@
   // Returns the worker on which the task has claimed room, if it fits there now, or null.
   WorkerState* ChooseClaimed(const PlacementRequest& request, Time now) const;
 
-  // Name of the worker on which the task has claimed room; empty if on none.
-  std::string ClaimedWorkerOf(const TaskRef& task) const;
+  // True if the task has claimed room on the worker.
+  bool HasClaimOn(const WorkerState& worker, const TaskRef& task) const {
+    return claims_.WorkerOf(task) == &worker;
+  }
 
   // Counts, for a task that fits nowhere, the given workers by the obstacle on each.
   ObstacleCounts CountObstacles(const PlacementRequest& request,
@@ -104,11 +107,12 @@
   // worker that is reserved already is preferred.
   void ReserveWorker(const PlacementRequest& request, Time now);
 
-  // Claims room for a restart that cannot start now: what it has left on its last worker if that is
-  // still free, or else on the worker that is expected to have room first, once short tasks there
-  // have ended. Does nothing if the task has a claim that still
-  // holds. The number of searches in one pass is limited; tasks without a claim take turns.
-  // Precondition: request.restart.
+  // Claims or awaits room for a restart: on its last worker, if that is expected to have room in
+  // time, or else on the worker that is expected to have room first. So tasks that stop together
+  // find room as they had it. Does nothing if the task has a claim that still holds.
+  // A request without `restart` is for a task whose run is about to end; it only awaits room.
+  // The number of searches in one pass is limited; tasks without a claim take turns. Until its
+  // turn, a task keeps all of its pool from long-running tasks that never ran.
   void ClaimRoom(const PlacementRequest& request, Time now);
 
   // Records that a task was placed on `worker` in this pass. Ends its claim.
@@ -130,7 +134,14 @@
     bool restart = false;
     Resources need;
   };
-  // A restart of this size could claim room on no worker.
+  struct RoomSearch {
+    // Expected to have room first; of those at the same time, the one with the fewest free
+    // processors. Null if none is.
+    WorkerState* claimable = nullptr;
+    WorkerState* awaited =
+        nullptr;  // Lacks least, or exceeds the need least. Null if none matches.
+  };
+  // A restart of this size has had no turn yet to be searched room for.
   struct UnclaimedNeed {
     std::string service;
     std::string label;
@@ -146,15 +157,20 @@
   bool IsKeptForOthers(const WorkerState& worker, const PlacementRequest& request) const;
   // True if the task fits beside what other tasks claim on the worker.
   bool LeavesClaimedRoom(const WorkerState& worker, const PlacementRequest& request) const;
-  // True if room on the worker is owed to restarts that could claim none yet, so that no
-  // long-running task may begin there that never ran.
-  bool IsOwedToRestarts(const WorkerState& worker) const;
+  // True if the task, which never ran, would take room that restarts claim or await, or if room on
+  // the worker may be owed to restarts that have not had their turn.
+  bool IsOwedToRestarts(const WorkerState& worker, const PlacementRequest& request) const;
   // Time at which the worker is expected to have room for the restart, or nothing.
   std::optional<Time> ClaimableAt(const WorkerState& worker, const PlacementRequest& request,
                                   Time now) const;
-  // Returns the worker that is expected to have room first, or null. Of those that have it at the
-  // same time, the one with the fewest free processors.
-  WorkerState* FindClaimable(const PlacementRequest& request, Time now);
+  // Milliprocessors that the worker lacks for the task and all that is claimed or awaited there,
+  // once its short tasks have ended. Negative if it has more.
+  std::int64_t Shortfall(const WorkerState& worker, const PlacementRequest& request) const;
+  // Searches all workers for room.
+  RoomSearch SearchRoom(const PlacementRequest& request, Time now);
+  // Claims room without a search. Returns false if neither the present claim holds nor the last
+  // worker, or the one on which the task awaits room, is expected to have it in time.
+  bool ClaimOnKnownWorker(const PlacementRequest& request, Time now);
   void AddUnclaimedNeed(const PlacementRequest& request);
   // The best worker for the task, without regard to what is known to be unplaceable.
   WorkerState* FindBest(const PlacementRequest& request, Time now);
@@ -190,6 +206,7 @@
   std::vector<const WorkerState*> reserved_workers_;
   int reservation_scans_left_ = 0;
   RoomClaims claims_;
+  RoomClaims awaited_room_;
   std::vector<UnclaimedNeed> unclaimed_needs_;  // In this pass.
   // Tasks that were searched room for in vain since all others without a claim had their turn.
   std::set<TaskRef> searched_in_vain_;
--- a/packages/jobs/src/room_claims.h
+++ b/packages/jobs/src/room_claims.h
@@ -26,7 +26,8 @@
   // Does nothing if the task has no claim.
   void Remove(const TaskRef& task);
 
-  // The worker on which the task claims room, or null.
+  // The worker on which the task claims room, or null. It may have been removed since the last call
+  // of KeepWorkers.
   WorkerState* WorkerOf(const TaskRef& task) const;
   // Sum of the claims on a worker, those of `task` excepted.
   Resources ClaimedByOthers(const WorkerState& worker, const TaskRef& task) const;
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -172,9 +172,14 @@
   // retry delay has not ended.
   static std::vector<WaitingRestart> CollectRestarts(const std::vector<ReadyStep>& ready,
                                                      bool best_effort_due);
-  // Starts the given tasks where they fit, and claims room for the others, before any other task is
-  // placed in the pass.
-  void PlaceRestarts(const std::vector<WaitingRestart>& restarts, const Now& now);
+  // Returns the long-running tasks that are about to stop, since their workers do not answer or
+  // leave.
+  std::vector<WaitingRestart> CollectExpectedRestarts();
+  PlacementRequest MakeRestartRequest(const WaitingRestart& restart, const Now& now);
+  // Starts the given tasks where they fit and claims room for the others, and awaits room for the
+  // `expected` ones, before any other task is placed in the pass.
+  void PlaceRestarts(const std::vector<WaitingRestart>& restarts,
+                     const std::vector<WaitingRestart>& expected, const Now& now);
   void PlaceStep(const ReadyStep& ready, const Now& now);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
   PlacementRequest MakePlacementRequest(TrackedJob& job, const TaskId& task, Time now);
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -90,6 +90,8 @@
   placement_deadline_ = std::min(placement_deadline_, next_best_effort_placement_);
   for (const ReadyStep& it : ready) {
     if (it.job->may_run_unreported || !HasWaitingTask(it)) continue;
+    // Room may be owed to restarts of the jobs that wait for the end of the takeover.
+    if (taking_over_ && SpecOf(it).long_running) continue;
     const bool best_effort = SpecOf(it).best_effort;
     if (best_effort && !best_effort_due) continue;
     ranked.push_back({RankOf(*it.job, now.monotonic), it});
@@ -97,9 +99,12 @@
   std::sort(ranked.begin(), ranked.end());
   const std::vector<WaitingRestart> restarts = CollectRestarts(ready, best_effort_due);
   std::set<TaskRef> restarting;
-  for (const WaitingRestart& it : restarts) restarting.insert({it.step.job->job->key, it.task()});
+  const std::vector<WaitingRestart> expected = CollectExpectedRestarts();
+  for (const auto* list : {&restarts, &expected}) {
+    for (const WaitingRestart& it : *list) restarting.insert({it.step.job->job->key, it.task()});
+  }
   placer_.BeginPass(workers, restarting);
-  PlaceRestarts(restarts, now);
+  PlaceRestarts(restarts, expected, now);
   for (const RankedStep& it : ranked) {
     if (SpecOf(it.step).gang) {
       PlaceGang(it.step, workers, now);
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -147,7 +147,8 @@
   }
   // A task may be reported as done by a worker that was considered lost, while a second run of the
   // task is on another worker.
-  const TaskStatus* task = tracker_.Find(end.task);
+  TaskStatus* task = tracker_.Find(end.task);
+  if (task != nullptr && task->last_worker.empty()) task->last_worker = worker.entry().id;
   const bool second_run_present =
       task != nullptr && task->phase == TaskPhase::kDone && task->present_runs > 0;
   if (job_ended || second_run_present) StopObsoleteRuns(end.task.job, now);
--- a/packages/jobs/src/scheduler_restarts.cc
+++ b/packages/jobs/src/scheduler_restarts.cc
@@ -30,28 +30,58 @@
   return restarts;
 }
 
-void Scheduler::PlaceRestarts(const std::vector<WaitingRestart>& restarts, const Now& now) {
+std::vector<Scheduler::WaitingRestart> Scheduler::CollectExpectedRestarts() {
+  std::vector<WaitingRestart> expected;
+  for (const auto& [id, worker] : workers_) {
+    const bool leaves = worker.incarnation != 0 && (!worker.reachable || worker.entry().draining);
+    if (!leaves) continue;
+    for (const auto& [ref, run] : worker.runs()) {
+      TrackedJob* job = tracker_.Find(ref.job);
+      const TaskStatus* task = tracker_.Find(ref);
+      const bool placed = task != nullptr && task->phase == TaskPhase::kPlaced;
+      if (!placed || !run.long_running || run.best_effort || job->SpecOf(ref.task).gang) continue;
+      expected.push_back({{job, ref.task.occurrence, ref.task.step}, ref.task.index, {}});
+    }
+  }
+  return expected;
+}
+
+PlacementRequest Scheduler::MakeRestartRequest(const WaitingRestart& restart, const Now& now) {
+  TrackedJob& job = *restart.step.job;
+  const TaskId id = restart.task();
+  PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
+  WorkerState* last =
+      FindWorker(job.StepOf(id).tasks[static_cast<std::size_t>(id.index)].last_worker);
+  if (last != nullptr && IsPlaceable(*last)) request.last_worker = last;
+  return request;
+}
+
+void Scheduler::PlaceRestarts(const std::vector<WaitingRestart>& restarts,
+                              const std::vector<WaitingRestart>& expected, const Now& now) {
+  std::vector<PlacementRequest> requests;
+  requests.reserve(restarts.size());
+  for (const WaitingRestart& it : restarts) {
+    requests.push_back(MakeRestartRequest(it, now));
+    if (!requests.back().step().best_effort) placer_.ClaimRoom(requests.back(), now.monotonic);
+  }
   // The tasks of a step differ only in their claims and in whether they may probe.
   std::set<std::tuple<JobKey, int, int, bool>> unplaceable_steps;
-  for (const WaitingRestart& it : restarts) {
-    TrackedJob& job = *it.step.job;
-    const TaskId id = it.task();
-    const TaskStatus& task = job.StepOf(id).tasks[static_cast<std::size_t>(id.index)];
-    PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
-    WorkerState* last = FindWorker(task.last_worker);
-    if (last != nullptr && IsPlaceable(*last)) request.last_worker = last;
+  for (std::size_t i = 0; i < restarts.size(); ++i) {
+    const PlacementRequest& request = requests[i];
+    TrackedJob& job = *restarts[i].step.job;
+    const TaskId id = restarts[i].task();
+    if (now.monotonic < job.StepOf(id).tasks[static_cast<std::size_t>(id.index)].retry_at) continue;
     const std::tuple kind(job.job->key, id.occurrence, id.step, request.may_probe);
     WorkerState* worker = nullptr;
-    if (now.monotonic >= task.retry_at) {
-      if (!unplaceable_steps.contains(kind)) worker = placer_.Choose(request, now.monotonic);
-      if (worker == nullptr) unplaceable_steps.insert(kind);
-      if (worker == nullptr) worker = placer_.ChooseClaimed(request, now.monotonic);
-    }
-    if (worker != nullptr) {
-      StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
-    } else if (!request.step().best_effort) {
-      placer_.ClaimRoom(request, now.monotonic);
-    }
+    if (!unplaceable_steps.contains(kind)) worker = placer_.Choose(request, now.monotonic);
+    if (worker == nullptr) unplaceable_steps.insert(kind);
+    if (worker == nullptr) worker = placer_.ChooseClaimed(request, now.monotonic);
+    if (worker != nullptr) StartTask(*worker, job, id, tracker_.NextRun(job, id), now);
+  }
+  for (const WaitingRestart& it : expected) {
+    PlacementRequest request = MakePlacementRequest(*it.step.job, it.task(), now.monotonic);
+    request.restart = false;
+    placer_.ClaimRoom(request, now.monotonic);
   }
 }
 
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -124,12 +124,15 @@
     for (std::size_t i = 0; i < counts.size(); ++i) {
       event.With(std::string(ToString(static_cast<PlacementObstacle>(i))), counts[i]);
     }
+    const auto claimed = std::find_if(usable.begin(), usable.end(), [&](const WorkerState* it) {
+      return placer_.HasClaimOn(*it, ref);
+    });
     event.With("need_memory_bytes", need.memory_bytes)
         .With("max_free_memory_bytes", capacity.max_free.memory_bytes)
         .With("short_of_processors", capacity.short_of_processors)
         .With("short_of_memory", capacity.short_of_memory)
         .With("short_of_accelerators", capacity.short_of_accelerators)
-        .With("claimed_worker", placer_.ClaimedWorkerOf(ref));
+        .With("claimed_worker", claimed == usable.end() ? "" : (*claimed)->entry().id);
   }
   return event;
 }
--- a/packages/jobs/tests/restart_wait_test.cc
+++ b/packages/jobs/tests/restart_wait_test.cc
@@ -100,6 +100,18 @@
   pool.CheckRestarts();
 }
 
+TEST_CASE("long-running tasks that fail during a change of owner wait behind first starts") {
+  // Guards against a new owner that takes all tasks for first starts, and that gives their room to
+  // jobs that are handed in while it waits for the reports of the workers.
+  BusyPool pool;
+  const std::vector<TaskRef> tasks = pool.Tasks();
+  for (std::size_t i = 0; i < tasks.size(); i += 3) pool.FailTask(tasks[i]);
+  pool.simulation.KillAllNodes();
+  pool.RunLoaded(seconds(3));
+  for (int i = 0; i < 24; ++i) pool.simulation.Submit(LongRunningJob(1, 1000));
+  pool.CheckRestarts();
+}
+
 TEST_CASE("long-running tasks that were stopped on draining workers wait behind first starts") {
   // Guards against room that a cancelled job leaves and that first starts take, a part at a time.
   BusyPool pool;
