Merge the restarts that claim room (part 2)

A task that may run on an awaited worker of an earlier owner is no restart that may be placed: one check, WaitsForWorker, serves restarts, steps and gangs.

--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -87,6 +87,15 @@
 }
 
 void JobTracker::Restore(TrackedJob& job, const JobProgress& progress) {
+  // Which tasks of a running job have run is not stored. Those that have not are few, since the
+  // tasks of a step are placed together.
+  if (progress.state == JobState::kRunning) {
+    for (OccurrenceStatus& occurrence : job.occurrences) {
+      for (StepStatus& step : occurrence.steps) {
+        for (TaskStatus& task : step.tasks) task.has_run = true;
+      }
+    }
+  }
   for (const TaskProgress& stored : progress.tasks) {
     if (!HasTask(job, stored.id)) continue;
     StepStatus& step = job.StepOf(stored.id);
@@ -148,7 +157,10 @@
   if (task == nullptr || !IsPlacedWith(*task, run)) return;
   task->phase = TaskPhase::kWaiting;
   task->retry_at = now;
-  if (begun) task->waiting_since = now;
+  if (begun) {
+    task->waiting_since = now;
+    task->has_run = true;
+  }
   if (!checkpoint.empty()) task->checkpoint = checkpoint;
 }
 
@@ -175,6 +187,7 @@
   if (placed) {
     task->phase = TaskPhase::kWaiting;
     task->waiting_since = now;
+    task->has_run = true;
     task->retry_at = now + (spec.long_running ? kLongRunningRetryDelay : kRetryDelay);
   }
   if (end == RunEnd::kFailed && !spec.long_running) RecordFailure(job, ref, run);
--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -1,6 +1,7 @@
 #include "placer.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "best_effort_throttle.h"
@@ -38,6 +39,11 @@
 constexpr int kMaxReservationScans = 4;
 // A small pool keeps workers for short tasks: at most one of this many is reserved.
 constexpr std::size_t kMinWorkersPerReserved = 4;
+// Maximum number of times in one pass that all workers are searched for room to claim.
+constexpr int kMaxClaimSearches = 4;
+// A long-running task that has stopped is owed to its caller again after this time, if workers have
+// room.
+constexpr Duration kRestartDelay = std::chrono::seconds(6);
 // A long-running task that has waited for this time may use the reserve for short tasks.
 constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
 
@@ -75,8 +81,17 @@
   return need;
 }
 
-void Placer::BeginPass(const std::vector<WorkerState*>& workers) {
+void Placer::BeginPass(const std::vector<WorkerState*>& workers,
+                       const std::set<TaskRef>& restarts) {
   workers_ = workers;
+  claims_.KeepWorkers(workers);
+  claims_.KeepTasks(restarts);
+  awaited_room_.KeepWorkers(workers);
+  awaited_room_.KeepTasks(restarts);
+  unclaimed_needs_.clear();
+  // Without a limit reached in the pass before, each task without a claim has had its turn.
+  if (claim_searches_left_ > 0) searched_in_vain_.clear();
+  claim_searches_left_ = kMaxClaimSearches;
   unplaceable_.clear();
   const std::vector<const WorkerState*> previous = std::exchange(reserved_workers_, {});
   reserved_before_.clear();
@@ -91,7 +106,11 @@
   }
 }
 
-void Placer::OnPlaced(const WorkerState& worker, const StepSpec& step) {
+void Placer::OnPlaced(const WorkerState& worker, const TaskRef& task, const StepSpec& step) {
+  const WorkerState* claimed = claims_.WorkerOf(task);
+  claims_.Remove(task);
+  awaited_room_.Remove(task);
+  if (claimed != nullptr && claimed != &worker) OnCapacityFreed();
   pool_free_[worker.entry().pool] -= CapacityNeed(step);
 }
 
@@ -99,7 +118,7 @@
   const StepSpec& step = request.step();
   return std::any_of(unplaceable_.begin(), unplaceable_.end(), [&](const UnplaceableRequest& it) {
     const bool same_kind = it.best_effort == step.best_effort &&
-                           it.long_running == step.long_running &&
+                           it.long_running == step.long_running && it.restart == request.restart &&
                            (it.may_probe || !request.may_probe) &&
                            (!step.best_effort || it.image_index == request.image_index);
     return same_kind && it.service == request.service && it.rack == request.rack &&
@@ -109,7 +128,7 @@
 
 bool Placer::LeavesShortTaskReserve(const PlacementRequest& request) const {
   const StepSpec& step = request.step();
-  if (!step.long_running || step.best_effort) return true;
+  if (!step.long_running || step.best_effort || request.restart) return true;
   if (request.waited >= kMaxReserveWait) return true;
   const auto free = pool_free_.find(request.service);
   if (free == pool_free_.end()) return false;
@@ -141,11 +160,9 @@
   if (now < worker.starts_paused_until) return PlacementObstacle::kStartsPaused;
   const bool may_probe = request.may_probe && worker.quarantine.CanProbe(now);
   if (worker.quarantine.active(now) && !may_probe) return PlacementObstacle::kQuarantine;
-  if (step.best_effort) {
-    if (!KeepsNeighbourHeadroom(worker, request)) return PlacementObstacle::kNeighbourLoad;
-  } else if (!step.long_running && IsReserved(worker)) {
-    return PlacementObstacle::kReserved;
-  }
+  if (step.best_effort && !KeepsNeighbourHeadroom(worker, request))
+    return PlacementObstacle::kNeighbourLoad;
+  if (IsKeptForOthers(worker, request)) return PlacementObstacle::kReserved;
   return std::nullopt;
 }
 
@@ -159,6 +176,24 @@
   return counts;
 }
 
+CapacitySummary Placer::SummarizeCapacity(const PlacementRequest& request,
+                                          const std::vector<WorkerState*>& workers) const {
+  const Resources need = CapacityNeed(request.step());
+  CapacitySummary summary;
+  Resources& most = summary.max_free;
+  for (const WorkerState* worker : workers) {
+    if (!MatchesConstraints(*worker, request)) continue;
+    const Resources free = worker->Free();
+    most.milliprocessors = std::max(most.milliprocessors, free.milliprocessors);
+    most.memory_bytes = std::max(most.memory_bytes, free.memory_bytes);
+    most.accelerators = std::max(most.accelerators, free.accelerators);
+    if (need.milliprocessors > free.milliprocessors) ++summary.short_of_processors;
+    if (need.memory_bytes > free.memory_bytes) ++summary.short_of_memory;
+    if (need.accelerators > free.accelerators) ++summary.short_of_accelerators;
+  }
+  return summary;
+}
+
 bool Placer::IsReserved(const WorkerState& worker) const {
   return Contains(reserved_workers_, worker) || Contains(reserved_before_, worker);
 }
@@ -168,13 +203,126 @@
   return std::min(std::max(kMinReservableWorkers, workers_.size() / kReservableDivisor), most);
 }
 
+bool Placer::LeavesClaimedRoom(const WorkerState& worker, const PlacementRequest& request) const {
+  if (claims_.empty()) return true;
+  const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
+  return Fits(CapacityNeed(request.step()) + claimed, worker.Free());
+}
+
+bool Placer::IsKeptForOthers(const WorkerState& worker, const PlacementRequest& request) const {
+  if (!LeavesClaimedRoom(worker, request)) return true;
+  const StepSpec& step = request.step();
+  if (step.best_effort || request.restart) return false;
+  return step.long_running ? IsOwedToRestarts(worker, request) : IsReserved(worker);
+}
+
+bool Placer::IsOwedToRestarts(const WorkerState& worker, const PlacementRequest& request) const {
+  const TaskRef task = request.ref();
+  const Resources owed = CapacityNeed(request.step()) + claims_.ClaimedByOthers(worker, task) +
+                         awaited_room_.ClaimedByOthers(worker, task);
+  if (!Fits(owed, worker.Free())) return true;
+  const WorkerEntry& entry = worker.entry();
+  return std::any_of(
+      unclaimed_needs_.begin(), unclaimed_needs_.end(), [&](const UnclaimedNeed& it) {
+        const bool usable = it.service == entry.pool && Fits(it.need, entry.capacity);
+        return usable && (it.label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
+                                                        it.label) != entry.labels.end());
+      });
+}
+
+std::optional<Time> Placer::ClaimableAt(const WorkerState& worker, const PlacementRequest& request,
+                                        Time now) const {
+  if (now < worker.starts_paused_until || worker.quarantine.active(now)) return std::nullopt;
+  if (!MatchesConstraints(worker, request)) return std::nullopt;
+  const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
+  return ExpectedRoomAt(worker, CapacityNeed(request.step()) + claimed, now);
+}
+
+std::int64_t Placer::Shortfall(const WorkerState& worker, const PlacementRequest& request) const {
+  const TaskRef task = request.ref();
+  const Resources owed = CapacityNeed(request.step()) + claims_.ClaimedByOthers(worker, task) +
+                         awaited_room_.ClaimedByOthers(worker, task);
+  return (owed - worker.Free() - worker.short_task_use()).milliprocessors;
+}
+
+Placer::RoomSearch Placer::SearchRoom(const PlacementRequest& request, Time now) {
+  RoomSearch found;
+  Time best_at;
+  std::pair<bool, std::int64_t> best_shortfall;
+  for (WorkerState* worker : workers_) {
+    ++comparison_count_;
+    const bool ever_fits = Fits(CapacityNeed(request.step()), worker->entry().capacity);
+    if (!ever_fits || !MatchesConstraints(*worker, request)) continue;
+    const std::int64_t shortfall = Shortfall(*worker, request);
+    const std::pair key(shortfall > 0, std::abs(shortfall));
+    if (found.awaited == nullptr || key < best_shortfall) {
+      found.awaited = worker;
+      best_shortfall = key;
+    }
+    const auto at = ClaimableAt(*worker, request, now);
+    if (!at) continue;
+    const std::int64_t free = worker->Free().milliprocessors;
+    const bool is_better = found.claimable == nullptr || *at < best_at ||
+                           (*at == best_at && free < found.claimable->Free().milliprocessors);
+    if (!is_better) continue;
+    found.claimable = worker;
+    best_at = *at;
+  }
+  return found;
+}
+
+void Placer::AddUnclaimedNeed(const PlacementRequest& request) {
+  const StepSpec& step = request.step();
+  const Resources need = CapacityNeed(step);
+  const bool known =
+      std::any_of(unclaimed_needs_.begin(), unclaimed_needs_.end(), [&](const UnclaimedNeed& it) {
+        return it.service == request.service && it.label == step.required_label &&
+               Fits(it.need, need);
+      });
+  if (!known) unclaimed_needs_.push_back({request.service, step.required_label, need});
+}
+
+bool Placer::ClaimOnKnownWorker(const PlacementRequest& request, Time now) {
+  const TaskRef task = request.ref();
+  const WorkerState* claimed = claims_.WorkerOf(task);
+  if (claimed != nullptr && ClaimableAt(*claimed, request, now)) return true;
+  claims_.Remove(task);
+  for (WorkerState* worker : {request.last_worker, awaited_room_.WorkerOf(task)}) {
+    if (worker == nullptr) continue;
+    const auto at = ClaimableAt(*worker, request, now);
+    if (!at || *at > now - request.waited + kRestartDelay) continue;
+    awaited_room_.Remove(task);
+    claims_.Add(task, *worker, CapacityNeed(request.step()));
+    return true;
+  }
+  return false;
+}
+
+void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
+  const TaskRef task = request.ref();
+  if (request.restart && ClaimOnKnownWorker(request, now)) return;
+  if (!request.restart && awaited_room_.WorkerOf(task) != nullptr) return;
+  if (claim_searches_left_ > 0 && searched_in_vain_.insert(task).second) {
+    --claim_searches_left_;
+    const RoomSearch found = SearchRoom(request, now);
+    if (request.restart && found.claimable != nullptr) {
+      searched_in_vain_.erase(task);
+      awaited_room_.Remove(task);
+      claims_.Add(task, *found.claimable, CapacityNeed(request.step()));
+      return;
+    }
+    if (found.awaited != nullptr)
+      awaited_room_.Add(task, *found.awaited, CapacityNeed(request.step()));
+  }
+  if (awaited_room_.WorkerOf(task) == nullptr) AddUnclaimedNeed(request);
+}
+
 bool Placer::CanReserve(const WorkerState& worker, const PlacementRequest& request,
                         Time now) const {
   if (Contains(reserved_workers_, worker) || !MatchesConstraints(worker, request)) return false;
   if (now < worker.starts_paused_until || worker.quarantine.active(now)) return false;
-  Resources eventually_free = worker.Free();
-  eventually_free.milliprocessors += worker.short_task_milliprocessors();
-  return Fits(CapacityNeed(request.step()), eventually_free);
+  const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
+  return Fits(CapacityNeed(request.step()) + claimed, worker.Free() + worker.short_task_use());
 }
 
 template <typename Workers>
@@ -195,6 +343,7 @@
   const WorkerState* worker = FindReservable(reserved_before_, request, now);
   if (worker == nullptr && reservation_scans_left_ > 0) {
     --reservation_scans_left_;
+    comparison_count_ += workers_.size();
     worker = FindReservable(workers_, request, now);
   }
   if (worker != nullptr) reserved_workers_.push_back(worker);
@@ -250,22 +399,35 @@
   return score;
 }
 
-WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
-  if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
+WorkerState* Placer::FindBest(const PlacementRequest& request, Time now) {
   WorkerState* best = nullptr;
   double best_score = 0;
   for (WorkerState* worker : workers_) {
+    ++comparison_count_;
     if (FindObstacle(*worker, request, now)) continue;
     const double score = Score(*worker, request, now);
     if (best != nullptr && score <= best_score) continue;
     best = worker;
     best_score = score;
   }
+  return best;
+}
+
+WorkerState* Placer::ChooseClaimed(const PlacementRequest& request, Time now) const {
+  WorkerState* worker = claims_.WorkerOf(request.ref());
+  const bool fits = worker != nullptr && !FindObstacle(*worker, request, now);
+  return fits ? worker : nullptr;
+}
+
+WorkerState* Placer::Choose(const PlacementRequest& request, Time now) {
+  if (IsKnownUnplaceable(request) || !LeavesShortTaskReserve(request)) return nullptr;
+  WorkerState* best = FindBest(request, now);
   const StepSpec& step = request.step();
   // A request that failed because of its own step's limit per worker does not rule out others.
   if (best == nullptr && step.max_per_worker == 0) {
     unplaceable_.push_back({request.service, request.rack, step.required_label, request.image_index,
-                            step.best_effort, step.long_running, request.may_probe, step.need});
+                            step.best_effort, step.long_running, request.may_probe, request.restart,
+                            step.need});
   }
   return best;
 }
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -186,11 +186,34 @@
 
   // Logs why tasks wait, for the tasks that have waited longest.
   void ReportWaitingTasks(const Now& now);
-  std::int64_t MaxFreeMilliprocessors() const;
   LogEvent ExplainWait(const ReadyStep& ready, int index, const Now& now);
 
   void PlaceReadySteps(const Now& now);
   std::vector<WorkerState*> PlaceableWorkers();
+  // True if tasks may be placed on the worker.
+  static bool IsPlaceable(const WorkerState& worker);
+  // A long-running task that has stopped and waits for a worker.
+  struct WaitingRestart {
+    ReadyStep step;
+    int index = 0;
+    Time since;  // When it stopped.
+
+    TaskId task() const { return {step.occurrence, step.step, index}; }
+  };
+  // Returns the restarts of the given steps, those first that stopped first. Includes tasks whose
+  // retry delay has not ended.
+  std::vector<WaitingRestart> CollectRestarts(const std::vector<ReadyStep>& ready,
+                                              bool best_effort_due) const;
+  // Returns the long-running tasks that are about to stop, since their workers do not answer or
+  // leave.
+  std::vector<WaitingRestart> CollectExpectedRestarts();
+  PlacementRequest MakeRestartRequest(const WaitingRestart& restart, const Now& now);
+  // Starts the given tasks where they fit and claims room for the others, and awaits room for the
+  // `expected` ones, before any other task is placed in the pass.
+  void PlaceRestarts(const std::vector<WaitingRestart>& restarts,
+                     const std::vector<WaitingRestart>& expected, const Now& now);
+  // True if the task has no run and may start: no earlier run of it may be at work anywhere.
+  bool WaitsForWorker(TrackedJob& job, const TaskId& id) const;
   void PlaceStep(const ReadyStep& ready, const Now& now);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
   PlacementRequest MakePlacementRequest(TrackedJob& job, const TaskId& task, Time now);
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -30,6 +30,10 @@
   auto operator<=>(const Rank&) const = default;
 };
 
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 Rank RankOf(const TrackedJob& job, Time now) {
   const auto limit =
       std::chrono::duration<double, Duration::period>(job.objective) * kMaxObjectiveFactor;
@@ -86,12 +90,21 @@
   placement_deadline_ = std::min(placement_deadline_, next_best_effort_placement_);
   for (const ReadyStep& it : ready) {
     if (it.job->may_run_unreported || !HasWaitingTask(it)) continue;
+    // Room may be owed to restarts of the jobs that wait for the end of the takeover.
+    if (taking_over_ && SpecOf(it).long_running) continue;
     const bool best_effort = SpecOf(it).best_effort;
     if (best_effort && !best_effort_due) continue;
     ranked.push_back({RankOf(*it.job, now.monotonic), it});
   }
   std::sort(ranked.begin(), ranked.end());
-  placer_.BeginPass(workers);
+  const std::vector<WaitingRestart> restarts = CollectRestarts(ready, best_effort_due);
+  std::set<TaskRef> restarting;
+  const std::vector<WaitingRestart> expected = CollectExpectedRestarts();
+  for (const auto* list : {&restarts, &expected}) {
+    for (const WaitingRestart& it : *list) restarting.insert({it.step.job->job->key, it.task()});
+  }
+  placer_.BeginPass(workers, restarting);
+  PlaceRestarts(restarts, expected, now);
   for (const RankedStep& it : ranked) {
     if (SpecOf(it.step).gang) {
       PlaceGang(it.step, workers, now);
@@ -104,13 +117,24 @@
 std::vector<WorkerState*> Scheduler::PlaceableWorkers() {
   std::vector<WorkerState*> workers;
   for (auto& [id, worker] : workers_) {
-    const bool usable =
-        worker.listed && worker.token_accepted && worker.reachable && worker.in_stored_roster;
-    if (usable && !worker.entry().draining) workers.push_back(&worker);
+    if (IsPlaceable(worker)) workers.push_back(&worker);
   }
   return workers;
 }
 
+bool Scheduler::IsPlaceable(const WorkerState& worker) {
+  const bool usable =
+      worker.listed && worker.token_accepted && worker.reachable && worker.in_stored_roster;
+  return usable && !worker.entry().draining;
+}
+
+bool Scheduler::WaitsForWorker(TrackedJob& job, const TaskId& id) const {
+  const TaskStatus& task = job.StepOf(id).tasks[static_cast<std::size_t>(id.index)];
+  // The task cannot start while an earlier run of it is still being stopped.
+  if (task.phase != TaskPhase::kWaiting || task.present_runs > 0) return false;
+  return awaited_task_set_.empty() || !awaited_task_set_.contains({job.job->key, id});
+}
+
 void Scheduler::PlaceStep(const ReadyStep& ready, const Now& now) {
   TrackedJob& job = *ready.job;
   TaskId id{ready.occurrence, ready.step, 0};
@@ -118,10 +142,8 @@
   bool unplaceable = false;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
-    if (task.phase != TaskPhase::kWaiting || now.monotonic < task.retry_at) continue;
     id.index = static_cast<int>(i);
-    // The task cannot start while an earlier run of it is still being stopped.
-    if (task.present_runs > 0 || awaited_task_set_.contains({job.job->key, id})) continue;
+    if (now.monotonic < task.retry_at || !WaitsForWorker(job, id) || job.IsRestart(id)) continue;
     // The tasks of a step differ only in whether they may start on a worker in quarantine.
     const Duration waited = now.monotonic - step.WaitingSince(task);
     if (unplaceable && !MayProbe(job, id, waited)) continue;
@@ -147,9 +169,7 @@
   for (int i = 0; i < count; ++i) {
     const TaskStatus& task = step.tasks[static_cast<std::size_t>(i)];
     id.index = i;
-    const bool startable = task.phase == TaskPhase::kWaiting && task.present_runs == 0 &&
-                           !awaited_task_set_.contains({job.job->key, id});
-    if (!startable || now.monotonic < task.retry_at) return;
+    if (now.monotonic < task.retry_at || !WaitsForWorker(job, id)) return;
   }
   std::set<std::string> racks{""};
   if (job.SpecOf(id).same_rack) {
@@ -193,6 +213,7 @@
   request.waited = now - step.WaitingSince(step.tasks[static_cast<std::size_t>(task.index)]);
   request.image_index = interference_.ImageIndex(job.SpecOf(task).image);
   request.may_probe = MayProbe(job, task, request.waited);
+  request.restart = job.IsRestart(task);
   return request;
 }
 
@@ -230,18 +251,21 @@
   run.checkpoint = order.checkpoint;
   run.started_at = now.monotonic;
   run.incarnation = order.incarnation;
-  placer_.OnPlaced(worker, job.SpecOf(task));
+  placer_.OnPlaced(worker, ref, job.SpecOf(task));
   worker.quarantine.OnPlaced(ref, now.monotonic);
   AddRun(worker, std::move(run));
   tracker_.OnPlaced(ref, number);
   AddPendingOrder(order.call, worker, ref, number, now);
-  const auto waited = now.monotonic - job.StepOf(task).ready_since;
+  const StepStatus& step = job.StepOf(task);
+  const TaskStatus& status = step.tasks[static_cast<std::size_t>(task.index)];
   Log(LogEvent(LogLevel::kInfo, "run_start")
           .With("task", jobs::ToString(ref))
           .With("run", number)
           .With("worker", worker.entry().id)
-          .With("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
-          .With("free_milliprocessors", worker.Free().milliprocessors));
+          .With("waited_ms", Milliseconds(now.monotonic - step.ready_since))
+          .With("free_milliprocessors", worker.Free().milliprocessors)
+          .With("without_run_ms", Milliseconds(now.monotonic - step.WaitingSince(status)))
+          .With("restart", static_cast<int>(status.has_run)));
   Enqueue(worker, std::move(order));
 }
 
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 #include "scheduler.h"
 
@@ -15,11 +17,14 @@
   ReadyStep step;
   int index = 0;
   bool long_running = false;
+  bool restart = false;
   Time since;
 
-  // Long-running tasks first, since nothing but a start ends their wait; then by time.
+  // Restarts first, since callers are owed them within a fixed time; then other long-running tasks,
+  // since nothing but a start ends their wait; then by time.
   bool operator<(const WaitingTask& other) const {
-    return std::tuple(!long_running, since) < std::tuple(!other.long_running, other.since);
+    return std::tuple(!restart, !long_running, since) <
+           std::tuple(!other.restart, !other.long_running, other.since);
   }
 };
 
@@ -31,19 +36,27 @@
   return ready.job->StepOf({ready.occurrence, ready.step, 0});
 }
 
-// Appends the first task of a step that has no run although all it depends on is done.
+const TaskStatus& TaskOf(const WaitingTask& waiting) {
+  return StatusOf(waiting.step).tasks[static_cast<std::size_t>(waiting.index)];
+}
+
+// Appends the task of a step that has waited longest without a run although all it depends on is
+// done; of its restarts, if there are any.
 void CollectWaitingTask(const ReadyStep& ready, Time now, std::vector<WaitingTask>& waiting) {
   const StepStatus& step = StatusOf(ready);
   const bool long_running = ready.job->SpecOf({ready.occurrence, ready.step, 0}).long_running;
+  std::optional<WaitingTask> first;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
     const bool without_run = task.phase == TaskPhase::kPlaced && task.present_runs == 0;
     if (task.phase != TaskPhase::kWaiting && !without_run) continue;
     const Time since = step.WaitingSince(task);
     if (now - since < kMinReportedWait) continue;
-    waiting.push_back({ready, static_cast<int>(i), long_running, since});
-    return;
+    const TaskId id{ready.occurrence, ready.step, static_cast<int>(i)};
+    const WaitingTask it{ready, id.index, long_running, ready.job->IsRestart(id), since};
+    if (!first || it < *first) first = it;
   }
+  if (first) waiting.push_back(*first);
 }
 
 }  // namespace
@@ -63,16 +76,12 @@
     const WaitingTask& it = waiting[i];
     Log(ExplainWait(it.step, it.index, now)
             .With("waited_ms", Milliseconds(now.monotonic - it.since))
-            .With("waiting_steps", waiting.size()));
+            .With("waiting_steps", waiting.size())
+            .With("without_run_ms", Milliseconds(now.monotonic - it.since))
+            .With("restart", static_cast<int>(TaskOf(it).has_run)));
   }
 }
 
-std::int64_t Scheduler::MaxFreeMilliprocessors() const {
-  std::int64_t most = 0;
-  for (const auto& [id, worker] : workers_) most = std::max(most, worker.Free().milliprocessors);
-  return most;
-}
-
 LogEvent Scheduler::ExplainWait(const ReadyStep& ready, int index, const Now& now) {
   TrackedJob& job = *ready.job;
   const TaskId id{ready.occurrence, ready.step, index};
@@ -105,14 +114,25 @@
     const PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
     const std::vector<WorkerState*> usable = PlaceableWorkers();
     const ObstacleCounts counts = placer_.CountObstacles(request, usable, now.monotonic);
+    const CapacitySummary capacity = placer_.SummarizeCapacity(request, usable);
+    const Resources need = CapacityNeed(request.step());
     with_reason("no_worker")
-        .With("need_milliprocessors", CapacityNeed(request.step()).milliprocessors)
-        .With("max_free_milliprocessors", MaxFreeMilliprocessors())
+        .With("need_milliprocessors", need.milliprocessors)
+        .With("max_free_milliprocessors", capacity.max_free.milliprocessors)
         .With("workers", workers_.size())
         .With("unusable", workers_.size() - usable.size());
     for (std::size_t i = 0; i < counts.size(); ++i) {
       event.With(std::string(ToString(static_cast<PlacementObstacle>(i))), counts[i]);
     }
+    const auto claimed = std::find_if(usable.begin(), usable.end(), [&](const WorkerState* it) {
+      return placer_.HasClaimOn(*it, ref);
+    });
+    event.With("need_memory_bytes", need.memory_bytes)
+        .With("max_free_memory_bytes", capacity.max_free.memory_bytes)
+        .With("short_of_processors", capacity.short_of_processors)
+        .With("short_of_memory", capacity.short_of_memory)
+        .With("short_of_accelerators", capacity.short_of_accelerators)
+        .With("claimed_worker", claimed == usable.end() ? "" : (*claimed)->entry().id);
   }
   return event;
 }
