--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -157,14 +157,20 @@
   ArmTimer(i);
 }
 
-void JobSimulation::KillNode(int i) {
+void JobSimulation::LoseNode(int i) {
   Node& node = nodes_[static_cast<std::size_t>(i)];
-  if (node.node == nullptr) return;
   node.node.reset();
   node.inbox.clear();
   if (std::exchange(node.timer_in_inbox, false)) node.timer_set = false;
+  ++node.incarnation;
   restart_check_.NoteDisturbance(now_);
-  const int incarnation = ++node.incarnation;
+}
+
+void JobSimulation::KillNode(int i) {
+  Node& node = nodes_[static_cast<std::size_t>(i)];
+  if (node.node == nullptr) return;
+  LoseNode(i);
+  const int incarnation = node.incarnation;
   Schedule(now_ + random_.Between(milliseconds(50), seconds(2)), [this, i, incarnation] {
     if (nodes_[static_cast<std::size_t>(i)].incarnation == incarnation) StartNode(i);
   });
@@ -233,7 +239,8 @@
     });
   }
   node.busy_until = now_ + busy;
-  busy_time_ += busy;
+  node.busy_time += busy;
+  node.longest_busy_time = std::max(node.longest_busy_time, busy);
 }
 
 void JobSimulation::ArmTimer(int i) {
@@ -725,7 +732,7 @@
     return it.second > now_ && !gone_workers_.contains(it.first);
   };
   const bool nodes = std::any_of(nodes_.begin(), nodes_.end(), [this](const Node& it) {
-    return it.node == nullptr || it.frozen_until > now_ || it.store_partitioned_until > now_;
+    return it.frozen_until > now_ || it.store_partitioned_until > now_;
   });
   const bool sound_workers =
       std::none_of(workers_.begin(), workers_.end(), [](const auto& it) { return it->hung(); });
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -62,6 +62,8 @@
   void Cancel(const JobKey& key);
 
   void RunFor(Duration duration);
+  // Replaces the probabilities; periods that were zero at the beginning stay without effect.
+  void SetFaults(const SimulationFaults& faults) { faults_ = faults; }
   void StopFaults() { faults_ = {}; }
 
   Time now() const { return now_; }
@@ -84,6 +86,8 @@
   int CellCount();
   // The process of a node ends. It starts again after up to 2 s.
   void KillNode(int i);
+  // The process of a node ends, and does not start again.
+  void LoseNode(int i);
   void KillAllNodes();
   // Lists a worker as draining.
   void DrainWorker(int i);
@@ -107,8 +111,11 @@
   void RetireWorker(int i, Duration drain_time);
   // True once the worker was lost for good.
   bool IsGone(int i) { return gone_workers_.contains(worker(i).entry().id); }
-  // Processor time of all nodes that processor costs have added up to.
-  Duration busy_time() const { return busy_time_; }
+  // Time for which a node has been busy, and its longest time for one event with its effects.
+  Duration busy_time(int i) const { return nodes_[static_cast<std::size_t>(i)].busy_time; }
+  Duration longest_busy_time(int i) const {
+    return nodes_[static_cast<std::size_t>(i)].longest_busy_time;
+  }
   // The worker fails what runs there, and all that is started there until StopFailingRuns.
   void StartFailingRuns(int i);
   void StopFailingRuns(int i);
@@ -133,6 +140,8 @@
     std::deque<JobEvent> inbox;
     Time busy_until;
     bool timer_in_inbox = false;
+    Duration busy_time{};
+    Duration longest_busy_time{};
   };
   struct Submitted {
     JobSpec spec;
@@ -221,7 +230,6 @@
   std::map<std::string, std::map<std::uint64_t, std::function<void()>>> waiting_holds_;
   std::uint64_t next_waiting_hold_ = 1;
   RestartCheck restart_check_;
-  Duration busy_time_{};
   // Offsets of the records of each job, by cell and job.
   std::map<std::pair<int, std::string>, std::vector<std::size_t>> record_offsets_;
   std::map<JobKey, Submitted> jobs_;
--- a/packages/jobs/tests/processor_costs.h
+++ b/packages/jobs/tests/processor_costs.h
@@ -15,7 +15,7 @@
   // bytes; the owner of 490 workers with about 500 starts a second needs 0.28 to 0.43 of a
   // processor.
   Duration peer_message = std::chrono::microseconds(50);
-  Duration peer_kilobyte = std::chrono::microseconds(200);
+  Duration peer_kilobyte = std::chrono::microseconds(500);
   // A record that is read or appended.
   Duration record = std::chrono::microseconds(11);
   Duration log_line = std::chrono::microseconds(20);
