--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -230,9 +230,10 @@
   std::map<std::string, std::map<std::uint64_t, std::function<void()>>> waiting_holds_;
   std::uint64_t next_waiting_hold_ = 1;
   RestartCheck restart_check_;
-  // Offsets of the records of each job, by cell and job.
+  // Offsets of the records of each job and of the layout, by cell and name.
   std::map<std::pair<int, std::string>, std::vector<std::size_t>> record_offsets_;
   std::map<JobKey, Submitted> jobs_;
+  std::vector<JobKey> long_running_jobs_;  // Those with a long-running step.
   std::map<JobKey, bool> accepted_;
   std::uint64_t next_caller_ = 1;
   struct PendingRequest {
