A new owner does not take unbound leases of earlier versions for bound ones

Seen in a new test of the scheduler, before any caller saw it: with a stored lease record of an earlier version, or with a longer stored lease, a worker's runs were given up after 4.1 s.

Cause: before the first reports no worker holds a lease, so all workers seemed to hold the usual one and the record was replaced at once.

Change: the record is replaced once the longest lease has passed since the takeover. HoldsUsualLease is gone. New tests: the lease that a new owner counts, for records of both versions; old records of leases and hosts; the stop of a start that is on its way.

--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -37,11 +37,14 @@
       taking_over_(generation > 1),
       stored_leases_(log_view.leases()),
       earlier_leases_bound_(generation <= 1 || stored_leases_.bound) {
-  const Duration max_lease = std::max(options.lease, stored_leases_.lease);
-  const auto slow =
-      std::chrono::duration<double, Duration::period>(max_lease) / (1.0 - options.max_clock_drift);
   const Duration notice = predecessor_ended ? Duration::zero() : options.fencing_detection_time;
-  takeover_end_ = now.monotonic + notice + std::chrono::duration_cast<Duration>(slow);
+  const auto end_of = [&](Duration lease) {
+    const auto slow =
+        std::chrono::duration<double, Duration::period>(lease) / (1.0 - options.max_clock_drift);
+    return now.monotonic + notice + std::chrono::duration_cast<Duration>(slow);
+  };
+  takeover_end_ = end_of(std::max(options.lease, stored_leases_.lease));
+  earlier_leases_end_ = end_of(std::max(options.longest_lease, stored_leases_.lease));
   for (const auto& [key, entry] : log_view.entries()) {
     if (entry.job == nullptr) continue;
     tracker_.Add(entry.job, entry.progress, taking_over_, now.monotonic);
@@ -193,7 +196,6 @@
     if (!learned.effects.empty()) batch.records.push_back(Encode(learned));
   }
   if (leases_changed_) {
-    stored_leases_ = MakeLeaseRecord(AllWorkersHoldUsualLease(now.monotonic));
     batch.records.push_back(Encode(stored_leases_));
     leases_changed_ = false;
   }
@@ -209,27 +211,16 @@
 void Scheduler::CheckStoredLeases(const Now& now) {
   if (now.monotonic < next_lease_check_) return;
   next_lease_check_ = now.monotonic + kLeaseCheckPeriod;
-  const bool all_usual = AllWorkersHoldUsualLease(now.monotonic);
-  earlier_leases_bound_ = earlier_leases_bound_ || all_usual;
+  const bool earlier_ended = now.monotonic >= earlier_leases_end_;
+  earlier_leases_bound_ = earlier_leases_bound_ || earlier_ended;
   // Until then the record of the earlier owner still says which of its leases are known.
   if (!earlier_leases_bound_) return;
-  const LeaseRecord present = MakeLeaseRecord(all_usual);
-  leases_changed_ =
-      leases_changed_ || !stored_leases_.bound || stored_leases_.lease != present.lease;
-}
-
-bool Scheduler::AllWorkersHoldUsualLease(Time now) const {
-  // Workers that have not reported hold the leases of the earlier owners.
-  return unreported_workers_.empty() &&
-         std::all_of(workers_.begin(), workers_.end(),
-                     [now](const auto& it) { return it.second.HoldsUsualLease(now); });
-}
-
-LeaseRecord Scheduler::MakeLeaseRecord(bool all_usual) const {
-  LeaseRecord record;
-  record.bound = true;
-  record.lease = all_usual ? options_.lease : std::max(options_.lease, stored_leases_.lease);
-  return record;
+  LeaseRecord present;
+  present.bound = true;
+  present.lease = earlier_ended ? options_.lease : std::max(options_.lease, stored_leases_.lease);
+  if (stored_leases_.bound && stored_leases_.lease == present.lease) return;
+  stored_leases_ = std::move(present);
+  leases_changed_ = true;
 }
 
 RosterRecord Scheduler::MakeRoster() {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -135,9 +135,6 @@
   Duration MaxEarlierLease(const WorkerState& worker, const HoldReport& report) const;
   // Compares the stored leases with the present ones.
   void CheckStoredLeases(const Now& now);
-  // True if no worker that may run tasks holds a longer lease than this owner grants.
-  bool AllWorkersHoldUsualLease(Time now) const;
-  LeaseRecord MakeLeaseRecord(bool all_usual) const;
   // The workers that may run something on orders of this or an earlier owner. No task starts on any
   // other worker until a later roster is stored.
   RosterRecord MakeRoster();
@@ -217,6 +214,7 @@
   bool roster_changed_ = false;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
   bool leases_changed_ = false;
+  Time earlier_leases_end_;  // No lease of earlier owners lasts longer, bound or not.
   // All leases that any owner has granted, and that may still last, are bound to an incarnation.
   bool earlier_leases_bound_;
   Time next_lease_check_;
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -144,8 +144,4 @@
   return time + duration_cast<Duration>(slow);
 }
 
-bool WorkerState::HoldsUsualLease(Time now) const {
-  return lease_expiry_ <= SlowestLeaseEnd(now, options_->lease);
-}
-
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -180,8 +180,6 @@
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
-  // True if the worker holds no longer lease than one that is granted at `now` as usual.
-  bool HoldsUsualLease(Time now) const;
 
   // Number up to which a hold acknowledges ends, or 0 for none. Another incarnation that gets the
   // hold would take the number for that of an end of its own. Therefore ends are acknowledged only
--- a/packages/jobs/tests/job_record_test.cc
+++ b/packages/jobs/tests/job_record_test.cc
@@ -24,6 +24,25 @@
 
 }  // namespace
 
+TEST_CASE("records of earlier versions are taken for those of hosts that bind their orders") {
+  // Guards against tasks that run twice: an earlier version gave leases, and passed orders on, to
+  // whichever incarnation of a worker answered.
+  KeyedRecord leases{"leases", "", 0};
+  nlohmann::json::to_cbor(nlohmann::json::array({4000, {{"w0", 7}}}), leases.value);
+  const auto old_leases = std::get<LeaseRecord>(DecodeJobLogRecord(leases));
+  CHECK_FALSE(old_leases.bound);
+  CHECK(old_leases.lease == std::chrono::seconds(4));
+  CHECK(old_leases.incarnations.at("w0") == 7);
+  KeyedRecord host{"h/a", "", 0};
+  nlohmann::json::to_cbor(nlohmann::json::array({"a:1", "north", 250}), host.value);
+  CHECK_FALSE(std::get<HostRecord>(DecodeJobLogRecord(host)).binds_orders);
+
+  const LeaseRecord present{std::chrono::seconds(4), {}, true};
+  CHECK(std::get<LeaseRecord>(DecodeJobLogRecord(Encode(present))).bound);
+  const HostRecord announced{"a", "a:1", "north", 250};
+  CHECK(std::get<HostRecord>(DecodeJobLogRecord(Encode(announced))) == announced);
+}
+
 TEST_CASE("the record of a wide job grows by many bytes with each task that is done") {
   // Guards against a log that grows with the square of the width of a step: each end of a task
   // stored, and every host read, a row for each earlier one.
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -29,8 +29,15 @@
 
 // A scheduler whose changes are stored at once. Orders stay open until the test answers them.
 struct SchedulerFixture {
-  explicit SchedulerFixture(std::int64_t generation = 1)
-      : scheduler({}, kToken, generation, true, log_view, Clock()) {}
+  // `leases` is the stored record of the earlier owners.
+  explicit SchedulerFixture(std::int64_t generation = 1, const LeaseRecord& leases = {})
+      : log_view(ViewOf(leases)), scheduler({}, kToken, generation, true, log_view, Clock()) {}
+
+  static JobLogView ViewOf(const LeaseRecord& leases) {
+    JobLogView view;
+    view.Apply(leases, 0);
+    return view;
+  }
 
   Now Clock() const {
     return {now, WallTime(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()))};
@@ -221,6 +228,50 @@
   CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
 }
 
+TEST_CASE("a new owner counts another lease than its predecessors may have granted") {
+  // Guards against two runs of a task, or one that waits for 10 s: earlier versions granted leases
+  // that another incarnation may take for the longest one, others grant none but their own.
+  struct Case {
+    LeaseRecord stored;
+    Duration expected;  // By a slow clock.
+  };
+  const auto [stored, expected] =
+      GENERATE(Case{{seconds(4), {}, true}, milliseconds(4080)},
+               Case{{seconds(6), {}, true}, milliseconds(6120)},
+               Case{{seconds(4), {}, false}, milliseconds(10'200)},
+               Case{{seconds(4), {{"w1", 2}}, false}, milliseconds(10'200)},
+               Case{{seconds(4), {{"w1", 1}}, false}, milliseconds(4080)});
+  SchedulerFixture fixture(2, stored);
+  fixture.Submit(LongRunningJob(kJob, 1));
+  fixture.ListWorker("w1");
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{{JobKey(kJob), {0, 0, 0}}, 50, "", 0, 0}};
+  fixture.Report("w1", report);
+  const Time reported_at = fixture.now;
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.RunUntil(reported_at + expected - milliseconds(10), "w1", "w2");
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w2").has_value());
+  fixture.RunUntil(reported_at + expected + milliseconds(200), "w1", "w2");
+  CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
+}
+
+TEST_CASE("the stop of a start that is on its way waits for the answer to the start") {
+  // Guards against a start that is carried out although its job was cancelled before it left the
+  // host: the stop would have taken it back from the batch to a relay.
+  SchedulerFixture fixture;
+  fixture.ListWorker("w1");
+  fixture.Report("w1", fixture.EmptyReport());
+  fixture.Submit(LongRunningJob(kJob, 2));
+  fixture.AwaitOrder<StartOrder>("w1");
+  fixture.AwaitOrder<StartOrder>("w1");
+  fixture.scheduler.OnCancel(JobKey(kJob), fixture.Clock());
+  fixture.RunFor(milliseconds(20));
+  CHECK(fixture.TakeOrder<StopOrder>("w1").has_value());
+  CHECK(fixture.TakeOrder<StopOrder>("w1").has_value());
+}
+
 TEST_CASE("an incarnation that answered a start is known although it has not reported the run") {
   // Guards against tasks that wait for 16 s: only a start without an answer may reach a later
   // incarnation of the worker.
