--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -153,9 +153,6 @@
   Duration MaxEarlierLease(const WorkerState& worker, const HoldReport& report) const;
   // Compares the stored leases with the present ones.
   void CheckStoredLeases(const Now& now);
-  // True if no worker that may run tasks holds a longer lease than this owner grants.
-  bool AllWorkersHoldUsualLease(Time now) const;
-  LeaseRecord MakeLeaseRecord(bool all_usual) const;
   // How the roster has to list the worker, which has reported to this owner or was in no roster of
   // earlier ones. While nothing is started there without a later roster, only those tasks may run
   // there whose runs are tracked: each run is tracked from the decision to start it until it has
@@ -281,6 +278,7 @@
   Time next_roster_drop_;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
   bool leases_changed_ = false;
+  Time earlier_leases_end_;  // No lease of earlier owners lasts longer, bound or not.
   // All leases that any owner has granted, and that may still last, are bound to an incarnation.
   bool earlier_leases_bound_;
   Time next_lease_check_;
