--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -38,9 +38,9 @@
 
 // The two records may be read in any order, and a later roster may have no tasks.
 const std::map<std::string, std::vector<TaskRef>>& JobLogView::roster_tasks() const {
-  static const std::map<std::string, std::vector<TaskRef>> kNone;
+  static const std::map<std::string, std::vector<TaskRef>> none;
   const bool together = roster_offset_ >= 0 && roster_tasks_offset_ == roster_offset_ + 1;
-  return together ? roster_tasks_.tasks : kNone;
+  return together ? roster_tasks_.tasks : none;
 }
 
 void JobLogView::ApplyRecord(LeaseRecord record, std::int64_t /*offset*/) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -83,6 +83,7 @@
  private:
   struct PendingOrder {
     std::string worker;
+    bool renews_lease = false;  // A hold with a lease.
     TaskRef task;
     std::int64_t run = 0;
     int percent = 0;
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -123,6 +123,7 @@
   worker.hold_answer_sequence = worker.answer_sequence;
   PendingOrder& pending = AddPendingOrder(order.call, worker, {}, 0, now);
   pending.acknowledged_end = order.acknowledged_end;
+  pending.renews_lease = order.lease_end.has_value();
   if (order.lease_end) pending.lease_sent_at = now.monotonic;
   Enqueue(worker, std::move(order));
 }
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -70,7 +70,7 @@
   }
   worker->reachable = true;
   worker->last_hold_failed = false;
-  if (order.lease_sent_at) OnLeaseRenewed(*worker, now);
+  if (order.renews_lease) OnLeaseRenewed(*worker, now);
   worker->next_hold = now.monotonic;
   OnTokenAccepted(*worker, answer.report, now);
   const bool same_incarnation = worker->incarnation == order.incarnation;
