Bound the starts of one placement pass

A pass now starts at most 128 tasks, plus the rest of a gang, and the next pass, 10 ms later, goes on. Measured only in virtual time: 400 tasks on 30 workers start in several passes of at most 128.

--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -270,6 +270,7 @@
   Time placement_deadline_;
   Time next_best_effort_placement_;
   bool placement_needed_ = true;
+  int starts_in_pass_ = 0;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -23,6 +23,10 @@
 // all workers, which is expensive, and callers do not notice a delay of this length.
 constexpr Duration kBestEffortPlacementPeriod = std::chrono::milliseconds(40);
 
+// Starts of one placement pass, not counting the rest of a gang. What is left is placed in the next
+// pass; holds, reports and the owner's appends come between.
+constexpr int kMaxStartsPerPass = 128;
+
 struct Rank {
   bool expired = false;
   int priority = 0;
@@ -92,13 +96,16 @@
   }
   std::sort(ranked.begin(), ranked.end());
   placer_.BeginPass(workers);
+  starts_in_pass_ = 0;
   for (const RankedStep& it : ranked) {
+    if (starts_in_pass_ >= kMaxStartsPerPass) break;
     if (SpecOf(it.step).gang) {
       PlaceGang(it.step, workers, now);
     } else {
       PlaceStep(it.step, now);
     }
   }
+  placement_needed_ = placement_needed_ || starts_in_pass_ >= kMaxStartsPerPass;
 }
 
 std::vector<WorkerState*> Scheduler::PlaceableWorkers() {
@@ -119,6 +126,7 @@
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
     if (task.phase != TaskPhase::kWaiting || now.monotonic < task.retry_at) continue;
+    if (starts_in_pass_ >= kMaxStartsPerPass) break;
     id.index = static_cast<int>(i);
     // The task cannot start while an earlier run of it is still being stopped.
     if (task.present_runs > 0 || awaited_task_set_.contains({job.job->key, id})) continue;
@@ -240,6 +248,7 @@
           .With("worker", worker.entry().id)
           .With("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count())
           .With("free_milliprocessors", worker.Free().milliprocessors));
+  ++starts_in_pass_;
   Enqueue(worker, std::move(order));
 }
 
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -320,6 +320,32 @@
   CHECK(fixture.log.find("run_lost") == std::string::npos);
 }
 
+TEST_CASE("one step of the owner starts any number of tasks") {
+  // Guards against an owner whose loop is blocked by starts, so that its heartbeat and the leases
+  // of its workers are late.
+  constexpr int kWorkers = 30;
+  constexpr std::size_t kTasks = 400;
+  constexpr std::size_t kMaxStarts = 128;
+  SchedulerFixture fixture;
+  const auto name = [](int i) { return "w" + std::to_string(i); };
+  for (int i = 0; i < kWorkers; ++i) fixture.ListWorker(name(i));
+  for (int i = 0; i < kWorkers; ++i) fixture.Report(name(i), fixture.EmptyReport());
+  fixture.RunFor(milliseconds(50));
+  fixture.Submit(LongRunningJob(kJob, kTasks));
+  const auto count_starts = [&fixture] {
+    std::size_t n = 0;
+    std::size_t at = fixture.log.find("event=run_start ");
+    for (; at != std::string::npos; at = fixture.log.find("event=run_start ", at + 1)) ++n;
+    return n;
+  };
+  for (int step = 0; step < 20; ++step) {
+    const std::size_t starts = count_starts();
+    fixture.RunFor(milliseconds(10));
+    CHECK(count_starts() - starts <= kMaxStarts);
+  }
+  CHECK(count_starts() == kTasks);
+}
+
 TEST_CASE("the runs of a new owner are not refused after many restarts of a long-running task") {
   // Guards against a task that waits although its worker has room. Its runs had used more numbers
   // than an owner has, so the worker refused the lower numbers of the next owner.
