--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -83,13 +83,13 @@
  private:
   struct PendingOrder {
     std::string worker;
+    bool renews_lease = false;  // A hold with a lease.
     TaskRef task;
     std::int64_t run = 0;
     int percent = 0;
     std::int64_t incarnation = 0;  // Of the worker when the order was made.
     Time made_at;
     std::int64_t acknowledged_end = 0;  // Of a hold.
-    bool renews_lease = false;          // A hold with a lease.
   };
 
   WorkerState* FindWorker(const std::string& id);
@@ -185,6 +185,9 @@
   void ReportWaitingTasks(const Now& now);
   LogEvent ExplainWait(const ReadyStep& ready, int index, const Now& now);
 
+  // Starts of one placement pass, not counting the rest of a gang. What is left is placed in the
+  // next pass; holds, reports and the owner's appends come between.
+  static constexpr int kMaxStartsPerPass = 128;
   void PlaceReadySteps(const Now& now);
   std::vector<WorkerState*> PlaceableWorkers();
   // True if tasks may be placed on the worker.
@@ -295,6 +298,7 @@
   Time placement_deadline_;
   Time next_best_effort_placement_;
   bool placement_needed_ = true;
+  int starts_in_pass_ = 0;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -103,15 +103,18 @@
   for (const auto* list : {&restarts, &expected}) {
     for (const WaitingRestart& it : *list) restarting.insert({it.step.job->job->key, it.task()});
   }
+  starts_in_pass_ = 0;
   placer_.BeginPass(workers, restarting);
   PlaceRestarts(restarts, expected, now);
   for (const RankedStep& it : ranked) {
+    if (starts_in_pass_ >= kMaxStartsPerPass) break;
     if (SpecOf(it.step).gang) {
       PlaceGang(it.step, workers, now);
     } else {
       PlaceStep(it.step, now);
     }
   }
+  placement_needed_ = placement_needed_ || starts_in_pass_ >= kMaxStartsPerPass;
 }
 
 std::vector<WorkerState*> Scheduler::PlaceableWorkers() {
@@ -142,6 +145,7 @@
   bool unplaceable = false;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
+    if (starts_in_pass_ >= kMaxStartsPerPass) break;
     id.index = static_cast<int>(i);
     if (now.monotonic < task.retry_at || !WaitsForWorker(job, id) || job.IsRestart(id)) continue;
     // The tasks of a step differ only in whether they may start on a worker in quarantine.
@@ -266,6 +270,7 @@
           .With("free_milliprocessors", worker.Free().milliprocessors)
           .With("without_run_ms", Milliseconds(now.monotonic - step.WaitingSince(status)))
           .With("restart", static_cast<int>(status.has_run)));
+  ++starts_in_pass_;
   Enqueue(worker, std::move(order));
 }
 
--- a/packages/jobs/src/scheduler_restarts.cc
+++ b/packages/jobs/src/scheduler_restarts.cc
@@ -66,7 +66,7 @@
   }
   // The tasks of a step differ only in their claims and in whether they may probe.
   std::set<std::tuple<JobKey, int, int, bool>> unplaceable_steps;
-  for (std::size_t i = 0; i < restarts.size(); ++i) {
+  for (std::size_t i = 0; i < restarts.size() && starts_in_pass_ < kMaxStartsPerPass; ++i) {
     const PlacementRequest& request = requests[i];
     TrackedJob& job = *restarts[i].step.job;
     const TaskId id = restarts[i].task();
