--- a/packages/jobs/tests/restart_check_test.cc
+++ b/packages/jobs/tests/restart_check_test.cc
@@ -14,14 +14,14 @@
 constexpr Resources kRoomForTwo{2000, 2, 0};
 constexpr Resources kRoomForOne{1999, 2, 0};
 
-const TaskRef kTask{JobKey("0123456789abcdef"), {0, 0, 0}};
+TaskRef TestTask() { return {JobKey("0123456789abcdef"), {0, 0, 0}}; }
 
 // Samples a task that ran until 1 s and a worker with `free`. Returns the number of violations.
 std::size_t SampleFor(RestartCheck& check, Time& now, Duration duration, bool running,
                       const std::vector<Resources>& free) {
   std::size_t n = 0;
   for (const Time end = now + duration; now < end; now += kPeriod)
-    n += check.Sample(now, {{kTask, kNeed, running}}, free).size();
+    n += check.Sample(now, {{TestTask(), kNeed, running}}, free).size();
   return n;
 }
 
@@ -35,7 +35,7 @@
   CHECK(SampleFor(check, now, milliseconds(200), false, {kRoomForTwo}) == 1);
   CHECK(SampleFor(check, now, seconds(20), false, {kRoomForTwo}) == 0);
   // After another run it is reported again.
-  check.NoteStart(kTask, now);
+  check.NoteStart(TestTask(), now);
   CHECK(SampleFor(check, now, seconds(20), false, {kRoomForTwo}) == 1);
 }
 
