--- a/packages/jobs/tests/restart_schedule_test.cc
+++ b/packages/jobs/tests/restart_schedule_test.cc
@@ -166,8 +166,7 @@
 
 }  // namespace
 
-TEST_CASE("seeded schedules of lost owners and workers leave no long-running task stopped",
-          "[!shouldfail]") {
+TEST_CASE("seeded schedules of lost owners and workers leave no long-running task stopped") {
   // Guards against waits after a stop that are each bounded, but together last longer than 9 s.
   // Runs more seeds by hand: CACTUSSHELF_SEEDS=2000 jobs_tests.
   constexpr std::uint64_t kSeeds = 40;
@@ -176,8 +175,7 @@
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) PlaySchedule(seed);
 }
 
-TEST_CASE("a start without an answer does not hold a task once its worker is lost",
-          "[!shouldfail]") {
+TEST_CASE("a start without an answer does not hold a task once its worker is lost") {
   // Guards against tasks that wait for 16 s: workers are lost while the tasks of others start
   // there.
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -190,8 +188,7 @@
   }
 }
 
-TEST_CASE("long-running tasks that have stopped start before those that have never run",
-          "[!shouldfail]") {
+TEST_CASE("long-running tasks that have stopped start before those that have never run") {
   // Guards against stopped tasks that wait as long as the pool is full: the room that became free
   // went to the first starts of a job with an earlier due time.
   Setting setting;
@@ -214,8 +211,7 @@
   }
 }
 
-TEST_CASE("owners that follow each other within seconds do not assume the longest lease again",
-          "[!shouldfail]") {
+TEST_CASE("owners that follow each other within seconds do not assume the longest lease again") {
   // Guards against tasks of a lost worker that wait for 10 s: an owner stored what it knew of the
   // worker's incarnation only after 10.2 s, and no owner lived as long.
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
