Simulation: a node's timer ends with its process

A node that was killed while it was frozen never woke up again: its held timer event was dropped, and the flag that a timer is set stayed. The flag is now reset when the process ends, and a timer of an earlier process is dropped.

--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -182,7 +182,7 @@
   Node& node = nodes_[static_cast<std::size_t>(i)];
   node.node.reset();
   node.inbox.clear();
-  if (std::exchange(node.timer_in_inbox, false)) node.timer_set = false;
+  node.timer_set = false;
   ++node.incarnation;
   restart_check_.NoteDisturbance(now_);
 }
@@ -212,7 +212,6 @@
     Handle(i, std::move(event));
     return;
   }
-  if (std::holds_alternative<job_event::Timer>(event)) node.timer_in_inbox = true;
   node.inbox.push_back(std::move(event));
   if (node.inbox.size() == 1) ScheduleInbox(i);
 }
@@ -235,10 +234,7 @@
 
 void JobSimulation::Handle(int i, JobEvent event) {
   Node& node = nodes_[static_cast<std::size_t>(i)];
-  if (std::holds_alternative<job_event::Timer>(event)) {
-    node.timer_set = false;
-    node.timer_in_inbox = false;
-  }
+  if (std::holds_alternative<job_event::Timer>(event)) node.timer_set = false;
   const auto& costs = options_.processor_costs;
   const Duration busy = costs ? CostOf(event, *costs) : Duration::zero();
   node.node->Handle(Clock(), std::move(event));
@@ -272,14 +268,8 @@
   node.timer_set = true;
   const int incarnation = node.incarnation;
   Schedule(std::max(*wakeup, now_ + milliseconds(1)), [this, i, incarnation] {
-    Node& waking = nodes_[static_cast<std::size_t>(i)];
-    // Without a node, Deliver drops the event.
-    if (waking.incarnation == incarnation && waking.node != nullptr) {
-      Deliver(i, incarnation, job_event::Timer{});
-    } else {
-      waking.timer_set = false;
-      ArmTimer(i);
-    }
+    // The timer of a process ends with it.
+    Deliver(i, incarnation, job_event::Timer{});
   });
 }
 
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -140,7 +140,6 @@
     // With processor costs: events that arrived while the node was busy, and when it is idle again.
     std::deque<JobEvent> inbox;
     Time busy_until;
-    bool timer_in_inbox = false;
     Duration busy_time{};
     Duration longest_busy_time{};
   };
