A new owner takes a lease record for bound only if all owners since then bind their leases

Found by the review: an owner of an earlier version leaves the record of its predecessor as it is for the first seconds, and grants leases that another incarnation may take for the longest one. Its successor counted the usual lease, and a task could run twice. The record names the generation that stored it, and a claim the generation since which all owners bind their leases. Without that, the longest lease counts, for workers that have not reported too.

--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -30,6 +30,9 @@
   std::string member;
   std::string host;
   bool released = false;  // The owner has stopped; another may claim without waiting.
+  // All owners from this generation up to this one grant bound leases only; 0 in records of earlier
+  // versions.
+  std::int64_t bound_since = 0;
 };
 
 // Workers that may be running tasks on orders of the owner.
@@ -49,8 +52,9 @@
   // If not bound: the incarnations, by worker, that hold only leases given by their own clock.
   std::map<std::string, std::int64_t> incarnations;
   // All leases were granted on connections that had answered as the incarnation by whose clock they
-  // are given. Not set in records of earlier versions.
+  // are given. Not set in records of earlier versions, whose owners leave a later record as it is.
   bool bound = false;
+  std::int64_t generation = 0;  // Of the owner that stored the record; 0 if it is not known.
 };
 
 // Number of cells into which jobs and workers are divided; decided once.
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -273,6 +273,7 @@
   predecessor_ended_ = last.released || last.host == options_.host;
   claim_ = {};
   claim_.generation = last.generation + 1;
+  claim_.bound_since = last.bound_since != 0 ? last.bound_since : claim_.generation;
   claim_.member = options_.member;
   claim_.host = options_.host;
   claim_append_id_ = next_claim_append_id_++;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -168,6 +168,7 @@
   owner.member = value.at(2);
   owner.host = value.at(3);
   owner.released = value.at(4);
+  if (value.size() > 5) owner.bound_since = value.at(5);
   return owner;
 }
 
@@ -190,6 +191,7 @@
   record.lease = std::chrono::milliseconds(value.at(0).get<std::int64_t>());
   record.incarnations = value.at(1).get<std::map<std::string, std::int64_t>>();
   record.bound = value.size() > 2 && value.at(2).get<bool>();
+  if (value.size() > 3) record.generation = value.at(3);
   if (record.lease < Duration::zero()) throw DecodeError("lease record with a negative lease");
   return record;
 }
@@ -230,8 +232,8 @@
 
 KeyedRecord Encode(const OwnerRecord& record) {
   return {KeyOf(kOwnerPrefix, record.host),
-          ToBytes(json::array(
-              {record.epoch, record.generation, record.member, record.host, record.released}))};
+          ToBytes(json::array({record.epoch, record.generation, record.member, record.host,
+                               record.released, record.bound_since}))};
 }
 
 KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
@@ -248,7 +250,8 @@
 
 KeyedRecord Encode(const LeaseRecord& record) {
   const auto lease = std::chrono::ceil<std::chrono::milliseconds>(record.lease).count();
-  return {kLeaseKey, ToBytes(json::array({lease, record.incarnations, record.bound})), 0};
+  return {kLeaseKey,
+          ToBytes(json::array({lease, record.incarnations, record.bound, record.generation})), 0};
 }
 
 KeyedRecord Encode(const CellCountRecord& record) {
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -26,6 +26,16 @@
 // in one process do not collide.
 constexpr int kCallNumberBits = 24;
 
+// True if every owner since the one that stored the lease record has granted bound leases only.
+bool EarlierLeasesBound(const JobLogView& log_view, std::int64_t generation) {
+  const LeaseRecord& leases = log_view.leases();
+  if (!leases.bound) return false;
+  if (leases.generation + 1 == generation) return true;
+  const OwnerRecord& owner = log_view.owner();
+  return owner.generation == generation && owner.bound_since != 0 &&
+         owner.bound_since <= leases.generation + 1;
+}
+
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
@@ -39,16 +49,18 @@
       taking_over_(generation > 1),
       gained_at_(now.monotonic),
       next_takeover_report_(now.monotonic + kFirstTakeoverReportDelay),
+      generation_(generation),
       stored_leases_(log_view.leases()),
-      earlier_leases_bound_(generation <= 1 || stored_leases_.bound) {
+      earlier_leases_bound_(generation <= 1 || EarlierLeasesBound(log_view, generation)) {
   const Duration notice = predecessor_ended ? Duration::zero() : options.fencing_detection_time;
   const auto end_of = [&](Duration lease) {
     const auto slow =
         std::chrono::duration<double, Duration::period>(lease) / (1.0 - options.max_clock_drift);
     return now.monotonic + notice + std::chrono::duration_cast<Duration>(slow);
   };
-  takeover_end_ = end_of(std::max(options.lease, stored_leases_.lease));
   earlier_leases_end_ = end_of(std::max(options.longest_lease, stored_leases_.lease));
+  takeover_end_ = earlier_leases_bound_ ? end_of(std::max(options.lease, stored_leases_.lease))
+                                        : earlier_leases_end_;
   for (const auto& [key, entry] : log_view.entries()) {
     if (entry.job == nullptr) continue;
     tracker_.Add(entry.job, entry.progress, taking_over_, now.monotonic);
@@ -214,7 +226,9 @@
   LeaseRecord present;
   present.bound = true;
   present.lease = earlier_ended ? options_.lease : std::max(options_.lease, stored_leases_.lease);
-  if (stored_leases_.bound && stored_leases_.lease == present.lease) return;
+  present.generation = generation_;
+  const bool stored = stored_leases_.bound && stored_leases_.generation == generation_;
+  if (stored && stored_leases_.lease == present.lease) return;
   stored_leases_ = std::move(present);
   leases_changed_ = true;
 }
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -279,6 +279,7 @@
   Time takeover_end_;  // Orders of earlier owners can have no effect after this time.
   bool roster_changed_ = false;
   Time next_roster_drop_;
+  std::int64_t generation_;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
   bool leases_changed_ = false;
   Time earlier_leases_end_;  // No lease of earlier owners lasts longer, bound or not.
--- a/packages/jobs/tests/job_record_test.cc
+++ b/packages/jobs/tests/job_record_test.cc
@@ -37,7 +37,7 @@
   nlohmann::json::to_cbor(nlohmann::json::array({"a:1", "north", 250}), host.value);
   CHECK_FALSE(std::get<HostRecord>(DecodeJobLogRecord(host)).binds_orders);
 
-  const LeaseRecord present{std::chrono::seconds(4), {}, true};
+  const LeaseRecord present{std::chrono::seconds(4), {}, true, 7};
   CHECK(std::get<LeaseRecord>(DecodeJobLogRecord(Encode(present))).bound);
   const HostRecord announced{"a", "a:1", "north", 250};
   CHECK(std::get<HostRecord>(DecodeJobLogRecord(Encode(announced))) == announced);
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -31,7 +31,9 @@
 struct SchedulerFixture {
   // `leases` is the stored record of the earlier owners.
   explicit SchedulerFixture(std::int64_t generation = 1, const LeaseRecord& leases = {})
-      : log_view(ViewOf(leases)), scheduler({}, kToken, generation, true, log_view, Clock()) {}
+      : SchedulerFixture(generation, ViewOf(leases)) {}
+  SchedulerFixture(std::int64_t generation, JobLogView view)
+      : log_view(std::move(view)), scheduler({}, kToken, generation, true, log_view, Clock()) {}
 
   static JobLogView ViewOf(const LeaseRecord& leases) {
     JobLogView view;
@@ -236,8 +238,8 @@
     Duration expected;  // By a slow clock.
   };
   const auto [stored, expected] =
-      GENERATE(Case{{seconds(4), {}, true}, milliseconds(4080)},
-               Case{{seconds(6), {}, true}, milliseconds(6120)},
+      GENERATE(Case{{seconds(4), {}, true, 1}, milliseconds(4080)},
+               Case{{seconds(6), {}, true, 1}, milliseconds(6120)},
                Case{{seconds(4), {}, false}, milliseconds(10'200)},
                Case{{seconds(4), {{"w1", 2}}, false}, milliseconds(10'200)},
                Case{{seconds(4), {{"w1", 1}}, false}, milliseconds(4080)});
@@ -257,6 +259,35 @@
   CHECK(fixture.TakeOrder<StartOrder>("w2").has_value());
 }
 
+TEST_CASE(
+    "a new owner does not take the leases of an earlier version's short reign for bound ones") {
+  // Guards against two runs of a task while versions are mixed: an owner of an earlier version
+  // leaves the record of its predecessor as it is for the first seconds, and grants leases that
+  // another incarnation may take for the longest one.
+  JobLogView view;
+  view.Apply(LeaseRecord{seconds(4), {}, true, 1}, 0);
+  HostRecord earlier{"old", "10.0.0.1:1", "", 1000};
+  earlier.binds_orders = false;
+  view.Apply(earlier, 1);
+  OwnerRecord claim;
+  claim.generation = 2;
+  claim.host = "old";
+  claim.member = "old";
+  view.Apply(claim, 2);
+  SchedulerFixture fixture(3, view);
+  fixture.Submit(LongRunningJob(kJob, 1));
+  fixture.ListWorker("w1");
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{{JobKey(kJob), {0, 0, 0}}, 50, "", 0, 0}};
+  fixture.Report("w1", report);
+  const Time reported_at = fixture.now;
+  fixture.LeaveHoldUnanswered("w1");
+  fixture.ListWorker("w2");
+  fixture.Report("w2", fixture.EmptyReport());
+  fixture.RunUntil(reported_at + milliseconds(10'190), "w1", "w2");
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w2").has_value());
+}
+
 TEST_CASE("the stop of a start that is on its way waits for the answer to the start") {
   // Guards against a start that is carried out although its job was cancelled before it left the
   // host: the stop would have taken it back from the batch to a relay.
