--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -199,6 +199,32 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("a worker that left the stored roster gets no start before a later one is stored") {
+  // Guards against tasks that run twice: the next owner does not wait for a worker that the stored
+  // roster lacks, so this owner must not start anything there.
+  JobSimulation simulation(7, 2, 2, {});
+  simulation.RunFor(seconds(3));
+  simulation.Submit(LongRunningJob(1));
+  simulation.RunFor(seconds(12));
+  const int busy = BusyWorker(simulation, 0);
+  const int idle = 1 - busy;
+  simulation.PartitionWorker(idle, milliseconds(4000));
+  simulation.RunFor(milliseconds(3950));
+  REQUIRE_FALSE(IsInStoredRoster(simulation, idle));
+  simulation.PartitionNodeFromStore(simulation.OwnerIndex(), seconds(3));
+  simulation.RunFor(milliseconds(700));
+  REQUIRE(simulation.LogLines("event=worker_reached worker=" +
+                              simulation.worker(idle).entry().id) != "");
+  simulation.StartRejecting(busy);
+  simulation.worker(busy).FailAllRuns(simulation.now());
+  simulation.RunFor(milliseconds(400));
+  CHECK_FALSE(IsInStoredRoster(simulation, idle));
+  CHECK(simulation.worker(idle).running().empty());
+  simulation.RunFor(seconds(10));
+  CHECK(simulation.worker(idle).running().size() == 1);
+  CheckNoViolations(simulation);
+}
+
 TEST_CASE("a worker that is idle and draining when a new owner hears of it stays in the roster") {
   // Guards against an entry of an earlier owner that no later one drops, since none added it.
   const auto simulation = BusySimulation(6);
