--- a/packages/jobs/src/relay_pool.h
+++ b/packages/jobs/src/relay_pool.h
@@ -97,8 +97,9 @@
   void CancelUnsentStart(Relay& relay, const StopOrder& stop);
   const std::string& RelayFor(const WorkerTarget& worker);
   std::string ChooseRelay(const WorkerTarget& worker) const;
-  // Milliprocessors of the largest usable host in `domain`, or in all domains if `domain` is null.
+  // True if orders may go through the relay.
   static bool CanRelay(const Relay& relay);
+  // Milliprocessors of the largest usable host in `domain`, or in all domains if `domain` is null.
   int MaxCapacity(const std::string* domain) const;
   void SetRelayState(Relay& relay, bool responsive, bool leaving, std::string_view reason);
 
--- a/packages/jobs/tests/restart_schedule_test.cc
+++ b/packages/jobs/tests/restart_schedule_test.cc
@@ -164,6 +164,36 @@
   CheckPlay(play, seed);
 }
 
+constexpr int kSpreadTasks = 12;
+
+// Four nodes and six workers, on which long-running tasks leave room.
+std::unique_ptr<JobSimulation> SpreadTasks(std::uint64_t seed) {
+  SimulationOptions options;
+  options.long_polls = true;
+  auto simulation = std::make_unique<JobSimulation>(seed, 4, 6, SimulationFaults{}, options);
+  simulation->RunFor(seconds(3));
+  simulation->Submit(LongRunningJob(kSpreadTasks, 1000));
+  simulation->RunFor(seconds(12));
+  REQUIRE(simulation->running_tasks() == kSpreadTasks);
+  return simulation;
+}
+
+// Index of a worker, at or after `first`, on which tasks run.
+int BusyWorker(JobSimulation& simulation, int first) {
+  int i = first;
+  while (simulation.worker(i).running().empty()) ++i;
+  return i;
+}
+
+// True if a task of SpreadTasks ran again too late. All run again in the end.
+bool IsLate(JobSimulation& simulation, std::uint64_t seed) {
+  simulation.RunFor(seconds(20));
+  CHECK(simulation.running_tasks() == kSpreadTasks);
+  if (simulation.violations().empty()) return false;
+  UNSCOPED_INFO("seed " << seed << ": " << simulation.violations().front());
+  return true;
+}
+
 }  // namespace
 
 TEST_CASE("seeded schedules of lost owners and workers leave no long-running task stopped") {
@@ -252,24 +282,11 @@
   // was about to end, and the next owner waits for another whole one.
   int late = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-    SimulationOptions options;
-    options.long_polls = true;
-    JobSimulation simulation(seed, 4, 6, {}, options);
-    simulation.RunFor(seconds(3));
-    simulation.Submit(LongRunningJob(12, 1000));
-    simulation.RunFor(seconds(12));
-    REQUIRE(simulation.running_tasks() == 12);
-    int lost = 0;
-    while (simulation.worker(lost).running().empty()) ++lost;
-    simulation.LoseWorker(lost, seconds(1));
-    simulation.RunFor(milliseconds(2000 + 60 * static_cast<int>(seed)));
-    simulation.LoseNode(simulation.OwnerIndex());
-    simulation.RunFor(seconds(20));
-    CHECK(simulation.running_tasks() == 12);
-    if (!simulation.violations().empty()) {
-      ++late;
-      UNSCOPED_INFO("seed " << seed << ": " << simulation.violations().front());
-    }
+    const auto simulation = SpreadTasks(seed);
+    simulation->LoseWorker(BusyWorker(*simulation, 0), seconds(1));
+    simulation->RunFor(milliseconds(2000 + 60 * static_cast<int>(seed)));
+    simulation->LoseNode(simulation->OwnerIndex());
+    late += IsLate(*simulation, seed) ? 1 : 0;
   }
   CHECK(late == 0);
 }
@@ -279,28 +296,15 @@
   // Guards against a takeover that lets tasks wait for a worker on which they cannot run.
   int late = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    SimulationOptions options;
-    options.long_polls = true;
-    JobSimulation simulation(seed, 4, 6, {}, options);
-    simulation.RunFor(seconds(3));
-    simulation.Submit(LongRunningJob(12, 1000));
-    simulation.RunFor(seconds(12));
-    REQUIRE(simulation.running_tasks() == 12);
-    int lost = 0;
-    while (simulation.worker(lost).running().empty()) ++lost;
-    int other = lost + 1;
-    while (simulation.worker(other).running().empty()) ++other;
+    const auto simulation = SpreadTasks(seed);
+    const int lost = BusyWorker(*simulation, 0);
+    const int other = BusyWorker(*simulation, lost + 1);
     // The first lost worker's lease is about to end when a second one goes with the owner.
-    simulation.LoseWorker(lost, seconds(1));
-    simulation.RunFor(milliseconds(3000 + 50 * static_cast<int>(seed)));
-    simulation.LoseWorker(other, seconds(1));
-    simulation.LoseNode(simulation.OwnerIndex());
-    simulation.RunFor(seconds(20));
-    CHECK(simulation.running_tasks() == 12);
-    if (!simulation.violations().empty()) {
-      ++late;
-      UNSCOPED_INFO("seed " << seed << ": " << simulation.violations().front());
-    }
+    simulation->LoseWorker(lost, seconds(1));
+    simulation->RunFor(milliseconds(3000 + 50 * static_cast<int>(seed)));
+    simulation->LoseWorker(other, seconds(1));
+    simulation->LoseNode(simulation->OwnerIndex());
+    late += IsLate(*simulation, seed) ? 1 : 0;
   }
   CHECK(late == 0);
 }
