--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -213,8 +213,8 @@
   REQUIRE_FALSE(IsInStoredRoster(simulation, idle));
   simulation.PartitionNodeFromStore(simulation.OwnerIndex(), seconds(3));
   simulation.RunFor(milliseconds(700));
-  REQUIRE(simulation.LogLines("event=worker_reached worker=" +
-                              simulation.worker(idle).entry().id) != "");
+  const std::string reached = "event=worker_reached worker=" + simulation.worker(idle).entry().id;
+  REQUIRE_FALSE(simulation.LogLines(reached).empty());
   simulation.StartRejecting(busy);
   simulation.worker(busy).FailAllRuns(simulation.now());
   simulation.RunFor(milliseconds(400));
