--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -44,8 +44,9 @@
 // A long-running task that has stopped is owed to its caller again after this time, if workers have
 // room.
 constexpr Duration kRestartDelay = std::chrono::seconds(6);
-// A restart that fits nowhere keeps no room from first starts after this time. It still goes first.
-constexpr Duration kMaxAwaitTime = std::chrono::seconds(15);
+// While at least this part of a pool's processors is free, no room is kept from first starts for
+// restarts that fit nowhere: what they lack is whole workers, not processors.
+constexpr double kMinFreeOfUnheldPool = 0.5;
 // A long-running task that has waited for this time may use the reserve for short tasks.
 constexpr Duration kMaxReserveWait = std::chrono::seconds(1);
 
@@ -219,6 +220,11 @@
 }
 
 bool Placer::IsOwedToRestarts(const WorkerState& worker, const PlacementRequest& request) const {
+  // A pool that is new since the pass began has no claims.
+  const auto free = pool_free_.find(worker.entry().pool);
+  if (free == pool_free_.end()) return false;
+  const std::int64_t capacity = pool_capacity_.at(free->first).milliprocessors;
+  if (Fraction(free->second.milliprocessors, capacity) >= kMinFreeOfUnheldPool) return false;
   const TaskRef task = request.ref();
   const Resources owed = CapacityNeed(request.step()) + claims_.ClaimedByOthers(worker, task) +
                          awaited_room_.ClaimedByOthers(worker, task);
@@ -305,8 +311,6 @@
 void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
   const TaskRef task = request.ref();
   if (request.restart && ClaimOnKnownWorker(request, now)) return;
-  const bool may_await = !request.restart || request.waited < kMaxAwaitTime;
-  if (!may_await) awaited_room_.Remove(task);
   if (!request.restart && awaited_room_.WorkerOf(task) != nullptr) return;
   const bool searched_before = searched_in_vain_.contains(task);
   if (claim_searches_left_ > 0 && !searched_before) {
@@ -320,9 +324,9 @@
       return;
     }
     // Without a worker to await, no room that first starts may take would help.
-    if (found.awaited != nullptr && may_await)
+    if (found.awaited != nullptr)
       awaited_room_.Add(task, *found.awaited, CapacityNeed(request.step()));
-  } else if (!searched_before && may_await && awaited_room_.WorkerOf(task) == nullptr) {
+  } else if (!searched_before && awaited_room_.WorkerOf(task) == nullptr) {
     AddUnclaimedNeed(request);
   }
 }
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -66,8 +66,8 @@
 //
 // Room may be claimed for a long-running task that has stopped: room that is free, or that is
 // expected to be free once short tasks have ended. No other task takes it. If there is none, the
-// task awaits room on the worker that lacks least of it, for a limited time. Short tasks go on
-// there, but no long-running task that never ran takes a part of it.
+// task awaits room on the worker that lacks least of it. Short tasks go on there, but no
+// long-running task that never ran takes a part of it while most of the pool is in use.
 // Not thread-safe.
 class Placer {
  public:
--- a/packages/jobs/tests/restart_wait_test.cc
+++ b/packages/jobs/tests/restart_wait_test.cc
@@ -142,7 +142,8 @@
   CHECK(simulation.IsRunning({first, {0, 0, 0}}));
 }
 
-TEST_CASE("restarts that fit nowhere keep room from first starts for a limited time") {
+TEST_CASE(
+    "restarts that fit nowhere keep no room from first starts on a pool that is mostly free") {
   // Guards against long-running jobs that never start on a pool that is nearly empty: each stopped
   // task that fits nowhere awaits room on a worker of its own, without an end.
   JobSimulation simulation(2, 3, 5, {});
