Log tasks that wait while their starts are refused one after the other

Cause: a task counts as placed while its start is not answered, and the report of each second left placed tasks out. Whether it was named depended on the moment of the report.

--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -41,18 +41,21 @@
 }
 
 // Appends the task of a step that has waited longest without a run although all it depends on is
-// done; of its restarts, if there are any.
-void CollectWaitingTask(const ReadyStep& ready, Time now, std::vector<WaitingTask>& waiting) {
+// done; of its restarts, if there are any. A task whose start is not answered waits as well.
+template <typename Predicate>
+void CollectWaitingTask(const ReadyStep& ready, const Predicate& is_starting, Time now,
+                        std::vector<WaitingTask>& waiting) {
   const StepStatus& step = StatusOf(ready);
   const bool long_running = ready.job->SpecOf({ready.occurrence, ready.step, 0}).long_running;
   std::optional<WaitingTask> first;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
-    const bool without_run = task.phase == TaskPhase::kPlaced && task.present_runs == 0;
-    if (task.phase != TaskPhase::kWaiting && !without_run) continue;
+    if (task.phase != TaskPhase::kWaiting && task.phase != TaskPhase::kPlaced) continue;
     const Time since = step.WaitingSince(task);
     if (now - since < kMinReportedWait) continue;
     const TaskId id{ready.occurrence, ready.step, static_cast<int>(i)};
+    const bool has_run_now = task.phase == TaskPhase::kPlaced && task.present_runs > 0;
+    if (has_run_now && !is_starting(TaskRef{ready.job->job->key, id}, task)) continue;
     const WaitingTask it{ready, id.index, long_running, ready.job->IsRestart(id), since};
     if (!first || it < *first) first = it;
   }
@@ -67,7 +70,12 @@
   std::vector<ReadyStep> ready;
   tracker_.CollectReady(now, ready);
   std::vector<WaitingTask> waiting;
-  for (const ReadyStep& it : ready) CollectWaitingTask(it, now.monotonic, waiting);
+  const auto is_starting = [this](const TaskRef& ref, const TaskStatus& task) {
+    WorkerState* worker = FindWorker(task.last_worker);
+    const Run* run = worker == nullptr ? nullptr : worker->FindRun(ref);
+    return run != nullptr && run->phase == RunPhase::kStarting;
+  };
+  for (const ReadyStep& it : ready) CollectWaitingTask(it, is_starting, now.monotonic, waiting);
   if (waiting.empty()) return;
   const std::size_t n = std::min(waiting.size(), kMaxReportedTasks);
   std::partial_sort(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(n),
