A new owner asks its relays before it gives orders

Cause: the first orders of an owner go to all workers, and it sent them before it knew its relays. It asked the hosts for a sign of life only once it was the owner, and opened connections to all workers by itself. Change: hosts are asked when a claim begins, and orders wait until all have answered, 250 ms from the claim at most.

--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -411,12 +411,10 @@
 void JobNode::Impl::AdvanceRelaying(const Now& now) {
   if (options_.peer_address.empty()) return;
   AnnounceHost(now);
-  if (is_owner()) {
-    const JobLogView& log_view = cells_.front()->log_view();
-    const std::uint64_t announcements = log_view.host_announcement_count();
-    if (std::exchange(announcements_applied_, announcements) != announcements) {
-      relay_pool_.SetHosts(log_view.hosts());
-    }
+  UpdateRelayProbing(now);
+  if (uses_relays_) {
+    for (WorkerOrder& order : relay_pool_.TakeUnrelayedOrders(now.monotonic))
+      Emit(job_effect::Order{std::move(order)});
     for (auto& message : relay_pool_.TakeMessages(now.monotonic)) Emit(std::move(message));
   }
   for (auto& message : order_relay_.TakeMessages(node_state_.draining, now))
@@ -424,6 +422,20 @@
   for (LogEvent& event : relay_pool_.TakeLog()) Log(std::move(event));
 }
 
+void JobNode::Impl::UpdateRelayProbing(const Now& now) {
+  const bool uses_relays = std::any_of(cells_.begin(), cells_.end(),
+                                       [](const auto& it) { return it->owned_or_claimed(); });
+  const bool began = uses_relays && !uses_relays_;
+  if (!uses_relays && uses_relays_) relay_pool_.EndProbing();
+  uses_relays_ = uses_relays;
+  if (!uses_relays) return;
+  const JobLogView& log_view = cells_.front()->log_view();
+  const std::uint64_t announcements = log_view.host_announcement_count();
+  if (std::exchange(announcements_applied_, announcements) != announcements)
+    relay_pool_.SetHosts(log_view.hosts());
+  if (began) relay_pool_.BeginProbing(now.monotonic);
+}
+
 // Stores this host in the first cell's log, from which owners learn of its relay.
 void JobNode::Impl::AnnounceHost(const Now& now) {
   const JobCell& first = *cells_.front();
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -76,6 +76,8 @@
   void ChooseCellCount(const Now& now);
   void IssueReads(const Now& now);
   void AdvanceRelaying(const Now& now);
+  // Prepares the pool when this process begins to claim a cell, or owns and claims none any more.
+  void UpdateRelayProbing(const Now& now);
   void AnnounceHost(const Now& now);
   void SendOrder(WorkerOrder order, const Now& now);
   void EmitRead(const std::optional<StreamFollower::Request>& request);
@@ -112,6 +114,7 @@
   Announcement announcement_ = Announcement::kWanted;
   Time next_announcement_at_;
   std::uint64_t announcements_applied_ = 0;  // Announcements that the pool has been given.
+  bool uses_relays_ = false;                 // This process owns or claims a cell.
 
   std::optional<Time> last_event_at_;
   WallTime last_event_wall_{};
--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -101,7 +101,46 @@
   return choice.host;
 }
 
+void RelayPool::BeginProbing(Time now) {
+  probing_ends_ = now + options_.max_probing_time;
+  for (auto& [name, relay] : relays_) {
+    // Of the next message, which is sent at once.
+    relay.sent_at = {};
+    relay.unanswered_since.reset();
+    relay.responsive = false;
+    relay.unsent.clear();
+  }
+  ++relay_set_version_;
+}
+
+void RelayPool::EndProbing() {
+  probing_ends_.reset();
+  waiting_orders_.clear();
+}
+
+bool RelayPool::IsProbingDone(Time now) const {
+  return now >= *probing_ends_ || std::all_of(relays_.begin(), relays_.end(),
+                                              [](const auto& it) { return it.second.responsive; });
+}
+
+std::vector<WorkerOrder> RelayPool::TakeUnrelayedOrders(Time now) {
+  if (!probing_ends_ || !IsProbingDone(now)) return {};
+  probing_ends_.reset();
+  std::vector<WorkerOrder> unrelayed;
+  for (WorkerOrder& order : std::exchange(waiting_orders_, {})) {
+    std::optional<WorkerOrder> own = QueueForRelay(std::move(order), now);
+    if (own) unrelayed.push_back(std::move(*own));
+  }
+  return unrelayed;
+}
+
 std::optional<WorkerOrder> RelayPool::Send(WorkerOrder order, Time now) {
+  if (!probing_ends_) return QueueForRelay(std::move(order), now);
+  waiting_orders_.push_back(std::move(order));
+  return std::nullopt;
+}
+
+std::optional<WorkerOrder> RelayPool::QueueForRelay(WorkerOrder order, Time now) {
   if (relays_.empty()) return order;
   const std::string& host = RelayFor(TargetWorker(order));
   if (host.empty()) return order;
--- a/packages/jobs/src/relay_pool.h
+++ b/packages/jobs/src/relay_pool.h
@@ -22,6 +22,9 @@
   Duration keep_alive_period = std::chrono::milliseconds(200);
   // Interval of liveness probes to all other hosts.
   Duration probe_period = std::chrono::milliseconds(500);
+  // Orders wait for relays for up to this time after BeginProbing, as long as a host has not
+  // answered.
+  Duration max_probing_time = std::chrono::milliseconds(250);
   // An order that is not answered within this time, plus the time that the order itself may wait at
   // the worker, is taken as lost.
   Duration order_timeout = std::chrono::milliseconds(1500);
@@ -49,9 +52,20 @@
   // so call it only when they have changed.
   void SetHosts(const std::map<std::string, HostRecord>& hosts);
 
-  // Queues `order` for a relay, or returns it if the owner has to send it itself.
+  // Probes all hosts at once and forgets which of them answered before. To be called when this
+  // process begins to claim a cell: its first orders go to all workers, and a small host cannot
+  // open connections to hundreds of them by itself. Orders wait until all hosts have answered, for
+  // RelayPoolOptions::max_probing_time at most.
+  void BeginProbing(Time now);
+  // This process owns no cell and claims none any more. Drops the orders that wait.
+  void EndProbing();
+
+  // Queues `order`, or returns it if the owner has to send it itself at once.
   std::optional<WorkerOrder> Send(WorkerOrder order, Time now);
 
+  // Returns orders that have waited in vain for a relay. The owner has to send them itself.
+  std::vector<WorkerOrder> TakeUnrelayedOrders(Time now);
+
   // Handles a batch from a relay. Returns its answers without those that are duplicate or late.
   std::vector<WorkerAnswer> OnAnswers(AnswerBatch batch);
 
@@ -93,6 +107,9 @@
     std::string host;  // Empty: the owner sends the orders itself.
   };
 
+  // Queues `order` for the worker's relay, or returns it if there is none.
+  std::optional<WorkerOrder> QueueForRelay(WorkerOrder order, Time now);
+  bool IsProbingDone(Time now) const;
   // Removes the start order of the same run if it has not been sent yet.
   void CancelUnsentStart(Relay& relay, const StopOrder& stop);
   const std::string& RelayFor(const WorkerTarget& worker);
@@ -109,7 +126,9 @@
   std::unordered_map<std::uint64_t, PendingOrder> pending_orders_;  // By call.
   std::vector<WorkerAnswer> cancelled_starts_;  // Answers to starts that were cancelled unsent.
   std::unordered_map<std::string, ChosenRelay> chosen_relays_;  // By worker.
-  std::uint64_t relay_set_version_ = 1;  // Changes with the set of usable relays.
+  std::uint64_t relay_set_version_ = 1;      // Changes with the set of usable relays.
+  std::optional<Time> probing_ends_;         // Set until the relays are known.
+  std::vector<WorkerOrder> waiting_orders_;  // Made while the relays were not known.
   Time next_timeout_check_;
   std::optional<Time> batches_due_;  // Set while orders are queued.
   std::vector<LogEvent> log_;
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -5,6 +5,7 @@
 
 #include "cactusshelf/jobs/peer_messages.h"
 #include "job_cell.h"
+#include "order_relay.h"
 
 namespace cactusshelf::jobs {
 namespace {
@@ -520,6 +521,8 @@
 }
 
 void JobSimulation::Perform(int i, const job_effect::Order& effect) {
+  const bool relayed = OrderRelay::IsRelayed(CallIdOf(effect.order));
+  if (!relayed) ++nodes_[static_cast<std::size_t>(i)].direct_orders;
   const auto order_done = []<typename Event>(const auto& order,
                                              const std::optional<OrderAnswer>& answer) -> JobEvent {
     return Event{
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -117,6 +117,8 @@
   Duration longest_busy_time(int i) const {
     return nodes_[static_cast<std::size_t>(i)].longest_busy_time;
   }
+  // Orders of its own cells that a node has sent to workers itself, not through a relay.
+  int direct_orders(int i) const { return nodes_[static_cast<std::size_t>(i)].direct_orders; }
   // The worker fails what runs there, and all that is started there until StopFailingRuns.
   void StartFailingRuns(int i);
   void StopFailingRuns(int i);
@@ -142,6 +144,7 @@
     Time busy_until;
     Duration busy_time{};
     Duration longest_busy_time{};
+    int direct_orders = 0;
   };
   struct Submitted {
     JobSpec spec;
--- a/packages/jobs/tests/relay_test.cc
+++ b/packages/jobs/tests/relay_test.cc
@@ -273,6 +273,63 @@
   for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
 }
 
+TEST_CASE("a new owner sends the first orders to all workers itself") {
+  // Guards against an owner that is replaced while it is alive: before any relay had answered it
+  // opened a connection to each worker, and stood still for so long that it stored nothing.
+  constexpr int kNodes = 6;
+  constexpr int kWorkers = 120;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    JobSimulation simulation(seed, kNodes, kWorkers, {});
+    simulation.RunFor(seconds(4));
+    simulation.Submit(LongRunningJob(kWorkers));
+    simulation.RunFor(seconds(3));
+    simulation.LoseNode(simulation.OwnerIndex());
+    const Time lost_at = simulation.now();
+    while (simulation.OwnerIndex() < 0) simulation.RunFor(milliseconds(10));
+    const int owner = simulation.OwnerIndex();
+    simulation.RunFor(seconds(1));
+    CHECK(simulation.direct_orders(owner) < kWorkers / 4);
+    // The relays are waited for only briefly.
+    CHECK(simulation.LogLines("event=leases_renewed").find("unreachable=0") != std::string::npos);
+    CHECK(simulation.running_tasks() == kWorkers);
+    CHECK(simulation.now() - lost_at < seconds(4));
+    CheckNoViolations(simulation);
+  }
+}
+
+TEST_CASE("orders of a new owner wait for a host that does not answer") {
+  // Guards against leases that are not renewed: one of the announced hosts has always ended when
+  // the owner changes.
+  PoolFixture fixture;
+  fixture.pool.BeginProbing(kStart);
+  CHECK_FALSE(fixture.pool.Send(HoldOf("w", 1), kStart).has_value());
+  fixture.pool.OnAnswers(SignOfLife("south-1"));
+  CHECK(fixture.pool.TakeUnrelayedOrders(kStart + milliseconds(100)).empty());
+  CHECK(fixture.Addresses(kStart + milliseconds(100)).empty());
+  const Time end = kStart + RelayPoolOptions{}.max_probing_time;
+  CHECK(fixture.pool.TakeUnrelayedOrders(end).empty());
+  CHECK(fixture.Addresses(end) == std::vector<std::string>{"south-1:1"});
+}
+
+TEST_CASE("orders of a new owner stay in the pool if no host answers") {
+  PoolFixture fixture;
+  fixture.pool.BeginProbing(kStart);
+  CHECK_FALSE(fixture.pool.Send(HoldOf("w", 1), kStart).has_value());
+  const Time end = kStart + RelayPoolOptions{}.max_probing_time;
+  CHECK(fixture.pool.TakeUnrelayedOrders(end).size() == 1);
+  CHECK(fixture.pool.Send(HoldOf("w", 2), end).has_value());
+}
+
+TEST_CASE("orders of a former owner are sent when the process owns a cell again") {
+  PoolFixture fixture;
+  fixture.pool.BeginProbing(kStart);
+  fixture.pool.Send(StartOf("w", 1), kStart);
+  fixture.pool.EndProbing();
+  fixture.pool.BeginProbing(kStart + seconds(1));
+  CHECK(fixture.pool.TakeUnrelayedOrders(kStart + seconds(2)).empty());
+}
+
 TEST_CASE("running tasks keep their leases when all relays freeze") {
   // Guards against: lease renewals were sent through relays that no longer answered, so that the
   // leases expired.
