Relays of a failure domain get its workers only as far as they can serve them

Cause: an owner without another usable relay in its failure domain counted as the relay of that domain, a quarter of all workers. That is so whenever an owner follows the other large host of its domain. And the one relay beside an owner got a quarter of the workers, each of the others an eighth. Change: the relays of a domain get its workers only as far as they have the domain's part of the processors of all relays; the rest goes to relays of all domains. Where no domain lacks relays, nothing changes.

--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
+#include <set>
 
 #include "cactusshelf/base/rendezvous.h"
 
@@ -13,12 +15,16 @@
 constexpr int kMantissaBits = 53;
 constexpr int kUnusedBits = 64 - kMantissaBits;
 
+// Between 0 and 1, neither included.
+double UniformHash(const std::string& seed, const std::string& name) {
+  const auto bits = static_cast<double>(RendezvousWeight(seed, name) >> kUnusedBits);
+  return (bits + 0.5) / static_cast<double>(std::uint64_t{1} << kMantissaBits);
+}
+
 // Weighted rendezvous hashing: the host with the highest score is chosen for the worker, each host
 // with a probability proportional to its weight.
 double RelayScore(const std::string& host, const std::string& worker, double weight) {
-  const auto bits = static_cast<double>(RendezvousWeight(host, worker) >> kUnusedBits);
-  const double uniform = (bits + 0.5) / static_cast<double>(std::uint64_t{1} << kMantissaBits);
-  return -weight / std::log(uniform);
+  return -weight / std::log(UniformHash(host, worker));
 }
 
 Duration HoldWait(const WorkerOrder& order) {
@@ -28,6 +34,12 @@
 
 }  // namespace
 
+double RelayPool::Milliprocessors(const std::vector<const Relay*>& relays) {
+  return std::accumulate(relays.begin(), relays.end(), 0.0, [](double sum, const Relay* it) {
+    return sum + it->host.milliprocessors;
+  });
+}
+
 void RelayPool::SetHosts(const std::map<std::string, HostRecord>& hosts) {
   for (const auto& [name, host] : hosts) {
     if (name == self_.host) continue;
@@ -58,41 +70,58 @@
   return relay.responsive && !relay.leaving && relay.host.binds_orders;
 }
 
-int RelayPool::MaxCapacity(const std::string* domain) const {
+std::vector<const RelayPool::Relay*> RelayPool::RelaysIn(const std::string* domain) const {
   const auto matches_domain = [domain](const HostRecord& host) {
     return domain == nullptr || host.domain == *domain;
   };
   int max_capacity = matches_domain(self_) ? self_.milliprocessors : 0;
+  std::vector<const Relay*> relays;
   for (const auto& [name, relay] : relays_) {
-    const bool usable = CanRelay(relay) && matches_domain(relay.host);
-    if (usable) max_capacity = std::max(max_capacity, relay.host.milliprocessors);
+    if (!CanRelay(relay) || !matches_domain(relay.host)) continue;
+    max_capacity = std::max(max_capacity, relay.host.milliprocessors);
+    relays.push_back(&relay);
   }
-  return max_capacity;
-}
-
-// Hosts in the worker's failure domain are tried first, and the hosts of all domains only if there
-// is none.
-std::string RelayPool::ChooseRelay(const WorkerTarget& worker) const {
-  for (const std::string* domain : {&worker.domain, static_cast<const std::string*>(nullptr)}) {
-    const double min_capacity = MaxCapacity(domain) * options_.min_relative_capacity;
-    std::string best;
-    double best_score = 0;
-    const auto consider = [&](const HostRecord& host, double weight_factor,
-                              const std::string& name) {
-      if (domain != nullptr && host.domain != *domain) return;
-      if (host.milliprocessors < min_capacity) return;
-      const double score = RelayScore(host.host, worker.id, host.milliprocessors * weight_factor);
-      if (score <= best_score) return;
-      best = name;
-      best_score = score;
-    };
-    consider(self_, options_.local_weight, "");
-    for (const auto& [name, relay] : relays_) {
-      if (CanRelay(relay)) consider(relay.host, 1.0, name);
-    }
-    if (best_score > 0) return best;
+  std::erase_if(relays, [&](const Relay* it) {
+    return it->host.milliprocessors < max_capacity * options_.min_relative_capacity;
+  });
+  return relays;
+}
+
+double RelayPool::LocalShare(const std::string& domain) {
+  if (local_shares_version_ != relay_set_version_) local_shares_.clear();
+  local_shares_version_ = relay_set_version_;
+  const auto [it, is_new] = local_shares_.try_emplace(domain, 0.0);
+  if (!is_new) return it->second;
+  std::set<std::string> domains{self_.domain, domain};
+  for (const auto& [name, relay] : relays_) domains.insert(relay.host.domain);
+  double all = 0;
+  for (const std::string& each : domains) all += Milliprocessors(RelaysIn(&each));
+  const double fair_part = all / static_cast<double>(domains.size());
+  const double local = Milliprocessors(RelaysIn(&domain));
+  it->second = fair_part > 0 ? std::min(1.0, local / fair_part) : 0.0;
+  return it->second;
+}
+
+std::string RelayPool::ChooseRelayIn(const std::string* domain, const WorkerTarget& worker) const {
+  std::string best;
+  double best_score = 0;
+  const bool self_matches = domain == nullptr || self_.domain == *domain;
+  if (self_matches)
+    best_score = RelayScore(self_.host, worker.id, self_.milliprocessors * options_.local_weight);
+  for (const Relay* relay : RelaysIn(domain)) {
+    const double score = RelayScore(relay->host.host, worker.id, relay->host.milliprocessors);
+    if (score <= best_score) continue;
+    best = relay->host.host;
+    best_score = score;
   }
-  return "";
+  return best;
+}
+
+// Hosts in the worker's failure domain are preferred as far as they have the processors for it.
+std::string RelayPool::ChooseRelay(const WorkerTarget& worker) {
+  const double position = UniformHash("local", worker.id);
+  const bool local = position < LocalShare(worker.domain);
+  return ChooseRelayIn(local ? &worker.domain : nullptr, worker);
 }
 
 const std::string& RelayPool::RelayFor(const WorkerTarget& worker) {
--- a/packages/jobs/src/relay_pool.h
+++ b/packages/jobs/src/relay_pool.h
@@ -113,11 +113,18 @@
   // Removes the start order of the same run if it has not been sent yet.
   void CancelUnsentStart(Relay& relay, const StopOrder& stop);
   const std::string& RelayFor(const WorkerTarget& worker);
-  std::string ChooseRelay(const WorkerTarget& worker) const;
+  std::string ChooseRelay(const WorkerTarget& worker);
+  // The host with the highest score for the worker among the relays in `domain`, or in all domains
+  // if `domain` is null, and this host; empty if it is this host.
+  std::string ChooseRelayIn(const std::string* domain, const WorkerTarget& worker) const;
   // True if orders may go through the relay.
   static bool CanRelay(const Relay& relay);
-  // Milliprocessors of the largest usable host in `domain`, or in all domains if `domain` is null.
-  int MaxCapacity(const std::string* domain) const;
+  // Relays in `domain`, or in all domains if `domain` is null, that are not small for it.
+  std::vector<const Relay*> RelaysIn(const std::string* domain) const;
+  static double Milliprocessors(const std::vector<const Relay*>& relays);
+  // Part of the workers in `domain` whose orders go through relays of that domain: less than 1 if
+  // these relays have less than the domain's part of the processors of all relays.
+  double LocalShare(const std::string& domain);
   void SetRelayState(Relay& relay, bool responsive, bool leaving, std::string_view reason);
 
   RelayPoolOptions options_;
@@ -126,7 +133,10 @@
   std::unordered_map<std::uint64_t, PendingOrder> pending_orders_;  // By call.
   std::vector<WorkerAnswer> cancelled_starts_;  // Answers to starts that were cancelled unsent.
   std::unordered_map<std::string, ChosenRelay> chosen_relays_;  // By worker.
-  std::uint64_t relay_set_version_ = 1;      // Changes with the set of usable relays.
+  std::uint64_t relay_set_version_ = 1;  // Changes with the set of usable relays.
+  // LocalShare by domain, for the relay set of the version.
+  std::map<std::string, double> local_shares_;
+  std::uint64_t local_shares_version_ = 0;
   std::optional<Time> probing_ends_;         // Set until the relays are known.
   std::vector<WorkerOrder> waiting_orders_;  // Made while the relays were not known.
   Time next_timeout_check_;
--- a/packages/jobs/tests/relay_test.cc
+++ b/packages/jobs/tests/relay_test.cc
@@ -169,6 +169,43 @@
   CHECK(fixture.Addresses(later) == std::vector<std::string>{"south-1:1"});
 }
 
+TEST_CASE(
+    "an owner without another relay in its failure domain sends that domain's orders itself") {
+  // Guards against an owner that is replaced while it is alive: its predecessor was the only other
+  // large host of the domain, so it got a quarter of all workers to call itself.
+  RelayPool pool({}, Host("self", "north"));
+  pool.SetHosts({{"south-1", Host("south-1", "south")}, {"weak", Host("weak", "north", 20)}});
+  pool.OnAnswers(SignOfLife("south-1"));
+  pool.OnAnswers(SignOfLife("weak"));
+  int direct = 0;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    if (pool.Send(HoldOf("w" + std::to_string(i), i), kStart)) ++direct;
+  }
+  CHECK(direct < 10);
+}
+
+TEST_CASE("the last relay of a failure domain gets the orders of all its workers") {
+  // Guards against a relay that cannot keep up: its domain has half as many relays as the others,
+  // since the owner is one of the domain's hosts.
+  RelayPool pool({}, Host("self", "north"));
+  std::map<std::string, HostRecord> hosts{{"north-1", Host("north-1", "north")}};
+  for (const std::string domain : {"south", "east", "west"}) {
+    for (const char* suffix : {"-1", "-2"}) hosts[domain + suffix] = Host(domain + suffix, domain);
+  }
+  pool.SetHosts(hosts);
+  for (const auto& [name, host] : hosts) pool.OnAnswers(SignOfLife(name));
+  constexpr int kOrders = 400;
+  for (std::uint64_t i = 0; i < kOrders; ++i) pool.Send(HoldOf("w" + std::to_string(i), i), kStart);
+  int of_north = 0;
+  for (const auto& message : pool.TakeMessages(kStart + RelayPoolOptions{}.batching_delay)) {
+    const auto batch = std::get<OrderBatch>(DecodePeerMessage(message.bytes));
+    if (message.address == "north-1:1") of_north = static_cast<int>(batch.orders.size());
+  }
+  // Four sevenths of the domain's workers are its part, and a sixth of the others' fall to each.
+  CHECK(of_north > kOrders * 2 / 5);
+  CHECK(of_north < kOrders * 4 / 5);
+}
+
 TEST_CASE("small hosts relay only if there is no larger one") {
   // Guards against: with every host of a large site as a relay, the owner received many small
   // messages, and small hosts delayed the starts that they relayed.
