Runs on lost workers are given up only once the store confirms the ownership

Cause: an owner expects the leases on a worker that it does not reach to end, since nobody else grants any. That holds only as long as it is the owner. An owner that stood still, or lost the worker and then the store, is replaced; its successor reaches the worker and renews the lease before its end, and the first owner gives the run up until a worker tells it of the successor. Change: a lease counts as ended only if the store has shown, by an append that was begun or a read of the log that was sent after that end, that this process was still the owner. The same holds for workers that a takeover awaits. While a run waits only for this, the owner appends a heartbeat at once. Cost: while an owner does not reach the store, it gives up no run by its lease. The test of the scheduler alone confirms the ownership in each step, as the cell does; its bounds are the same.

--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -83,7 +83,6 @@
 }
 
 void JobCell::OnPaused(const Now& now) {
-  last_pause_at_ = now.monotonic;
   follower_.ScheduleReadNow(now.monotonic);
   if (scheduler_) scheduler_->OnPaused(now);
 }
@@ -110,7 +109,7 @@
   refresh_requested_ = false;
   election_.OnRead(owner_active, now.monotonic);
   if (scheduler_ && log_view_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
-  if (scheduler_ && follower_.fresh_at() >= last_pause_at_) scheduler_->ConfirmOwnership();
+  if (scheduler_) scheduler_->ConfirmOwnership(follower_.fresh_at());
   AdvanceCandidacy(state, now);
   request_handler_.OnLogViewFresh(follower_.fresh_at(), now.monotonic);
 }
@@ -189,6 +188,7 @@
       } else if (releasing_) {
         StepDown("released", now);
       } else {
+        scheduler_->ConfirmOwnership(owner_writer_->batch_started_at());
         if (batch_in_flight_ != 0) scheduler_->OnStored(std::exchange(batch_in_flight_, 0), now);
       }
       return;
@@ -410,13 +410,17 @@
       records = std::move(batch->records);
     }
     AddQueuedSubmissions(records);
-  } else if (since_last_append >= options_.heartbeat_period) {
+  } else if (since_last_append >= HeartbeatPeriod()) {
     records = DropRecordsOfExpiredJobs(now);
     if (records.empty()) records.push_back(Encode(ownership_));
   }
   if (!records.empty()) owner_writer_->Begin(std::move(records), now.monotonic);
 }
 
+Duration JobCell::HeartbeatPeriod() const {
+  return scheduler_->awaits_confirmation() ? options_.store_period : options_.heartbeat_period;
+}
+
 void JobCell::OnSubmission(Submission submission) {
   if (scheduler_ && !releasing_) queued_submissions_.push_back(std::move(submission));
 }
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -90,6 +90,8 @@
   void AddQueuedSubmissions(std::vector<KeyedRecord>& records);
   void ConfirmSubmissions(std::int64_t offset, const Now& now);
   void BeginOwnerWrite(const NodeState& state, const Now& now);
+  // Time between two appends of the owner that has nothing else to store.
+  Duration HeartbeatPeriod() const;
   void IssueReads(const Now& now);
   void UpdateStoreAvailability(const Now& now);
   Duration FollowPeriod() const;
@@ -119,7 +121,6 @@
   Counters counters_;
   std::vector<JobEffect> effects_;
   bool refresh_requested_ = false;
-  Time last_pause_at_;  // When the end of a pause was detected.
   bool multiple_cells_ = false;
 
   Candidacy candidacy_ = Candidacy::kNone;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -118,8 +118,14 @@
           .With("runs", worker->runs().size()));
 }
 
+void Scheduler::ConfirmOwnership(Time at) {
+  ownership_confirmed_at_ = std::max(ownership_confirmed_at_, at);
+  if (at >= resumed_at_) ownership_unconfirmed_ = false;
+}
+
 void Scheduler::OnPaused(const Now& now) {
   ownership_unconfirmed_ = true;
+  resumed_at_ = now.monotonic;
   for (auto& [id, worker] : workers_) {
     worker.token_accepted = false;
     worker.next_hold = now.monotonic;
@@ -138,6 +144,7 @@
 void Scheduler::Decide(const Now& now) {
   if (now.monotonic < next_decision_) return;
   next_decision_ = now.monotonic + kDecisionPeriod;
+  awaits_confirmation_ = false;
   ExpireLeases(now);
   CheckTakeover(now);
   CheckRoster(now);
@@ -168,9 +175,13 @@
     WorkerState& worker = it->second;
     if (!worker.reachable) {
       const auto ended = [&](const Run& run) {
-        return HasEndedByLease(worker, run, now.monotonic);
+        return HasEndedByLease(worker, run, ownership_confirmed_at_);
       };
       MarkRunsLostIf(worker, ended, "lease_ended", now);
+      const bool awaits = std::any_of(
+          worker.runs().begin(), worker.runs().end(),
+          [&](const auto& it) { return HasEndedByLease(worker, it.second, now.monotonic); });
+      awaits_confirmation_ = awaits_confirmation_ || awaits;
     }
     const bool expired = worker.AllLeasesExpired(now.monotonic);
     if (!worker.listed && expired && worker.runs().empty()) {
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -57,8 +57,10 @@
   // accept the token again before a task is started on it.
   void OnPaused(const Now& now);
 
-  // The log, as read after the last pause, still names this process as the owner.
-  void ConfirmOwnership() { ownership_unconfirmed_ = false; }
+  // The store has shown that no other process had become the owner by the time `at`.
+  void ConfirmOwnership(Time at);
+  // A run, or an awaited worker, would be given up if ownership were confirmed until now.
+  bool awaits_confirmation() const { return awaits_confirmation_; }
 
   // Sets the service of a queue according to the configuration in force.
   void SetQueueService(const std::string& queue, const std::string& service);
@@ -140,8 +142,10 @@
   // for those.
   void CheckTakeover(const Now& now);
   void CompleteTakeover(const Now& now);
+  // True if an unreported worker cannot run anything any more that earlier owners began.
+  bool IsAwaitEnded(const std::string& id) const;
   // Waits no longer for workers on which everything has ended that earlier owners began.
-  void DropAwaitedWorkers(const Now& now);
+  void DropAwaitedWorkers();
   // Until when an unreported worker may run something.
   Time AwaitedUntil(const std::string& id) const;
   void UpdateAwaitedTasks();
@@ -313,6 +317,11 @@
   // The process was suspended, and neither the log nor the workers have confirmed since then that
   // it is still the owner. Nothing is started in this state.
   bool ownership_unconfirmed_ = false;
+  Time resumed_at_;  // End of the last suspension.
+  // A successor may renew leases whose end this owner expects. Leases that end later than this time
+  // are therefore not taken for ended.
+  Time ownership_confirmed_at_;
+  bool awaits_confirmation_ = false;
   Time next_decision_;
   Time next_interference_export_;  // Next time to store the interference model.
   Time next_sweep_;
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -276,7 +276,8 @@
           .With("reason", std::string(reason))
           .With("phase", std::string(ToString(run->phase)))
           .With("ms_since_start", MillisecondsSince(run->started_at, now.monotonic))
-          .With("ms_since_lease", MillisecondsSince(worker.lease_sent_at(), now.monotonic)));
+          .With("ms_since_lease", MillisecondsSince(worker.lease_sent_at(), now.monotonic))
+          .With("ms_since_confirmed", MillisecondsSince(ownership_confirmed_at_, now.monotonic)));
   counters_.Add("cactusshelf_lost_runs_total", reason);
   RemoveRun(worker, ref);
   tracker_.OnRunLost(ref, number, begun, checkpoint, now.monotonic);
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -50,7 +50,7 @@
 void Scheduler::CheckTakeover(const Now& now) {
   if (!taking_over_ && unreported_workers_.empty()) return;
   const auto is_awaited_for_any_task = [&](const std::string& id) {
-    return !awaited_tasks_.contains(id) && now.monotonic < AwaitedUntil(id);
+    return !awaited_tasks_.contains(id) && !IsAwaitEnded(id);
   };
   // Other workers than those of the stored roster run nothing, whether they are listed or not.
   const bool any_task_awaited =
@@ -60,7 +60,15 @@
   } else if (taking_over_) {
     CompleteTakeover(now);
   }
-  DropAwaitedWorkers(now);
+  DropAwaitedWorkers();
+  const bool awaits =
+      std::any_of(unreported_workers_.begin(), unreported_workers_.end(),
+                  [&](const auto& id) { return now.monotonic >= AwaitedUntil(id); });
+  awaits_confirmation_ = awaits_confirmation_ || awaits;
+}
+
+bool Scheduler::IsAwaitEnded(const std::string& id) const {
+  return ownership_confirmed_at_ >= AwaitedUntil(id);
 }
 
 Time Scheduler::AwaitedUntil(const std::string& id) const {
@@ -84,9 +92,9 @@
   placement_needed_ = true;
 }
 
-void Scheduler::DropAwaitedWorkers(const Now& now) {
+void Scheduler::DropAwaitedWorkers() {
   const auto dropped = std::erase_if(unreported_workers_, [&](const std::string& id) {
-    if (now.monotonic < AwaitedUntil(id)) return false;
+    if (!IsAwaitEnded(id)) return false;
     LogRosterDrop(id, "unreported");
     awaited_tasks_.erase(id);
     return true;
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -27,7 +27,8 @@
   return job;
 }
 
-// A scheduler whose changes are stored at once. Orders stay open until the test answers them.
+// A scheduler whose changes are stored, and whose ownership is confirmed, at once. Orders stay open
+// until the test answers them.
 struct SchedulerFixture {
   // `leases` is the stored record of the earlier owners.
   explicit SchedulerFixture(std::int64_t generation = 1, const LeaseRecord& leases = {})
@@ -62,6 +63,7 @@
     const Time end = now + duration;
     while (now < end) {
       now += milliseconds(10);
+      scheduler.ConfirmOwnership(now);
       scheduler.Decide(Clock());
       while (const auto batch = scheduler.TakeChanges(Clock())) {
         scheduler.OnStored(batch->id, Clock());
--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -263,6 +263,37 @@
   }
 }
 
+TEST_CASE("a replaced owner gives up the runs of a worker whose leases its successor renews") {
+  // Guards against tasks that run twice: an owner loses a worker and then the store. Its successor
+  // reaches the worker and renews the lease there, whose end the owner still expects.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    constexpr int kNodes = 4;
+    constexpr int kWorkers = 3;
+    SimulationOptions options;
+    options.relays = false;
+    JobSimulation simulation(seed, kNodes, kWorkers, {}, options);
+    simulation.RunFor(seconds(3));
+    simulation.Submit(LongRunningJob(3));
+    simulation.RunFor(seconds(12));
+    const int owner = simulation.OwnerIndex();
+    const int lost = BusyWorker(simulation, 0);
+    simulation.PartitionWorkerFromNode(lost, owner, seconds(30));
+    simulation.RunFor(milliseconds(100 * static_cast<int>(seed)));
+    simulation.PartitionNodeFromStore(owner, seconds(30));
+    // The other workers do not tell the owner that it is replaced.
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      for (int node = 0; node < kNodes; ++node) {
+        if (worker != lost && node != owner)
+          simulation.PartitionWorkerFromNode(worker, node, seconds(30));
+      }
+    }
+    simulation.RunFor(milliseconds(5500));
+    CHECK_FALSE(simulation.worker(lost).running().empty());
+    CheckNoViolations(simulation);
+  }
+}
+
 TEST_CASE("a worker that is idle and draining when a new owner hears of it stays in the roster") {
   // Guards against an entry of an earlier owner that no later one drops, since none added it.
   const auto simulation = BusySimulation(6);
