--- a/packages/base/include/cactusshelf/base/time.h
+++ b/packages/base/include/cactusshelf/base/time.h
@@ -2,6 +2,7 @@
 #define CACTUSSHELF_BASE_TIME_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace cactusshelf {
 
@@ -18,6 +19,11 @@
 using Duration = std::chrono::microseconds;
 using Time = MonotonicClock::time_point;
 
+// Whole milliseconds of `duration`, rounded towards zero, as written to logs. Thread-safe.
+constexpr std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Wall clock time with millisecond resolution, as used in log records and request ids.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -100,8 +100,8 @@
   last_event_at_ = now.monotonic;
   if (std::max(gap, wall_gap) <= options_.max_event_gap) return;
   Log(LogEvent(LogLevel::kWarning, "paused")
-          .With("ms", std::chrono::duration_cast<milliseconds>(gap).count())
-          .With("wall_ms", std::chrono::duration_cast<milliseconds>(wall_gap).count()));
+          .With("ms", ToMilliseconds(gap))
+          .With("wall_ms", ToMilliseconds(wall_gap)));
   for (const auto& cell : cells_) cell->OnPaused(now);
   relay_pool_.OnPaused(now.monotonic);
 }
--- a/packages/jobs/src/job_request_handler.cc
+++ b/packages/jobs/src/job_request_handler.cc
@@ -300,7 +300,7 @@
   reply_latency_.Add(now - arrived);
   LogEvent event(LogLevel::kInfo, "reply");
   event.With("job", key.str()).With("outcome", std::string(ToString(kind)));
-  event.With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - arrived).count());
+  event.With("ms", ToMilliseconds(now - arrived));
   if (kind == ReplyKind::kState) event.With("state", std::string(ToString(state)));
   if (!message.empty()) event.With("detail", message);
   effects_.emplace_back(job_effect::WriteLogEvent{std::move(event)});
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -30,10 +30,6 @@
   auto operator<=>(const Rank&) const = default;
 };
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 Rank RankOf(const TrackedJob& job, Time now) {
   const auto limit =
       std::chrono::duration<double, Duration::period>(job.objective) * kMaxObjectiveFactor;
@@ -266,9 +262,9 @@
           .With("task", jobs::ToString(ref))
           .With("run", number)
           .With("worker", worker.entry().id)
-          .With("waited_ms", Milliseconds(now.monotonic - step.ready_since))
+          .With("waited_ms", ToMilliseconds(now.monotonic - step.ready_since))
           .With("free_milliprocessors", worker.Free().milliprocessors)
-          .With("without_run_ms", Milliseconds(now.monotonic - step.WaitingSince(status)))
+          .With("without_run_ms", ToMilliseconds(now.monotonic - step.WaitingSince(status)))
           .With("restart", static_cast<int>(status.has_run)));
   ++starts_in_pass_;
   Enqueue(worker, std::move(order));
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -19,7 +19,7 @@
 // Time since `time` in milliseconds, or -1 if `time` is zero.
 std::int64_t MillisecondsSince(Time time, Time now) {
   if (time == Time{}) return -1;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+  return ToMilliseconds(now - time);
 }
 
 }  // namespace
@@ -206,7 +206,7 @@
             .With("run", run.number)
             .With("worker", worker.entry().id)
             .With("percent", percent)
-            .With("ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()));
+            .With("ms", ToMilliseconds(elapsed)));
   }
   if (moved || !known) run.progress_changed_at = now.monotonic;
   run.progress_percent = percent;
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -18,10 +18,6 @@
 // The first leases are taken as renewed once no worker has got its first one for this time.
 constexpr Duration kRenewalSettleTime = std::chrono::seconds(1);
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 }  // namespace
 
 std::string_view Scheduler::WhyAwaited(const std::string& id) const {
@@ -82,11 +78,11 @@
   LogEvent event(LogLevel::kInfo, "takeover_complete");
   event.With("workers", workers_.size())
       .With("unreported", unreported_workers_.size())
-      .With("ms", Milliseconds(now.monotonic - gained_at_))
+      .With("ms", ToMilliseconds(now.monotonic - gained_at_))
       .With("awaited_tasks", awaited_task_set_.size())
       .With("renewed", renewed_workers_);
   if (renewed_workers_ > 0)
-    event.With("last_renewal_ms", Milliseconds(last_first_renewal_at_ - gained_at_));
+    event.With("last_renewal_ms", ToMilliseconds(last_first_renewal_at_ - gained_at_));
   AddAwaitedWorkers(event);
   Log(std::move(event));
   placement_needed_ = true;
@@ -118,7 +114,7 @@
   LogEvent event(LogLevel::kInfo, "takeover_waiting");
   event.With("workers", workers_.size())
       .With("awaited_workers", unreported_workers_.size())
-      .With("ms", Milliseconds(now.monotonic - gained_at_));
+      .With("ms", ToMilliseconds(now.monotonic - gained_at_));
   AddAwaitedWorkers(event);
   Log(std::move(event));
 }
@@ -148,7 +144,7 @@
   Log(LogEvent(LogLevel::kInfo, "leases_renewed")
           .With("workers", renewed_workers_)
           .With("unreachable", failed)
-          .With("last_renewal_ms", Milliseconds(last_first_renewal_at_ - gained_at_)));
+          .With("last_renewal_ms", ToMilliseconds(last_first_renewal_at_ - gained_at_)));
 }
 
 bool Scheduler::IsLost(const WorkerState& worker, const Now& now) {
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -28,10 +28,6 @@
   }
 };
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 StepStatus& StatusOf(const ReadyStep& ready) {
   return ready.job->StepOf({ready.occurrence, ready.step, 0});
 }
@@ -83,9 +79,9 @@
   for (std::size_t i = 0; i < n; ++i) {
     const WaitingTask& it = waiting[i];
     Log(ExplainWait(it.step, it.index, now)
-            .With("waited_ms", Milliseconds(now.monotonic - it.since))
+            .With("waited_ms", ToMilliseconds(now.monotonic - it.since))
             .With("waiting_steps", waiting.size())
-            .With("without_run_ms", Milliseconds(now.monotonic - it.since))
+            .With("without_run_ms", ToMilliseconds(now.monotonic - it.since))
             .With("restart", static_cast<int>(TaskOf(it).has_run)));
   }
 }
@@ -113,7 +109,7 @@
       event.With("worker", name)
           .With("phase", std::string(ToString(run->second.phase)))
           .With("reachable", static_cast<int>(worker.reachable))
-          .With("lease_ms", Milliseconds(worker.lease_expiry() - now.monotonic));
+          .With("lease_ms", ToMilliseconds(worker.lease_expiry() - now.monotonic));
       break;
     }
   } else if (ownership_unconfirmed_) {
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -153,7 +153,7 @@
 Now JobSimulation::Clock() const { return NowAt(now_); }
 
 void JobSimulation::RecordViolation(const std::string& text) {
-  const auto ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
+  const auto ms = ToMilliseconds(now_.time_since_epoch());
   violations_.push_back(std::to_string(ms) + " ms: " + text);
 }
 
@@ -312,7 +312,7 @@
 }
 
 void JobSimulation::Perform(int i, const job_effect::WriteLogEvent& event) {
-  const auto ms = std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count();
+  const auto ms = ToMilliseconds(now_.time_since_epoch());
   log_.push_back(std::to_string(ms) + " " + nodes_[static_cast<std::size_t>(i)].host + " " +
                  event.event.Format());
 }
@@ -854,6 +854,12 @@
   nodes_[static_cast<std::size_t>(i)].store_partitioned_until = now_ + duration;
 }
 
+int JobSimulation::BusyWorker(int first) {
+  int i = first;
+  while (worker(i).running().empty()) ++i;
+  return i;
+}
+
 int JobSimulation::OwnerIndex() const {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     if (nodes_[i].node != nullptr && nodes_[i].node->is_owner()) return static_cast<int>(i);
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -82,6 +82,8 @@
   std::uint64_t starts() const { return starts_; }
   const std::vector<std::string>& violations() const { return violations_; }
   FakeWorker& worker(int i) { return *workers_[static_cast<std::size_t>(i)]; }
+  // Index of a worker, at or after `first`, on which tasks run. Precondition: there is one.
+  int BusyWorker(int first);
   FakeStore& store() { return store_; }
   int CellCount();
   // The process of a node ends. It starts again after up to 2 s.
--- a/packages/jobs/tests/restart_check.cc
+++ b/packages/jobs/tests/restart_check.cc
@@ -18,10 +18,7 @@
   return n;
 }
 
-std::string Seconds(Duration duration) {
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return std::to_string(ms) + " ms";
-}
+std::string Seconds(Duration duration) { return std::to_string(ToMilliseconds(duration)) + " ms"; }
 
 }  // namespace
 
--- a/packages/jobs/tests/restart_schedule_test.cc
+++ b/packages/jobs/tests/restart_schedule_test.cc
@@ -178,13 +178,6 @@
   return simulation;
 }
 
-// Index of a worker, at or after `first`, on which tasks run.
-int BusyWorker(JobSimulation& simulation, int first) {
-  int i = first;
-  while (simulation.worker(i).running().empty()) ++i;
-  return i;
-}
-
 // True if a task of SpreadTasks ran again too late. All run again in the end.
 bool IsLate(JobSimulation& simulation, std::uint64_t seed) {
   simulation.RunFor(seconds(20));
@@ -281,7 +274,7 @@
   int late = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     const auto simulation = SpreadTasks(seed);
-    simulation->LoseWorker(BusyWorker(*simulation, 0), seconds(1));
+    simulation->LoseWorker(simulation->BusyWorker(0), seconds(1));
     simulation->RunFor(milliseconds(2000 + 60 * static_cast<int>(seed)));
     simulation->LoseNode(simulation->OwnerIndex());
     late += IsLate(*simulation, seed) ? 1 : 0;
@@ -295,8 +288,8 @@
   int late = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     const auto simulation = SpreadTasks(seed);
-    const int lost = BusyWorker(*simulation, 0);
-    const int other = BusyWorker(*simulation, lost + 1);
+    const int lost = simulation->BusyWorker(0);
+    const int other = simulation->BusyWorker(lost + 1);
     // The first lost worker's lease is about to end when a second one goes with the owner.
     simulation->LoseWorker(lost, seconds(1));
     simulation->RunFor(milliseconds(3000 + 50 * static_cast<int>(seed)));
--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -26,13 +26,6 @@
   return simulation;
 }
 
-// Index of a worker, at or after `first`, on which tasks run.
-int BusyWorker(JobSimulation& simulation, int first) {
-  int i = first;
-  while (simulation.worker(i).running().empty()) ++i;
-  return i;
-}
-
 // Drains a worker until nothing runs there.
 void DrainUntilIdle(JobSimulation& simulation, int i) {
   simulation.DrainWorker(i);
@@ -82,12 +75,12 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
-    const int left = BusyWorker(*simulation, 0);
+    const int left = simulation->BusyWorker(0);
     DrainUntilIdle(*simulation, left);
     simulation->RunFor(milliseconds(1500));
     RemoveWorker(*simulation, left);
     simulation->RunFor(milliseconds(500));
-    const int leaving = BusyWorker(*simulation, left + 1);
+    const int leaving = simulation->BusyWorker(left + 1);
     DrainUntilIdle(*simulation, leaving);
     simulation->KillNode(simulation->OwnerIndex());
     const Duration waited = TimeUntilAllRun(*simulation);
@@ -107,12 +100,12 @@
     const Duration reign = milliseconds(seed % 2 == 0 ? 50 : 1500);
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
-    const int left = BusyWorker(*simulation, 0);
+    const int left = simulation->BusyWorker(0);
     DrainUntilIdle(*simulation, left);
     simulation->RunFor(milliseconds(1500));
     RemoveWorker(*simulation, left);
     simulation->RunFor(milliseconds(500));
-    DrainUntilIdle(*simulation, BusyWorker(*simulation, left + 1));
+    DrainUntilIdle(*simulation, simulation->BusyWorker(left + 1));
     const Time stopped_at = simulation->now();
     simulation->KillNode(simulation->OwnerIndex());
     AwaitOwner(*simulation);
@@ -130,9 +123,9 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
-    const int lost = BusyWorker(*simulation, 0);
+    const int lost = simulation->BusyWorker(0);
     const auto lost_tasks = static_cast<int>(simulation->worker(lost).running().size());
-    const int draining = BusyWorker(*simulation, lost + 1);
+    const int draining = simulation->BusyWorker(lost + 1);
     simulation->PartitionWorker(lost, seconds(600));
     simulation->RunFor(milliseconds(2200));
     DrainUntilIdle(*simulation, draining);
@@ -155,7 +148,7 @@
 TEST_CASE("an idle draining worker stays in the stored roster") {
   // Guards against a roster that shrinks only once all leases of a worker that is gone have ended.
   const auto simulation = BusySimulation(3);
-  const int draining = BusyWorker(*simulation, 0);
+  const int draining = simulation->BusyWorker(0);
   REQUIRE(IsInStoredRoster(*simulation, draining));
   DrainUntilIdle(*simulation, draining);
   simulation->RunFor(milliseconds(1500));
@@ -206,7 +199,7 @@
   simulation.RunFor(seconds(3));
   simulation.Submit(LongRunningJob(1));
   simulation.RunFor(seconds(12));
-  const int busy = BusyWorker(simulation, 0);
+  const int busy = simulation.BusyWorker(0);
   const int idle = 1 - busy;
   simulation.PartitionWorker(idle, milliseconds(4000));
   simulation.RunFor(milliseconds(3950));
@@ -231,7 +224,7 @@
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
-    const int lost = BusyWorker(*simulation, 0);
+    const int lost = simulation->BusyWorker(0);
     simulation->PartitionWorker(lost, milliseconds(3000));
     simulation->RunFor(milliseconds(2900));
     const int owner = simulation->OwnerIndex();
@@ -256,7 +249,7 @@
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
     const std::uint64_t starts = simulation->starts();
-    simulation->PartitionWorker(BusyWorker(*simulation, 0), milliseconds(3000));
+    simulation->PartitionWorker(simulation->BusyWorker(0), milliseconds(3000));
     simulation->RunFor(seconds(12));
     CHECK(simulation->starts() == starts);
     CheckNoViolations(*simulation);
@@ -277,7 +270,7 @@
     simulation.Submit(LongRunningJob(3));
     simulation.RunFor(seconds(12));
     const int owner = simulation.OwnerIndex();
-    const int lost = BusyWorker(simulation, 0);
+    const int lost = simulation.BusyWorker(0);
     simulation.PartitionWorkerFromNode(lost, owner, seconds(30));
     simulation.RunFor(milliseconds(100 * static_cast<int>(seed)));
     simulation.PartitionNodeFromStore(owner, seconds(30));
@@ -297,7 +290,7 @@
 TEST_CASE("a worker that is idle and draining when a new owner hears of it stays in the roster") {
   // Guards against an entry of an earlier owner that no later one drops, since none added it.
   const auto simulation = BusySimulation(6);
-  const int draining = BusyWorker(*simulation, 0);
+  const int draining = simulation->BusyWorker(0);
   simulation->KillNode(simulation->OwnerIndex());
   DrainUntilIdle(*simulation, draining);
   simulation->RunFor(milliseconds(1500));
