Tasks of a lost worker do not wait for another worker that is lost with the owner

Cause: any worker of the roster on which any task may run was taken for one on which these tasks might run, although the owner could not have started them there while the first worker might still run them. Change: as long as the stored roster limits the leases on a worker, the tasks that it lists there start nowhere else. They start once a roster without them is stored, which costs one append after the end of the lease. The next owner lets them wait for that worker only, and starts them before its takeover is complete. Why it is safe: the simulation now takes a start for a violation if the stored roster lists the task on another worker whose leases are limited.

--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -33,8 +33,8 @@
   // All owners from this generation up to this one grant bound leases only; 0 in records of earlier
   // versions.
   std::int64_t bound_since = 0;
-  // All owners from this generation up to this one grant no lease on a worker that the stored
-  // RosterLeasesRecord names; 0 in records of earlier versions.
+  // All owners from this generation up to this one keep to the stored RosterLeasesRecord; 0 in
+  // records of earlier versions.
   std::int64_t limits_since = 0;
 };
 
@@ -50,8 +50,9 @@
 };
 
 // Workers of the roster on which nothing runs longer than the given time after the record was
-// stored: the owner does not reach them, and grants no lease there until a later roster is stored.
-// Stored after its roster record in the same append, and void with any later roster.
+// stored: the owner does not reach them. Until a later roster is stored it grants no lease there,
+// and starts none of the tasks elsewhere that RosterTasksRecord lists there. Stored after its
+// roster record in the same append, and void with any later roster.
 struct RosterLeasesRecord {
   std::int64_t generation = 0;                // Of the owner that stored the record.
   std::map<std::string, Duration> remaining;  // By worker; stored in milliseconds, rounded up.
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -73,7 +73,11 @@
     if (unreported_workers_.contains(worker)) awaited_tasks_[worker] = tasks;
   }
   const std::map<std::string, Time> lease_ends = log_view.RosterLeaseEnds();
-  for (const auto& [worker, end] : lease_ends) lease_limited_.insert(worker);
+  for (const auto& [worker, end] : lease_ends) {
+    lease_limited_.insert(worker);
+    const auto it = awaited_tasks_.find(worker);
+    if (it != awaited_tasks_.end()) limited_tasks_.insert(it->second.begin(), it->second.end());
+  }
   // A lease that is not bound may last longer than its owner knew.
   if (earlier_leases_bound_) awaited_until_ = lease_ends;
   UpdateAwaitedTasks();
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -87,6 +87,7 @@
   struct RosterBatch {
     std::vector<std::string> startable;  // Workers that it lists for any task.
     std::vector<std::string> unlimited;  // Workers of which it does not say when leases end.
+    std::set<TaskRef> limited_tasks;     // Tasks on the workers of which it does.
   };
   struct PendingOrder {
     std::string worker;
@@ -313,6 +314,12 @@
   std::map<std::uint64_t, RosterBatch> roster_batches_;  // Not stored yet.
   // Workers of which the stored roster, or one that may be stored, says when the leases there end.
   std::set<std::string> lease_limited_;
+  // Tasks that such a roster lists on these workers. They start nowhere else until a later roster
+  // is stored, so that the next owner knows where they may run.
+  std::set<TaskRef> limited_tasks_;
+  // Tasks that earlier owners listed on one of these workers, where they have ended. They start
+  // before the takeover is complete.
+  std::set<TaskRef> released_tasks_;
   bool fenced_ = false;
   // The process was suspended, and neither the log nor the workers have confirmed since then that
   // it is still the owner. Nothing is started in this state.
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -131,7 +131,9 @@
   const TaskStatus& task = job.StepOf(id).tasks[static_cast<std::size_t>(id.index)];
   // The task cannot start while an earlier run of it is still being stopped.
   if (task.phase != TaskPhase::kWaiting || task.present_runs > 0) return false;
-  return awaited_task_set_.empty() || !awaited_task_set_.contains({job.job->key, id});
+  if (awaited_task_set_.empty() && limited_tasks_.empty()) return true;
+  const TaskRef ref{job.job->key, id};
+  return !awaited_task_set_.contains(ref) && !limited_tasks_.contains(ref);
 }
 
 void Scheduler::PlaceStep(const ReadyStep& ready, const Now& now) {
--- a/packages/jobs/src/scheduler_restarts.cc
+++ b/packages/jobs/src/scheduler_restarts.cc
@@ -13,13 +13,14 @@
   for (const ReadyStep& it : ready) {
     const TaskId first{it.occurrence, it.step, 0};
     const StepSpec& spec = it.job->SpecOf(first);
-    if (!spec.long_running || it.job->may_run_unreported) continue;
+    if (!spec.long_running || (it.job->may_run_unreported && released_tasks_.empty())) continue;
     if (spec.best_effort && !best_effort_due) continue;
     const StepStatus& step = it.job->StepOf(first);
     for (int i = 0; i < spec.count; ++i) {
       const TaskStatus& task = step.tasks[static_cast<std::size_t>(i)];
       const TaskId id{it.occurrence, it.step, i};
       if (!WaitsForWorker(*it.job, id) || !it.job->IsRestart(id)) continue;
+      if (it.job->may_run_unreported && !released_tasks_.contains({it.job->job->key, id})) continue;
       restarts.push_back({it, i, step.WaitingSince(task)});
     }
   }
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -74,6 +74,7 @@
 
 void Scheduler::CompleteTakeover(const Now& now) {
   taking_over_ = false;
+  released_tasks_.clear();
   tracker_.OnAllRunsReported();
   LogEvent event(LogLevel::kInfo, "takeover_complete");
   event.With("workers", workers_.size())
@@ -92,7 +93,10 @@
   const auto dropped = std::erase_if(unreported_workers_, [&](const std::string& id) {
     if (!IsAwaitEnded(id)) return false;
     LogRosterDrop(id, "unreported");
-    awaited_tasks_.erase(id);
+    const auto tasks = awaited_tasks_.extract(id);
+    // Elsewhere they would have started only after a later roster had been stored.
+    if (!tasks.empty() && awaited_until_.contains(id))
+      released_tasks_.insert(tasks.mapped().begin(), tasks.mapped().end());
     return true;
   });
   if (dropped == 0) return;
@@ -204,9 +208,10 @@
     const RosterEntry wanted = RosterEntryOf(worker, now);
     const bool with_tasks = wanted == RosterEntry::kWithTasks && wanted == worker.roster_entry;
     const bool more = wanted > worker.roster_entry || (with_tasks && RunsUnlistedTask(worker));
-    const bool less = wanted < worker.roster_entry ||
-                      (with_tasks && worker.runs().size() < worker.roster_tasks.size());
-    if (more || (less && may_drop)) roster_changed_ = true;
+    const bool fewer_tasks = worker.runs().size() < worker.roster_tasks.size();
+    const bool less = wanted < worker.roster_entry || (with_tasks && fewer_tasks);
+    // Tasks wait for a roster that does not list them on a worker whose leases are limited.
+    if (more || (less && (may_drop || (limited && fewer_tasks)))) roster_changed_ = true;
   }
 }
 
@@ -243,17 +248,21 @@
 void Scheduler::AddRosterLeases(ChangeBatch& batch, RosterBatch& roster, const Now& now) {
   RosterLeasesRecord record;
   record.generation = generation_;
-  const auto add = [&](const std::string& id, Time end) {
+  const auto add = [&](const std::string& id, Time end, const std::vector<TaskRef>& tasks) {
     record.remaining[id] = std::max(end - now.monotonic, Duration::zero());
+    roster.limited_tasks.insert(tasks.begin(), tasks.end());
   };
   for (const std::string& id : unreported_workers_) {
-    if (IsUnreportedLost(id, now)) add(id, AwaitedUntil(id));
+    if (!IsUnreportedLost(id, now)) continue;
+    const auto it = awaited_tasks_.find(id);
+    add(id, AwaitedUntil(id), it == awaited_tasks_.end() ? std::vector<TaskRef>{} : it->second);
   }
   for (const auto& [id, worker] : workers_) {
     const bool listed = worker.roster_entry != RosterEntry::kAbsent;
     if (!listed || unreported_workers_.contains(id) || !IsLost(worker, now)) continue;
-    add(id, worker.LastRunEnd());
+    add(id, worker.LastRunEnd(), worker.roster_tasks);
   }
+  limited_tasks_.insert(roster.limited_tasks.begin(), roster.limited_tasks.end());
   for (const std::string& id : lease_limited_) {
     if (!record.remaining.contains(id)) roster.unlimited.push_back(id);
   }
@@ -287,6 +296,7 @@
       WorkerState* worker = FindWorker(id);
       if (worker != nullptr) worker->in_stored_roster = true;
     }
+    limited_tasks_ = std::move(it->second.limited_tasks);
     for (const std::string& id : it->second.unlimited) {
       lease_limited_.erase(id);
       WorkerState* worker = FindWorker(id);
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -97,7 +97,8 @@
     counters_.Add("cactusshelf_waiting_steps_total", reason);
     return event.With("reason", reason);
   };
-  if (job.may_run_unreported || awaited_task_set_.contains(ref)) {
+  const bool unreported = job.may_run_unreported && !released_tasks_.contains(ref);
+  if (unreported || awaited_task_set_.contains(ref)) {
     with_reason("takeover").With("awaited_workers", unreported_workers_.size());
   } else if (task.phase == TaskPhase::kPlaced) {
     with_reason("placed_without_run");
@@ -114,6 +115,8 @@
     }
   } else if (ownership_unconfirmed_) {
     with_reason("ownership_unconfirmed");
+  } else if (limited_tasks_.contains(ref)) {
+    with_reason("roster_not_stored");
   } else {
     const PlacementRequest request = MakePlacementRequest(job, id, now.monotonic);
     const std::vector<WorkerState*> usable = PlaceableWorkers();
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -391,6 +391,7 @@
   const auto end = static_cast<std::int64_t>(store_.log(append.cell).size());
   for (std::int64_t i = first; i < end; ++i) {
     const auto offset = static_cast<std::size_t>(i);
+    NoteStoredRecord(append.cell, store_.log(append.cell)[offset]);
     const std::string& key = store_.log(append.cell)[offset].key;
     stored_at_[{append.cell, i}] = now_;
     record_offsets_[{append.cell, key.substr(key.find('/') + 1)}].push_back(offset);
@@ -398,6 +399,23 @@
   return done;
 }
 
+void JobSimulation::NoteStoredRecord(int cell, const KeyedRecord& record) {
+  const bool of_roster = record.key.starts_with("roster") || record.key.starts_with("o/");
+  if (of_roster) stored_rosters_[cell].Apply(DecodeJobLogRecord(record), record.offset);
+}
+
+bool JobSimulation::IsListedElsewhere(const FakeWorker& worker, const TaskRef& task) const {
+  return std::any_of(stored_rosters_.begin(), stored_rosters_.end(), [&](const auto& it) {
+    const auto lease_ends = it.second.RosterLeaseEnds();
+    const auto& listed = it.second.roster_tasks();
+    return std::any_of(lease_ends.begin(), lease_ends.end(), [&](const auto& limited) {
+      const auto tasks = listed.find(limited.first);
+      return limited.first != worker.entry().id && tasks != listed.end() &&
+             std::find(tasks->second.begin(), tasks->second.end(), task) != tasks->second.end();
+    });
+  });
+}
+
 // Sends the order as the daemon does: one that names an incarnation is written only on a connection
 // on which this incarnation has answered. Returns the answer of the sender or of the worker.
 template <typename Order, typename Call>
@@ -953,6 +971,8 @@
   }
   if (!Fits(used, worker.entry().capacity))
     RecordViolation(name + ": started beyond the worker's capacity");
+  if (IsListedElsewhere(worker, order.task))
+    RecordViolation(name + ": started while the stored roster lists it on a lost worker only");
   for (const auto& it : workers_) {
     if (it->running().contains(order.task)) {
       RecordViolation(name + ": started while it runs on " + it->entry().id);
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -204,6 +204,11 @@
   void AnswerWaitingHolds(const FakeWorker& worker);
   void ScheduleRepeating(Duration SimulationFaults::*period, const std::function<void()>& action);
   void CheckStart(const FakeWorker& worker, const StartOrder& order);
+  // True if the stored roster says that the task can run on no other worker than one whose leases
+  // are limited.
+  bool IsListedElsewhere(const FakeWorker& worker, const TaskRef& task) const;
+  // Keeps the stored rosters of each cell up to date.
+  void NoteStoredRecord(int cell, const KeyedRecord& record);
   void RecordViolation(const std::string& text);
   bool IsCompletionProcessed(const StartOrder& order);
   // True if the records of the job were dropped, however long ago.
@@ -236,6 +241,7 @@
   // Answers to holds that wait for the end of a run, by worker and in order.
   std::map<std::string, std::map<std::uint64_t, std::function<void()>>> waiting_holds_;
   std::uint64_t next_waiting_hold_ = 1;
+  std::map<int, JobLogView> stored_rosters_;  // By cell; without jobs.
   RestartCheck restart_check_;
   // Offsets of the records of each job and of the layout, by cell and name.
   std::map<std::pair<int, std::string>, std::vector<std::size_t>> record_offsets_;
