Stopped tasks that have waited for long go before the task whose room becomes free

Cause: a task that stops claims the room that it has left at once. Those that wait without a claim take turns, four in a pass, to be searched for; with 240 steps waiting their turn comes too rarely to find room between two claims. So the same tasks waited as long as the pool was full. Evidence: the play with logs: 4,500 milliprocessors needed, claimed_worker="", waiting_steps=240. "a task that has just stopped takes its room again before one that waits for long" fails without the change. Change: restarts that have waited for half of the 6 s are offered the workers that runs have left since the pass before, in the order in which they stopped and without a search. The others keep the room that they had. Cost: a comparison of each such restart with the workers freed since the pass before.

--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -44,6 +44,9 @@
 // A long-running task that has stopped is owed to its caller again after this time, if workers have
 // room.
 constexpr Duration kRestartDelay = std::chrono::seconds(6);
+// A restart that has waited for this time goes before the one whose room has become free, which is
+// owed a start only kRestartDelay after its own stop.
+constexpr Duration kMaxWaitForOwnRoom = kRestartDelay / 2;
 // While at least this part of a pool's processors is free, no room is kept from first starts for
 // restarts that fit nowhere: what they lack is whole workers, not processors.
 constexpr double kMinFreeOfUnheldPool = 0.5;
@@ -101,7 +104,9 @@
   reservation_scans_left_ = kMaxReservationScans;
   pool_free_.clear();
   pool_capacity_.clear();
-  for (const WorkerState* worker : workers_) {
+  freed_workers_.clear();
+  for (WorkerState* worker : workers_) {
+    if (std::exchange(worker->has_freed_room, false)) freed_workers_.push_back(worker);
     const WorkerEntry& entry = worker->entry();
     pool_free_[entry.pool] += worker->Free();
     pool_capacity_[entry.pool] += entry.capacity;
@@ -308,9 +313,26 @@
   return false;
 }
 
+bool Placer::ClaimFreedRoom(const PlacementRequest& request, Time now) {
+  if (request.waited < kMaxWaitForOwnRoom) return false;
+  WorkerState* best = nullptr;
+  for (WorkerState* worker : freed_workers_) {
+    ++comparison_count_;
+    if (!LeavesClaimedRoom(*worker, request) || ClaimableAt(*worker, request, now) != now) continue;
+    const bool is_better =
+        best == nullptr || worker->Free().milliprocessors < best->Free().milliprocessors;
+    if (is_better) best = worker;
+  }
+  if (best == nullptr) return false;
+  awaited_room_.Remove(request.ref());
+  claims_.Add(request.ref(), *best, CapacityNeed(request.step()));
+  return true;
+}
+
 void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
   const TaskRef task = request.ref();
   if (request.restart && ClaimOnKnownWorker(request, now)) return;
+  if (request.restart && ClaimFreedRoom(request, now)) return;
   if (!request.restart && awaited_room_.WorkerOf(task) != nullptr) return;
   const bool searched_before = searched_in_vain_.contains(task);
   if (claim_searches_left_ > 0 && !searched_before) {
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -111,8 +111,10 @@
   // time, or else on the worker that is expected to have room first. So tasks that stop together
   // find room as they had it. Does nothing if the task has a claim that still holds.
   // A request without `restart` is for a task whose run is about to end; it only awaits room.
-  // The number of searches in one pass is limited; tasks without a claim take turns. Until its
-  // turn, a task keeps all of its pool from long-running tasks that never ran.
+  // A restart that has waited for long may claim room that has become free since the pass before,
+  // also if the task that left it has stopped as well: call this in the order in which they
+  // stopped. The number of searches in one pass is limited; tasks without a claim take turns. Until
+  // its turn, a task keeps all of its pool from long-running tasks that never ran.
   void ClaimRoom(const PlacementRequest& request, Time now);
 
   // Records that a task was placed on `worker` in this pass. Ends its claim.
@@ -172,6 +174,8 @@
   // Claims room without a search. Returns false if neither the present claim holds nor the last
   // worker, or the one on which the task awaits room, is expected to have it in time.
   bool ClaimOnKnownWorker(const PlacementRequest& request, Time now);
+  // Claims room without a search that has become free since the pass before.
+  bool ClaimFreedRoom(const PlacementRequest& request, Time now);
   void AddUnclaimedNeed(const PlacementRequest& request);
   // The best worker for the task, without regard to what is known to be unplaceable.
   WorkerState* FindBest(const PlacementRequest& request, Time now);
@@ -200,6 +204,7 @@
   const SchedulerOptions& options_;
   const InterferenceModel& interference_;
   std::vector<WorkerState*> workers_;
+  std::vector<WorkerState*> freed_workers_;  // Those that runs have left since the pass before.
   std::unordered_map<std::string, Resources> pool_free_;      // By pool.
   std::unordered_map<std::string, Resources> pool_capacity_;  // By pool.
   std::vector<UnplaceableRequest> unplaceable_;
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -78,6 +78,7 @@
   if (it == runs_.end()) return;
   AdjustUsage(it->second, -1);
   quarantine.OnRunRemoved(task);
+  has_freed_room = true;
   runs_.erase(it);
 }
 
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -218,7 +218,8 @@
   std::deque<WorkerOrder> queued_orders;
   // The state of a run is unclear: the next hold is sent at once and does not wait for an end.
   bool report_needed_now = false;
-  Time starts_paused_until;  // The worker has refused a start.
+  Time starts_paused_until;     // The worker has refused a start.
+  bool has_freed_room = false;  // A run has left since the last placement pass.
   WorkerQuarantine quarantine;
   std::map<int, ServingState> serving_by_image;  // By image index.
   BestEffortUsage best_effort_usage;             // As last reported.
--- a/packages/jobs/tests/restart_schedule_test.cc
+++ b/packages/jobs/tests/restart_schedule_test.cc
@@ -234,6 +234,31 @@
   }
 }
 
+TEST_CASE("on a full pool the room of a task that fails goes to the same task again and again") {
+  // Guards against stopped tasks that wait as long as the pool is full, while tasks that fail get
+  // their room back at once: at any moment some room is free, so all tasks are owed a turn.
+  Setting setting;
+  setting.workers = 10;
+  setting.long_need = 2000;
+  setting.filled = 0.9;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Play play(seed, setting);
+    JobSimulation& simulation = play.simulation();
+    REQUIRE(simulation.running_tasks() == 35);
+    play.LoseWorkers(2);
+    for (int i = 0; i < 1000; ++i) {
+      FakeWorker& worker = simulation.worker(2 + static_cast<int>(simulation.random().Below(8)));
+      const auto n = static_cast<std::int64_t>(worker.running().size());
+      if (n > 0) {
+        const auto task = std::next(worker.running().begin(), i % n);
+        worker.FailRun(TaskRef(task->first), simulation.now());
+      }
+      simulation.RunFor(milliseconds(25));
+    }
+    CheckPlay(play, seed);
+  }
+}
+
 TEST_CASE("owners that follow each other within seconds do not assume the longest lease again") {
   // Guards against tasks of a lost worker that wait for 10 s: an owner stored what it knew of the
   // worker's incarnation only after 10.2 s, and no owner lived as long.
--- a/packages/jobs/tests/room_claims_test.cc
+++ b/packages/jobs/tests/room_claims_test.cc
@@ -189,4 +189,41 @@
   CHECK(pool.placer.ChooseClaimed(request, kStart) == pool.workers[1]);
 }
 
+TEST_CASE("a task that has just stopped takes its room again before one that waits for long") {
+  // Guards against stopped tasks that wait as long as a pool is full: hundreds of them took turns
+  // to be searched for, and tasks that failed meanwhile had claimed the room that they left.
+  Pool pool(2);
+  for (int i : {0, 1}) {
+    for (int n = 0; n < 4; ++n) pool.AddRun(i, {4000, 0, 0}, {}, true);
+  }
+  std::vector<SubmittedJob> jobs;
+  for (std::uint64_t i = 1; i <= 20; ++i) jobs.push_back(LongRunningJob(i, 4000));
+  const SubmittedJob stopped = LongRunningJob(21, 4000);
+  std::set<TaskRef> tasks{RestartOf(stopped).ref()};
+  for (const SubmittedJob& it : jobs) tasks.insert(RestartOf(it).ref());
+  const auto claim_all = [&](Duration waited) {
+    pool.placer.BeginPass(pool.workers, tasks);
+    for (const SubmittedJob& it : jobs) {
+      PlacementRequest request = RestartOf(it);
+      request.waited = waited;
+      pool.placer.ClaimRoom(request, kStart);
+    }
+    PlacementRequest request = RestartOf(stopped);
+    request.last_worker = pool.workers[1];
+    pool.placer.ClaimRoom(request, kStart);
+  };
+  // The first four have had their turn to be searched for.
+  claim_all(seconds(1));
+  pool.workers[1]->RemoveRun(pool.workers[1]->runs().begin()->first);
+  SECTION("the others have waited for a short time") {
+    claim_all(seconds(1));
+    CHECK(pool.ClaimOf(RestartOf(jobs[0]).ref()).empty());
+  }
+  SECTION("the others have waited for long") {
+    claim_all(seconds(5));
+    CHECK(pool.ClaimOf(RestartOf(jobs[0]).ref()) == "w1");
+    CHECK(pool.ClaimOf(RestartOf(stopped).ref()).empty());
+  }
+}
+
 }  // namespace cactusshelf::jobs
