--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -100,7 +100,7 @@
   const bool unreported = job.may_run_unreported && !released_tasks_.contains(ref);
   if (unreported || awaited_task_set_.contains(ref)) {
     with_reason("takeover").With("awaited_workers", unreported_workers_.size());
-  } else if (task.phase == TaskPhase::kPlaced) {
+  } else if (task.phase == TaskPhase::kPlaced && task.present_runs == 0) {
     with_reason("placed_without_run");
   } else if (task.present_runs != 0) {
     with_reason("earlier_run").With("runs", task.present_runs);
--- a/packages/jobs/tests/task_wait_test.cc
+++ b/packages/jobs/tests/task_wait_test.cc
@@ -55,7 +55,9 @@
   simulation->worker(0).FailRun(task, simulation->now());
   simulation->RunFor(seconds(4));
   const std::string part = "event=task_waiting task=" + jobs::ToString(task);
-  CHECK_FALSE(simulation->LogLines(part).empty());
+  const std::string lines = simulation->LogLines(part);
+  CHECK_FALSE(lines.empty());
+  CHECK(lines.find("reason=placed_without_run") == std::string::npos);
 }
 
 TEST_CASE("the most that is free on a worker counts workers that the task cannot use") {
