Only an owner that knows it promises that a task runs on a lost worker only

Found by reading again, before any landing: an owner stored the promise also for workers that had not reported to it, with the tasks that its predecessor had listed there. The predecessor may have started such a task elsewhere (it was stopped on a draining worker) before it could store a later roster; a third owner would start the task while it runs. Change: the record names the workers for which the promise holds: those that the owner lost itself and that hold the only run of each task, and those for which its predecessor gave the promise. Evidence: "a task starts although it may run on a worker that has not reported" and "the roster says that a task runs on a lost worker only, while it runs elsewhere" fail if the promise is given for all.

--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -53,9 +53,15 @@
   const std::vector<std::string>& roster() const { return roster_; }
   // Workers of the roster on which no other than the given tasks may run.
   const std::map<std::string, std::vector<TaskRef>>& roster_tasks() const;
-  // Workers of the roster on which nothing runs after the given time, on the clock of SetReadTime.
-  // Empty unless they are stored with the roster, and all owners since then grant no lease there.
-  std::map<std::string, Time> RosterLeaseEnds() const;
+  // What the owner stored of the leases on a worker that it did not reach.
+  struct RosterLease {
+    Time end;                // Nothing runs there later, on the clock of SetReadTime.
+    bool exclusive = false;  // RosterLeasesRecord::exclusive names the worker.
+  };
+
+  // Leases on workers of the roster, by worker. Empty unless they are stored with the roster, and
+  // all owners since then have kept to them.
+  std::map<std::string, RosterLease> RosterLeases() const;
   // Empty until an owner has stored it.
   const LeaseRecord& leases() const { return leases_; }
   const InterferenceRecord& interference() const { return interference_; }
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -50,12 +51,14 @@
 };
 
 // Workers of the roster on which nothing runs longer than the given time after the record was
-// stored: the owner does not reach them. Until a later roster is stored it grants no lease there,
-// and starts none of the tasks elsewhere that RosterTasksRecord lists there. Stored after its
-// roster record in the same append, and void with any later roster.
+// stored: the owner does not reach them, and grants no lease there until a later roster is stored.
+// Stored after its roster record in the same append, and void with any later roster.
 struct RosterLeasesRecord {
   std::int64_t generation = 0;                // Of the owner that stored the record.
   std::map<std::string, Duration> remaining;  // By worker; stored in milliseconds, rounded up.
+  // Workers of which the tasks that RosterTasksRecord lists there run nowhere else, and start
+  // nowhere else until a later roster is stored.
+  std::set<std::string> exclusive;
 };
 
 // The longest lease that owners have granted and that may still last.
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -49,14 +49,15 @@
   roster_leases_read_at_ = read_at_;
 }
 
-std::map<std::string, Time> JobLogView::RosterLeaseEnds() const {
-  std::map<std::string, Time> ends;
+std::map<std::string, JobLogView::RosterLease> JobLogView::RosterLeases() const {
+  std::map<std::string, RosterLease> leases;
   const bool of_roster = roster_offset_ >= 0 && roster_leases_offset_ > roster_offset_;
   const bool kept = owner_.limits_since != 0 && owner_.limits_since <= roster_leases_.generation;
-  if (!of_roster || !kept) return ends;
+  if (!of_roster || !kept) return leases;
   for (const auto& [worker, remaining] : roster_leases_.remaining)
-    ends[worker] = roster_leases_read_at_ + remaining;
-  return ends;
+    leases[worker] = {roster_leases_read_at_ + remaining,
+                      roster_leases_.exclusive.contains(worker)};
+  return leases;
 }
 
 void JobLogView::ApplyRecord(LeaseRecord record, std::int64_t /*offset*/) {
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -218,6 +218,7 @@
       throw DecodeError("roster leases record with an impossible lease");
     record.remaining[worker] = remaining;
   }
+  record.exclusive = value.at(2).get<std::set<std::string>>();
   return record;
 }
 
@@ -269,7 +270,8 @@
   json workers = json::object();
   for (const auto& [worker, remaining] : record.remaining)
     workers[worker] = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
-  return {kRosterLeasesKey, ToBytes(json::array({record.generation, workers})), 0};
+  return {kRosterLeasesKey, ToBytes(json::array({record.generation, workers, record.exclusive})),
+          0};
 }
 
 KeyedRecord Encode(const LeaseRecord& record) {
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -72,14 +72,15 @@
   for (const auto& [worker, tasks] : log_view.roster_tasks()) {
     if (unreported_workers_.contains(worker)) awaited_tasks_[worker] = tasks;
   }
-  const std::map<std::string, Time> lease_ends = log_view.RosterLeaseEnds();
-  for (const auto& [worker, end] : lease_ends) {
+  for (const auto& [worker, lease] : log_view.RosterLeases()) {
     lease_limited_.insert(worker);
+    // A lease that is not bound may last longer than its owner knew.
+    if (earlier_leases_bound_) awaited_until_[worker] = lease.end;
     const auto it = awaited_tasks_.find(worker);
-    if (it != awaited_tasks_.end()) limited_tasks_.insert(it->second.begin(), it->second.end());
+    if (!lease.exclusive || it == awaited_tasks_.end()) continue;
+    exclusive_workers_.insert(worker);
+    limited_tasks_.insert(it->second.begin(), it->second.end());
   }
-  // A lease that is not bound may last longer than its owner knew.
-  if (earlier_leases_bound_) awaited_until_ = lease_ends;
   UpdateAwaitedTasks();
 }
 
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -173,6 +173,8 @@
   bool IsUnreportedLost(const std::string& id, const Now& now) const;
   // True if the last roster that was handed over says when the leases on the worker end.
   bool IsLimitedByLastRoster(const std::string& id) const;
+  // True if no task has another run than the one on the worker whose tasks these are.
+  bool HoldsOnlyRunOfEach(const std::vector<TaskRef>& tasks);
   // Adds to the batch until when the workers that this owner does not reach may run something. No
   // lease is granted there until a later roster is stored that says nothing of them.
   void AddRosterLeases(ChangeBatch& batch, RosterBatch& roster, const Now& now);
@@ -295,6 +297,8 @@
   std::set<TaskRef> awaited_task_set_;
   // Of unreported workers of which the earlier owner has stored when the leases there end.
   std::map<std::string, Time> awaited_until_;
+  // Unreported workers of which the listed tasks run nowhere else.
+  std::set<std::string> exclusive_workers_;
   bool taking_over_;
   Time gained_at_;
   Time next_takeover_report_;
@@ -314,8 +318,8 @@
   std::map<std::uint64_t, RosterBatch> roster_batches_;  // Not stored yet.
   // Workers of which the stored roster, or one that may be stored, says when the leases there end.
   std::set<std::string> lease_limited_;
-  // Tasks that such a roster lists on these workers. They start nowhere else until a later roster
-  // is stored, so that the next owner knows where they may run.
+  // Tasks that such a roster lists on one of these workers only. They start nowhere else until a
+  // later roster is stored, so that the next owner knows where they may run.
   std::set<TaskRef> limited_tasks_;
   // Tasks that earlier owners listed on one of these workers, where they have ended. They start
   // before the takeover is complete.
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -94,8 +94,7 @@
     if (!IsAwaitEnded(id)) return false;
     LogRosterDrop(id, "unreported");
     const auto tasks = awaited_tasks_.extract(id);
-    // Elsewhere they would have started only after a later roster had been stored.
-    if (!tasks.empty() && awaited_until_.contains(id))
+    if (exclusive_workers_.erase(id) > 0 && !tasks.empty())
       released_tasks_.insert(tasks.mapped().begin(), tasks.mapped().end());
     return true;
   });
@@ -186,6 +185,7 @@
   worker.in_stored_roster = it == awaited_tasks_.end();
   worker.roster_entry = worker.in_stored_roster ? RosterEntry::kAnyTask : RosterEntry::kWithTasks;
   awaited_until_.erase(worker.entry().id);
+  exclusive_workers_.erase(worker.entry().id);
   if (worker.in_stored_roster) return;
   worker.roster_tasks = std::move(it->second);
   awaited_tasks_.erase(it);
@@ -245,22 +245,34 @@
   AddRosterLeases(batch, stored, now);
 }
 
+bool Scheduler::HoldsOnlyRunOfEach(const std::vector<TaskRef>& tasks) {
+  return std::all_of(tasks.begin(), tasks.end(), [this](const TaskRef& it) {
+    const TaskStatus* task = tracker_.Find(it);
+    return task == nullptr || task->present_runs <= 1;
+  });
+}
+
 void Scheduler::AddRosterLeases(ChangeBatch& batch, RosterBatch& roster, const Now& now) {
   RosterLeasesRecord record;
   record.generation = generation_;
-  const auto add = [&](const std::string& id, Time end, const std::vector<TaskRef>& tasks) {
+  const auto add_remaining = [&](const std::string& id, Time end) {
     record.remaining[id] = std::max(end - now.monotonic, Duration::zero());
+  };
+  const auto add_exclusive = [&](const std::string& id, const std::vector<TaskRef>& tasks) {
+    record.exclusive.insert(id);
     roster.limited_tasks.insert(tasks.begin(), tasks.end());
   };
   for (const std::string& id : unreported_workers_) {
     if (!IsUnreportedLost(id, now)) continue;
-    const auto it = awaited_tasks_.find(id);
-    add(id, AwaitedUntil(id), it == awaited_tasks_.end() ? std::vector<TaskRef>{} : it->second);
+    add_remaining(id, AwaitedUntil(id));
+    // The owner that listed the tasks of any other worker may have started them elsewhere since.
+    if (exclusive_workers_.contains(id)) add_exclusive(id, awaited_tasks_.at(id));
   }
   for (const auto& [id, worker] : workers_) {
     const bool listed = worker.roster_entry != RosterEntry::kAbsent;
     if (!listed || unreported_workers_.contains(id) || !IsLost(worker, now)) continue;
-    add(id, worker.LastRunEnd(), worker.roster_tasks);
+    add_remaining(id, worker.LastRunEnd());
+    if (HoldsOnlyRunOfEach(worker.roster_tasks)) add_exclusive(id, worker.roster_tasks);
   }
   limited_tasks_.insert(roster.limited_tasks.begin(), roster.limited_tasks.end());
   for (const std::string& id : lease_limited_) {
--- a/packages/jobs/tests/job_log_test.cc
+++ b/packages/jobs/tests/job_log_test.cc
@@ -155,7 +155,7 @@
   claim.generation = 4;
   claim.limits_since = 3;
   const KeyedRecord roster = Encode(RosterRecord{{"w0", "w1"}});
-  const KeyedRecord leases = Encode(RosterLeasesRecord{3, {{"w1", milliseconds(1500)}}});
+  const KeyedRecord leases = Encode(RosterLeasesRecord{3, {{"w1", milliseconds(1500)}}, {"w1"}});
   const Time read_at{seconds(100)};
   JobLogView log_view;
   Apply(log_view, at(Encode(claim), 1));
@@ -163,24 +163,28 @@
   Apply(log_view, at(roster, 7));
   Apply(log_view, at(leases, 8));
   log_view.SetReadTime(read_at + seconds(1));
-  const std::map<std::string, Time> expected{{"w1", read_at + milliseconds(1500)}};
-  CHECK(log_view.RosterLeaseEnds() == expected);
+  const auto holds = [&] {
+    const auto stored = log_view.RosterLeases();
+    return stored.size() == 1 && stored.at("w1").end == read_at + milliseconds(1500) &&
+           stored.at("w1").exclusive;
+  };
+  CHECK(holds());
   claim.limits_since = 4;
   Apply(log_view, at(Encode(claim), 9));
-  CHECK(log_view.RosterLeaseEnds().empty());
+  CHECK(log_view.RosterLeases().empty());
   claim.limits_since = 0;
   Apply(log_view, at(Encode(claim), 10));
-  CHECK(log_view.RosterLeaseEnds().empty());
+  CHECK(log_view.RosterLeases().empty());
   claim.limits_since = 3;
   Apply(log_view, at(Encode(claim), 11));
-  CHECK(log_view.RosterLeaseEnds() == expected);
+  CHECK(holds());
   Apply(log_view, at(roster, 12));
-  CHECK(log_view.RosterLeaseEnds().empty());
+  CHECK(log_view.RosterLeases().empty());
 }
 
 TEST_CASE("an impossible lease in a roster's record of leases is refused") {
   const auto encoded = [](Duration remaining) {
-    return Encode(RosterLeasesRecord{1, {{"w", remaining}}});
+    return Encode(RosterLeasesRecord{1, {{"w", remaining}}, {}});
   };
   CHECK_NOTHROW(DecodeJobLogRecord(encoded(seconds(4))));
   CHECK_THROWS_AS(DecodeJobLogRecord(encoded(-seconds(1))), DecodeError);
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -406,11 +406,12 @@
 
 bool JobSimulation::IsListedElsewhere(const FakeWorker& worker, const TaskRef& task) const {
   return std::any_of(stored_rosters_.begin(), stored_rosters_.end(), [&](const auto& it) {
-    const auto lease_ends = it.second.RosterLeaseEnds();
+    const auto leases = it.second.RosterLeases();
     const auto& listed = it.second.roster_tasks();
-    return std::any_of(lease_ends.begin(), lease_ends.end(), [&](const auto& limited) {
-      const auto tasks = listed.find(limited.first);
-      return limited.first != worker.entry().id && tasks != listed.end() &&
+    return std::any_of(leases.begin(), leases.end(), [&](const auto& lease) {
+      const auto tasks = listed.find(lease.first);
+      const bool other = lease.second.exclusive && lease.first != worker.entry().id;
+      return other && tasks != listed.end() &&
              std::find(tasks->second.begin(), tasks->second.end(), task) != tasks->second.end();
     });
   });
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -66,6 +66,7 @@
       scheduler.ConfirmOwnership(now);
       scheduler.Decide(Clock());
       while (const auto batch = scheduler.TakeChanges(Clock())) {
+        for (const KeyedRecord& it : batch->records) NoteStored(DecodeJobLogRecord(it));
         scheduler.OnStored(batch->id, Clock());
       }
       for (WorkerOrder& order : scheduler.TakeOrders()) open_orders.push_back(std::move(order));
@@ -73,6 +74,10 @@
     }
   }
 
+  void NoteStored(const JobLogRecord& record) {
+    if (const auto* leases = std::get_if<RosterLeasesRecord>(&record)) stored_leases = *leases;
+  }
+
   // Removes the oldest open order of a type to a worker, and returns it if there is one.
   template <typename Order>
   std::optional<Order> TakeOrder(const std::string& worker) {
@@ -150,9 +155,34 @@
   JobLogView log_view;
   Scheduler scheduler;
   std::vector<WorkerOrder> open_orders;
+  RosterLeasesRecord stored_leases;  // The last one that was stored.
   std::string log;
 };
 
+// What an earlier owner has stored of the leases on a worker that it did not reach.
+enum class StoredLease : std::uint8_t { kNone, kEnd, kEndAndExclusive };
+
+// What earlier owners have stored: w1 and w2 may run something, w1 only `task`. The leases on w1
+// end 0.5 s after the record is read.
+JobLogView ViewWithLostWorker(std::int64_t generation, const TaskRef& task, StoredLease lease) {
+  JobLogView view;
+  OwnerRecord claim;
+  claim.host = "h";
+  claim.generation = generation;
+  claim.limits_since = 1;
+  view.Apply(claim, 0);
+  view.Apply(LeaseRecord{seconds(4), {}, true, generation - 1}, 1);
+  view.Apply(RosterRecord{{"w1", "w2"}}, 2);
+  view.Apply(RosterTasksRecord{{{"w1", {task}}}}, 3);
+  view.SetReadTime(Time{seconds(100)});
+  RosterLeasesRecord leases{generation - 1, {{"w1", milliseconds(500)}}, {}};
+  if (lease == StoredLease::kEndAndExclusive) leases.exclusive = {"w1"};
+  if (lease != StoredLease::kNone) view.Apply(leases, 4);
+  view.Apply(LongRunningJob(kJob, 1), 5);
+  view.Apply(ProgressRecord{JobKey(kJob), {JobState::kRunning, {}}}, 6);
+  return view;
+}
+
 }  // namespace
 
 TEST_CASE("a late order renews a lease that outlasts the start of its task elsewhere") {
@@ -478,4 +508,33 @@
   CHECK(next_owner.StartTask("w1") > run);
 }
 
+TEST_CASE("a task starts although it may run on a worker that has not reported") {
+  // Guards against tasks that run twice: the roster lists the task on a lost worker, but an earlier
+  // owner had started it elsewhere before it could store so.
+  const TaskRef task{JobKey(kJob), {0, 0, 0}};
+  const auto lease = GENERATE(StoredLease::kEnd, StoredLease::kEndAndExclusive);
+  SchedulerFixture fixture(3, ViewWithLostWorker(3, task, lease));
+  fixture.ListWorker("w3");
+  fixture.Report("w3", fixture.EmptyReport());
+  fixture.RunUntil(Time{seconds(100)} + milliseconds(480), "w2", "w3");
+  CHECK_FALSE(fixture.TakeOrder<StartOrder>("w3").has_value());
+  fixture.RunUntil(Time{seconds(100)} + milliseconds(3000), "w2", "w3");
+  const bool starts = fixture.TakeOrder<StartOrder>("w3").has_value();
+  CHECK(starts == (lease == StoredLease::kEndAndExclusive));
+}
+
+TEST_CASE("the roster says that a task runs on a lost worker only, while it runs elsewhere") {
+  // Guards against the same: the earlier owner listed the task on a worker that was draining, and
+  // started it on another before it stored a later roster.
+  const TaskRef task{JobKey(kJob), {0, 0, 0}};
+  SchedulerFixture fixture(3, ViewWithLostWorker(3, task, StoredLease::kNone));
+  fixture.ListWorker("w2");
+  HoldReport report = fixture.EmptyReport();
+  report.running = {{task, 50, "", 0, 0}};
+  fixture.Report("w2", report);
+  fixture.RunFor(milliseconds(450));
+  REQUIRE(fixture.stored_leases.remaining.contains("w1"));
+  CHECK(fixture.stored_leases.exclusive.empty());
+}
+
 }  // namespace cactusshelf::jobs
