A read that the store cuts short does not count as a read to the end of the log

An owner that had been paused while more was written took the first part for all of it, and itself for the present owner, although the claim of its successor was in the rest. Hosts answered callers from such a view as if it were fresh. Change: a read whose records end before the log does is followed at once by the next one, and only one that reaches the end makes the view fresh.

--- a/packages/jobs/include/cactusshelf/jobs/job_event.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_event.h
@@ -58,8 +58,10 @@
   ReadOutcome outcome = ReadOutcome::kFailed;
   std::string reason;  // For kFailed.
   std::int64_t next_offset =
-      0;                  // Offset after the records read; for ReadNewest, the end of the stream.
-  bool has_more = false;  // ReadNewest: more keys follow after last_key.
+      0;  // Offset after the records read; for ReadNewest, the end of the stream.
+  // The store had more to return: for ReadRecords from next_offset on, for ReadNewest after
+  // last_key.
+  bool has_more = false;
   std::string last_key;
   std::vector<KeyedRecord> job_records;       // Stream::kJobs.
   std::optional<QueueTable> configuration;    // Stream::kConfiguration: the newest version, if any.
--- a/packages/jobs/src/stream_follower.cc
+++ b/packages/jobs/src/stream_follower.cc
@@ -48,7 +48,8 @@
     loaded_ = true;
   } else {
     next_offset_ = read.next_offset;
-    next_read_at_ = read_started_at_ + period_;
+    next_read_at_ = read.has_more ? now : read_started_at_ + period_;
+    if (read.has_more) return true;
   }
   fresh_at_ = read_started_at_;
   return true;
--- a/packages/jobs/src/stream_follower.h
+++ b/packages/jobs/src/stream_follower.h
@@ -45,7 +45,8 @@
   bool in_flight() const { return in_flight_; }
   // Offset after the last record read.
   std::int64_t next_offset() const { return next_offset_; }
-  // Start of the last successful read. All records stored before that time have been read.
+  // Start of the last read that reached the end of the stream. All records stored before that time
+  // have been read.
   Time fresh_at() const { return fresh_at_; }
   // Time since reads began to fail or to remain unanswered; zero while they succeed.
   Duration UnansweredFor(Time now) const;
--- a/packages/jobs/tests/job_log_test.cc
+++ b/packages/jobs/tests/job_log_test.cc
@@ -263,6 +263,33 @@
   CHECK(std::holds_alternative<job_effect::ReadNewest>(*follower.NextRequest(kStart)));
 }
 
+TEST_CASE("a read that the store cut short counts as a read to the end of the log") {
+  // Guards against an owner that takes itself for the present one: after a pause more records wait
+  // than one read returns, and the claim of its successor is among the later ones.
+  StreamFollower follower(Stream::kJobs);
+  follower.SetReadTiming(milliseconds(100), {});
+  follower.NextRequest(kStart);
+  job_event::StreamRead page;
+  page.newest = true;
+  page.outcome = ReadOutcome::kDone;
+  follower.OnRead(page, kStart);
+  REQUIRE(follower.fresh_at() == kStart);
+  const Time later = kStart + seconds(1);
+  REQUIRE(follower.NextRequest(later));
+  job_event::StreamRead read;
+  read.outcome = ReadOutcome::kDone;
+  read.next_offset = 10;
+  read.has_more = true;
+  CHECK(follower.OnRead(read, later));
+  CHECK(follower.fresh_at() == kStart);
+  const auto rest = follower.NextRequest(later);
+  REQUIRE(rest);
+  CHECK(std::get<job_effect::ReadRecords>(*rest).from == 10);
+  read.has_more = false;
+  follower.OnRead(read, later);
+  CHECK(follower.fresh_at() == later);
+}
+
 TEST_CASE("a page that was requested before a restart does not complete the new listing") {
   // Guards against a listing without its first pages: the last page of the earlier listing was
   // taken for a page of the new one, so that the workers on the earlier pages were unknown to a new
