The owner's count of claimed cells says whether relays are used

Read again: UpdateRelayProbing counted the cells a second time that Advance had just counted into NodeState::claimed_cells. No change of behaviour.

--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -423,8 +423,7 @@
 }
 
 void JobNode::Impl::UpdateRelayProbing(const Now& now) {
-  const bool uses_relays = std::any_of(cells_.begin(), cells_.end(),
-                                       [](const auto& it) { return it->owned_or_claimed(); });
+  const bool uses_relays = node_state_.claimed_cells > 0;
   const bool began = uses_relays && !uses_relays_;
   if (!uses_relays && uses_relays_) relay_pool_.EndProbing();
   uses_relays_ = uses_relays;
