--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -44,9 +44,9 @@
 // A long-running task that has stopped is owed to its caller again after this time, if workers have
 // room.
 constexpr Duration kRestartDelay = std::chrono::seconds(6);
-// A restart that has waited for this time goes before the one whose room has become free, which is
-// owed a start only kRestartDelay after its own stop.
-constexpr Duration kMaxWaitForOwnRoom = kRestartDelay / 2;
+// A restart that has waited for this time may take room that another one has left, which is owed a
+// start only kRestartDelay after its own stop.
+constexpr Duration kMinWaitForFreedRoom = kRestartDelay / 2;
 // While at least this part of a pool's processors is free, no room is kept from first starts for
 // restarts that fit nowhere: what they lack is whole workers, not processors.
 constexpr double kMinFreeOfUnheldPool = 0.5;
@@ -297,6 +297,11 @@
   if (!known) unclaimed_needs_.push_back({request.service, step.required_label, need});
 }
 
+void Placer::AddClaim(const PlacementRequest& request, WorkerState& worker) {
+  awaited_room_.Remove(request.ref());
+  claims_.Add(request.ref(), worker, CapacityNeed(request.step()));
+}
+
 bool Placer::ClaimOnKnownWorker(const PlacementRequest& request, Time now) {
   const TaskRef task = request.ref();
   const WorkerState* claimed = claims_.WorkerOf(task);
@@ -306,15 +311,14 @@
     if (worker == nullptr) continue;
     const auto at = ClaimableAt(*worker, request, now);
     if (!at || *at > now - request.waited + kRestartDelay) continue;
-    awaited_room_.Remove(task);
-    claims_.Add(task, *worker, CapacityNeed(request.step()));
+    AddClaim(request, *worker);
     return true;
   }
   return false;
 }
 
 bool Placer::ClaimFreedRoom(const PlacementRequest& request, Time now) {
-  if (request.waited < kMaxWaitForOwnRoom) return false;
+  if (request.waited < kMinWaitForFreedRoom) return false;
   WorkerState* best = nullptr;
   for (WorkerState* worker : freed_workers_) {
     ++comparison_count_;
@@ -324,15 +328,13 @@
     if (is_better) best = worker;
   }
   if (best == nullptr) return false;
-  awaited_room_.Remove(request.ref());
-  claims_.Add(request.ref(), *best, CapacityNeed(request.step()));
+  AddClaim(request, *best);
   return true;
 }
 
 void Placer::ClaimRoom(const PlacementRequest& request, Time now) {
   const TaskRef task = request.ref();
-  if (request.restart && ClaimOnKnownWorker(request, now)) return;
-  if (request.restart && ClaimFreedRoom(request, now)) return;
+  if (request.restart && (ClaimOnKnownWorker(request, now) || ClaimFreedRoom(request, now))) return;
   if (!request.restart && awaited_room_.WorkerOf(task) != nullptr) return;
   const bool searched_before = searched_in_vain_.contains(task);
   if (claim_searches_left_ > 0 && !searched_before) {
@@ -341,8 +343,7 @@
     const RoomSearch found = SearchRoom(request, now);
     if (request.restart && found.claimable != nullptr) {
       searched_in_vain_.erase(task);
-      awaited_room_.Remove(task);
-      claims_.Add(task, *found.claimable, CapacityNeed(request.step()));
+      AddClaim(request, *found.claimable);
       return;
     }
     // Without a worker to await, no room that first starts may take would help.
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -171,10 +171,12 @@
   std::int64_t Shortfall(const WorkerState& worker, const PlacementRequest& request) const;
   // Searches all workers for room.
   RoomSearch SearchRoom(const PlacementRequest& request, Time now);
+  // Replaces the claim of a task, which awaits room no longer.
+  void AddClaim(const PlacementRequest& request, WorkerState& worker);
   // Claims room without a search. Returns false if neither the present claim holds nor the last
   // worker, or the one on which the task awaits room, is expected to have it in time.
   bool ClaimOnKnownWorker(const PlacementRequest& request, Time now);
-  // Claims room without a search that has become free since the pass before.
+  // Claims room that has become free since the pass before, without a search.
   bool ClaimFreedRoom(const PlacementRequest& request, Time now);
   void AddUnclaimedNeed(const PlacementRequest& request);
   // The best worker for the task, without regard to what is known to be unplaceable.
