The roster of a takeover is compared only when it may change

Read again: CheckRoster went through all unreported workers every 8 ms also when it could not act on them, and the report of waiting tasks spelled out that a task is not done. No change of behaviour.

--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -195,9 +195,12 @@
 void Scheduler::CheckRoster(const Now& now) {
   const bool may_drop = now.monotonic >= next_roster_drop_;
   if (may_drop) next_roster_drop_ = now.monotonic + kRosterDropPeriod;
-  for (const std::string& id : unreported_workers_) {
-    if (may_drop && !IsLimitedByLastRoster(id) && IsUnreportedLost(id, now)) roster_changed_ = true;
-  }
+  const auto to_limit_unreported = [&](const std::string& id) {
+    return !IsLimitedByLastRoster(id) && IsUnreportedLost(id, now);
+  };
+  if (may_drop &&
+      std::any_of(unreported_workers_.begin(), unreported_workers_.end(), to_limit_unreported))
+    roster_changed_ = true;
   for (const auto& [id, worker] : workers_) {
     if (roster_changed_) return;
     if (unreported_workers_.contains(id)) continue;
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -46,7 +46,7 @@
   std::optional<WaitingTask> first;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     const TaskStatus& task = step.tasks[i];
-    if (task.phase != TaskPhase::kWaiting && task.phase != TaskPhase::kPlaced) continue;
+    if (task.phase == TaskPhase::kDone) continue;
     const Time since = step.WaitingSince(task);
     if (now - since < kMinReportedWait) continue;
     const TaskId id{ready.occurrence, ready.step, static_cast<int>(i)};
