--- a/packages/daemon/src/socket_stream.cc
+++ b/packages/daemon/src/socket_stream.cc
@@ -15,10 +15,10 @@
 SocketStream::SocketStream(GObjectPtr<GSocketConnection> connection, Duration ack_timeout)
     : connection_(std::move(connection)), cancellable_(g_cancellable_new()) {
   GSocket* socket = g_socket_connection_get_socket(connection_.get());
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(ack_timeout).count();
   g_socket_set_keepalive(socket, TRUE);
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<gint>(ms), nullptr);
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      static_cast<gint>(ToMilliseconds(ack_timeout)), nullptr);
 }
 
 SocketStream::~SocketStream() = default;
--- a/packages/placement/src/commands.cc
+++ b/packages/placement/src/commands.cc
@@ -14,7 +14,7 @@
 constexpr std::uint32_t kFullRatePermille = 1000;
 
 WorkerTime AddDuration(WorkerTime time, Duration duration) {
-  return {time.ms + std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()};
+  return {time.ms + ToMilliseconds(duration)};
 }
 
 // Returns the attempt that the command names, or null.
--- a/packages/placement/src/starts.cc
+++ b/packages/placement/src/starts.cc
@@ -173,9 +173,7 @@
   placement.size = job.spec.size;
   placement.incarnation = worker.incarnation;
   placement.lease_bound = worker.clock_received_at + LeaseWithMargin();
-  placement.lease_until = {
-      worker.clock_reading.ms +
-      std::chrono::duration_cast<std::chrono::milliseconds>(options_.task_lease).count()};
+  placement.lease_until = {worker.clock_reading.ms + ToMilliseconds(options_.task_lease)};
   placement.started_at = now;
   placement.checkpoint = task.checkpoint;
 
