Reads that the store cut short do not count as silence of the owner

A process that was far behind in the log and got it in parts could claim the cell of an owner that was alive: parts without records of the owner counted as time without them, although later parts may hold some. The new test fails on the commit before (the process claims, and becomes the owner, within 3 s of such reads) and passes.

--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -107,7 +107,8 @@
   if (!follower_.loaded()) return;
   if (read.newest) DropJobsMissingFromListing();
   if (!read.has_more) refresh_requested_ = false;
-  election_.OnRead(owner_active, now.monotonic);
+  // The rest of the log may hold records of the owner.
+  if (owner_active || !read.has_more) election_.OnRead(owner_active, now.monotonic);
   if (scheduler_ && log_view_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
   if (scheduler_) scheduler_->ConfirmOwnership(follower_.fresh_at());
   AdvanceCandidacy(state, now);
--- a/packages/jobs/src/owner_election.h
+++ b/packages/jobs/src/owner_election.h
@@ -31,8 +31,8 @@
     Reset();
   }
 
-  // The log was read to its end at `now`. `owner_active` is true if new records of the owner were
-  // read.
+  // The log was read at `now`, and to its end unless `owner_active`, which is true if new records
+  // of the owner were read.
   void OnRead(bool owner_active, Time now);
 
   // True if this process should claim the ownership; `extra_delay` is added to the time to wait.
--- a/packages/jobs/tests/job_cell_test.cc
+++ b/packages/jobs/tests/job_cell_test.cc
@@ -38,6 +38,7 @@
         if (const auto* it = std::get_if<HoldOrder>(&order->order)) holds.push_back(*it);
       } else if (const auto* records = std::get_if<job_effect::ReadRecords>(&effect)) {
         job_event::StreamRead read = store.Read(*records);
+        read.has_more = read.has_more || reads_cut_short;
         cell.OnRead(read, state, NowAt(now));
       } else if (const auto* newest = std::get_if<job_effect::ReadNewest>(&effect)) {
         job_event::StreamRead read = store.Read(*newest);
@@ -87,6 +88,7 @@
   JobCell cell{0, options, 1};
   Time now{seconds(100)};
   bool appends_held = false;
+  bool reads_cut_short = false;  // The store returns a part of the new records each time.
   std::vector<job_effect::Append> appends;  // Not carried out yet.
   std::vector<HoldOrder> holds;
 };
@@ -129,4 +131,21 @@
   CHECK(fixture.AwaitHold().acknowledged_end == 1);
 }
 
+TEST_CASE("reads that the store cut short count as silence of the owner") {
+  // Guards against an owner that is replaced while it is alive, by a process that is far behind in
+  // the log and has not read the owner's newest records yet.
+  CellFixture fixture;
+  OwnerRecord other;
+  other.generation = 1;
+  other.member = "x/1";
+  other.host = "x";
+  fixture.AppendToStore(Encode(other));
+  fixture.RunUntil([&] { return fixture.cell.log_view().owner().generation == 1; });
+  fixture.reads_cut_short = true;
+  for (int i = 0; i < 300; ++i) fixture.Step();
+  CHECK(fixture.store.log(0).size() == 1);
+  fixture.reads_cut_short = false;
+  fixture.RunUntil([&] { return fixture.cell.scheduler() != nullptr; });
+}
+
 }  // namespace cactusshelf::jobs
