--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -175,6 +175,7 @@
   for (auto it = workers_.begin(); it != workers_.end();) {
     WorkerState& worker = it->second;
     ResolveRunsAfterRestart(worker, now);
+    // On an awaited worker an earlier owner may have renewed the lease.
     if (!worker.reachable && !unreported_workers_.contains(it->first)) {
       const auto ended = [&](const Run& run) {
         return HasEndedByLease(worker, run, ownership_confirmed_at_);
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -117,10 +117,13 @@
   bool CheckIncarnation(WorkerState& worker, const PendingOrder& order, const OrderAnswer& answer,
                         const Now& now);
   // Processes a hold that the worker answered: its incarnation, its clock, and that it has accepted
-  // this owner's token.
-  void OnTokenAccepted(WorkerState& worker, const PendingOrder& hold, const HoldReport& report,
+  // this owner's token. `after_quorum` tells whether the hold was sent after the quorum. Before it
+  // the worker may still restart and run tasks of an earlier owner that has most of the voters, and
+  // that owner must not miss an end: the report does not count for the takeover, and its ends wait.
+  void OnTokenAccepted(WorkerState& worker, const HoldReport& report, bool after_quorum,
                        const Now& now);
-  void ApplyReport(WorkerState& worker, const HoldReport& report, const Now& now);
+  void ApplyReport(WorkerState& worker, const HoldReport& report, bool after_quorum,
+                   const Now& now);
   void ApplyEnd(WorkerState& worker, const EndedRun& end, const Now& now);
   void ApplyRunning(WorkerState& worker, const RunningTask& running, const Now& now);
   // Updates the observed speed of the worker, and stops a short run without progress.
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -75,17 +75,18 @@
   worker->reachable = true;
   worker->last_hold_failed = false;
   worker->next_hold = now.monotonic;
-  OnTokenAccepted(*worker, order, answer.report, now);
+  const bool after_quorum = order.made_at >= quorum_.reached_at();
+  OnTokenAccepted(*worker, answer.report, after_quorum, now);
   worker->token_confirmed_at = std::max(worker->token_confirmed_at, order.made_at);
   const bool same_incarnation = worker->incarnation == order.incarnation;
   if (same_incarnation && order.renews_lease) OnLeaseRenewed(*worker, now);
   if (same_incarnation && order.acknowledged_end > 0)
     worker->acknowledged_end = order.acknowledged_end;
-  ApplyReport(*worker, answer.report, now);
+  ApplyReport(*worker, answer.report, after_quorum, now);
 }
 
-void Scheduler::OnTokenAccepted(WorkerState& worker, const PendingOrder& hold,
-                                const HoldReport& report, const Now& now) {
+void Scheduler::OnTokenAccepted(WorkerState& worker, const HoldReport& report, bool after_quorum,
+                                const Now& now) {
   if (worker.incarnation != report.incarnation) {
     // Their leases are given by the clock of the earlier incarnation.
     CancelAllQueuedStarts(worker, now);
@@ -97,10 +98,8 @@
   worker.SetClock(report.clock, now.monotonic);
   CheckIncarnationKnown(worker, now);
   worker.incarnation_confirmed = !worker.order_failed_since_hold;
-  // After an earlier answer the worker may have restarted and run tasks of an earlier owner, as
-  // long as that had most of the voters.
-  const bool counts = hold.made_at >= quorum_.reached_at();
-  if (counts && unreported_workers_.erase(worker.entry().id) > 0) OnAwaitedWorkerReported(worker);
+  if (after_quorum && unreported_workers_.erase(worker.entry().id) > 0)
+    OnAwaitedWorkerReported(worker);
   if (worker.token_accepted) return;
   worker.token_accepted = true;
   NoteTokenAccepted(worker, now);
@@ -116,18 +115,17 @@
   return options_.longest_lease;
 }
 
-void Scheduler::ApplyReport(WorkerState& worker, const HoldReport& report, const Now& now) {
-  // An earlier owner that still has most of the voters must not miss an end.
-  const bool may_process_ends = quorum_.reached();
+void Scheduler::ApplyReport(WorkerState& worker, const HoldReport& report, bool after_quorum,
+                            const Now& now) {
   for (const EndedRun& end : report.ended) {
-    if (may_process_ends && end.number > worker.last_processed_end) ApplyEnd(worker, end, now);
+    if (after_quorum && end.number > worker.last_processed_end) ApplyEnd(worker, end, now);
   }
   for (const RunningTask& running : report.running) ApplyRunning(worker, running, now);
   // If the ends changed no stored state and no batch is being stored, they count as stored.
   if (!tracker_.has_changes() && last_stored_batch_ + 1 == next_batch_) {
     worker.last_stored_end = worker.last_processed_end;
   }
-  if (may_process_ends) ResolveUnreportedRuns(worker, report, now);
+  if (after_quorum) ResolveUnreportedRuns(worker, report, now);
   worker.report_needed_now = false;
   throttle_.Update(worker, interference_, now.monotonic);
   SendStops(worker, now);
