--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdlib>
 
 #include "cactusshelf/jobs/peer_messages.h"
 #include "job_cell.h"
@@ -67,6 +68,27 @@
   for (const std::string& it : simulation.violations()) FAIL_CHECK(it);
 }
 
+std::uint64_t SeedCount(std::uint64_t n) {
+  const char* text = std::getenv("CACTUSSHELF_SEEDS");
+  return text == nullptr ? n : std::strtoull(text, nullptr, 10);
+}
+
+SimulationFaults CallFaults() {
+  SimulationFaults faults;
+  faults.lost_store_answer = 0.02;
+  faults.late_append = 0.01;
+  faults.lost_worker_answer = 0.02;
+  faults.late_order = 0.02;
+  faults.failed_run = 0.05;
+  return faults;
+}
+
+void CheckScheduleEnd(const JobSimulation& simulation, std::uint64_t seed) {
+  for (const TaskRef& it : simulation.AbsentLongRunningTasks())
+    FAIL_CHECK("seed " << seed << ": " << ToString(it) << " does not run");
+  for (const std::string& it : simulation.violations()) FAIL_CHECK("seed " << seed << ": " << it);
+}
+
 Now NowAt(Time time) {
   return {time, WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()))};
 }
@@ -894,6 +916,17 @@
   link_partitioned_until_[{worker(worker_index).entry().id, node}] = now_ + duration;
 }
 
+void JobSimulation::PartitionNodeWithWorkers(int node, const std::set<int>& side,
+                                             Duration duration) {
+  PartitionNodeFromStore(node, duration);
+  for (int i = 0; i < static_cast<int>(workers_.size()); ++i) {
+    for (int n = 0; n < static_cast<int>(nodes_.size()); ++n) {
+      const bool same_side = side.contains(i) == (n == node);
+      PartitionWorkerFromNode(i, n, same_side ? Duration::zero() : duration);
+    }
+  }
+}
+
 void JobSimulation::DelayOrdersTo(int i, Duration duration, Duration delay) {
   order_delays_[worker(i).entry().id] = {now_ + duration, delay};
 }
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -103,6 +103,9 @@
   void PartitionWorker(int i, Duration duration);
   // Orders of one node do not reach the worker.
   void PartitionWorkerFromNode(int worker, int node, Duration duration);
+  // Cuts a node off from the store and from all workers but those of `side`, and the other nodes
+  // from these. Ends earlier cuts between single nodes and workers.
+  void PartitionNodeWithWorkers(int node, const std::set<int>& side, Duration duration);
   // The worker carries out the orders that are sent to it within `duration` only `delay` later;
   // their senders get no answer. Orders that name an incarnation are lost with the connection if it
   // ends before; any other order is carried out in whatever incarnation the worker then is.
@@ -273,6 +276,16 @@
 // Fails the running test once for each violation.
 void CheckNoViolations(const JobSimulation& simulation);
 
+// Number of seeds of a test with random schedules: CACTUSSHELF_SEEDS if it is set, else `n`.
+std::uint64_t SeedCount(std::uint64_t n);
+
+// Lost and late calls and failed runs, without faults of whole processes.
+SimulationFaults CallFaults();
+
+// Fails the running test, naming the seed, for each violation of a schedule whose faults have
+// ended, and for each long-running task that does not run.
+void CheckScheduleEnd(const JobSimulation& simulation, std::uint64_t seed);
+
 // Readings of the monotonic and the wall clock at `time`. Both start at zero.
 Now NowAt(Time time);
 
--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -1,7 +1,6 @@
 #include "job_simulation.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 // Tests of the job scheduler in a simulation of nodes, a store and workers in virtual time.
 namespace cactusshelf::jobs {
@@ -24,12 +23,7 @@
 }
 
 std::unique_ptr<JobSimulation> RunFaultSchedule(std::uint64_t seed) {
-  SimulationFaults faults;
-  faults.lost_store_answer = 0.02;
-  faults.late_append = 0.01;
-  faults.lost_worker_answer = 0.02;
-  faults.late_order = 0.02;
-  faults.failed_run = 0.05;
+  SimulationFaults faults = CallFaults();
   faults.node_kill_period = seconds(4);
   faults.node_freeze_period = seconds(6);
   faults.store_partition_period = seconds(6);
@@ -352,9 +346,7 @@
 
 TEST_CASE("seeded schedules of many faults violate no invariant and lose no accepted job") {
   // Runs more seeds by hand: CACTUSSHELF_SEEDS=2000 jobs_tests.
-  constexpr std::uint64_t kSeeds = 60;
-  const char* text = std::getenv("CACTUSSHELF_SEEDS");
-  const std::uint64_t seeds = text == nullptr ? kSeeds : std::strtoull(text, nullptr, 10);
+  const std::uint64_t seeds = SeedCount(60);
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     const auto simulation = RunFaultSchedule(seed);
     for (const JobKey& key : simulation->accepted_jobs()) {
@@ -362,10 +354,7 @@
       if (state == JobState::kQueued)
         FAIL_CHECK("seed " << seed << ": " << key.str() << " is still queued");
     }
-    for (const TaskRef& it : simulation->AbsentLongRunningTasks())
-      FAIL_CHECK("seed " << seed << ": " << ToString(it) << " does not run");
-    for (const std::string& it : simulation->violations())
-      FAIL_CHECK("seed " << seed << ": " << it);
+    CheckScheduleEnd(*simulation, seed);
   }
 }
 
--- a/packages/jobs/tests/partition_test.cc
+++ b/packages/jobs/tests/partition_test.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <set>
 
 #include "job_simulation.h"
@@ -28,19 +27,6 @@
   return simulation;
 }
 
-// Cuts a node off from the store and from all workers but those of `side`, and the other nodes from
-// these. Ends earlier cuts between nodes and workers.
-void Partition(JobSimulation& simulation, int cut_off, const std::set<int>& side,
-               Duration duration) {
-  simulation.PartitionNodeFromStore(cut_off, duration);
-  for (int worker = 0; worker < kWorkers; ++worker) {
-    for (int node = 0; node < kNodes; ++node) {
-      const bool same_side = side.contains(worker) == (node == cut_off);
-      simulation.PartitionWorkerFromNode(worker, node, same_side ? Duration::zero() : duration);
-    }
-  }
-}
-
 bool RunsTaskOf(FakeWorker& worker, const JobKey& job) {
   return std::any_of(worker.running().begin(), worker.running().end(),
                      [&job](const auto& run) { return run.first.job == job; });
@@ -56,7 +42,7 @@
   for (int worker = 0; worker < kWorkers; ++worker) {
     if (random.Chance(0.5)) side.insert(worker);
   }
-  Partition(simulation, node, side, random.Between(seconds(1), seconds(14)));
+  simulation.PartitionNodeWithWorkers(node, side, random.Between(seconds(1), seconds(14)));
 }
 
 }  // namespace
@@ -67,7 +53,7 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
-    Partition(*simulation, simulation->OwnerIndex(), {0, 1, 2, 3}, seconds(20));
+    simulation->PartitionNodeWithWorkers(simulation->OwnerIndex(), {0, 1, 2, 3}, seconds(20));
     simulation->RunFor(seconds(40));
     CHECK(simulation->running_tasks() == kTasks);
     CheckNoViolations(*simulation);
@@ -79,7 +65,7 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed);
-    Partition(*simulation, simulation->OwnerIndex(), {0}, seconds(20));
+    simulation->PartitionNodeWithWorkers(simulation->OwnerIndex(), {0}, seconds(20));
     simulation->RunFor(seconds(15));
     CHECK(simulation->running_tasks() == kTasks);
     simulation->RunFor(seconds(25));
@@ -97,12 +83,7 @@
   simulation.RunFor(seconds(3));
   simulation.Submit(LongRunningJob(9));
   simulation.RunFor(seconds(12));
-  const int owner = simulation.OwnerIndex();
-  simulation.PartitionNodeFromStore(owner, seconds(30));
-  for (int i : {1, 2}) simulation.PartitionWorkerFromNode(i, owner, seconds(30));
-  for (int i : {0, 1, 2}) {
-    if (i != owner) simulation.PartitionWorkerFromNode(0, i, seconds(30));
-  }
+  simulation.PartitionNodeWithWorkers(simulation.OwnerIndex(), {0}, seconds(30));
   simulation.RunFor(seconds(20));
   CHECK(simulation.violations().empty());
 }
@@ -132,7 +113,7 @@
   CHECK(lost->running_tasks() == kTasks);
 
   const auto cut_off = BusySimulation(2, options);
-  Partition(*cut_off, cut_off->OwnerIndex(), {0, 1, 2}, seconds(60));
+  cut_off->PartitionNodeWithWorkers(cut_off->OwnerIndex(), {0, 1, 2}, seconds(60));
   cut_off->RunFor(seconds(50));
   CHECK(cut_off->running_tasks() == kTasks);
   cut_off->RunFor(seconds(30));
@@ -154,10 +135,10 @@
     for (int worker = 0; worker < kWorkers; ++worker) {
       if (worker != crossing) side.insert(worker);
     }
-    Partition(*simulation, owner, side, seconds(20));
+    simulation->PartitionNodeWithWorkers(owner, side, seconds(20));
     simulation->RunFor(seconds(4));
     side.insert(crossing);
-    Partition(*simulation, owner, side, seconds(16));
+    simulation->PartitionNodeWithWorkers(owner, side, seconds(16));
     simulation->CrashWorker(crossing);
     simulation->RunFor(seconds(30));
     CHECK(simulation->StateOf(job) == JobState::kCompleted);
@@ -168,17 +149,10 @@
 TEST_CASE("seeded schedules of partitions start a task while it runs elsewhere") {
   // Guards against tasks that run twice: owners and workers are cut off in changing groups, while
   // workers restart and forget which owner they have accepted, and nodes end or stand still.
-  const char* text = std::getenv("CACTUSSHELF_SEEDS");
-  const std::uint64_t seeds = text == nullptr ? 40 : std::strtoull(text, nullptr, 10);
-  SimulationFaults faults;
-  faults.lost_store_answer = 0.02;
-  faults.late_append = 0.01;
-  faults.lost_worker_answer = 0.02;
-  faults.late_order = 0.02;
-  faults.failed_run = 0.05;
+  const std::uint64_t seeds = SeedCount(40);
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     const auto simulation = BusySimulation(seed);
-    if (seed % 2 == 0) simulation->SetFaults(faults);
+    if (seed % 2 == 0) simulation->SetFaults(CallFaults());
     Random& random = simulation->random();
     for (int i = 0; i < 12; ++i) {
       PartitionAtRandom(*simulation);
@@ -191,10 +165,7 @@
     }
     simulation->StopFaults();
     simulation->RunFor(seconds(45));
-    for (const TaskRef& it : simulation->AbsentLongRunningTasks())
-      FAIL_CHECK("seed " << seed << ": " << ToString(it) << " does not run");
-    for (const std::string& it : simulation->violations())
-      FAIL_CHECK("seed " << seed << ": " << it);
+    CheckScheduleEnd(*simulation, seed);
   }
 }
 
--- a/packages/jobs/tests/restart_schedule_test.cc
+++ b/packages/jobs/tests/restart_schedule_test.cc
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 #include "job_simulation.h"
 
@@ -192,9 +191,7 @@
 TEST_CASE("seeded schedules of lost owners and workers leave no long-running task stopped") {
   // Guards against waits after a stop that are each bounded, but together last longer than 9 s.
   // Runs more seeds by hand: CACTUSSHELF_SEEDS=2000 jobs_tests.
-  constexpr std::uint64_t kSeeds = 40;
-  const char* text = std::getenv("CACTUSSHELF_SEEDS");
-  const std::uint64_t seeds = text == nullptr ? kSeeds : std::strtoull(text, nullptr, 10);
+  const std::uint64_t seeds = SeedCount(40);
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) PlaySchedule(seed);
 }
 
--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
+#include <set>
 
 #include "cactusshelf/jobs/job_log_view.h"
 #include "job_simulation.h"
@@ -285,14 +285,12 @@
     const int lost = simulation.BusyWorker(0);
     simulation.PartitionWorkerFromNode(lost, owner, seconds(30));
     simulation.RunFor(milliseconds(100 * static_cast<int>(seed)));
-    simulation.PartitionNodeFromStore(owner, seconds(30));
     // The other workers do not tell the owner that it is replaced.
+    std::set<int> others;
     for (int worker = 0; worker < kWorkers; ++worker) {
-      for (int node = 0; node < kNodes; ++node) {
-        if (worker != lost && node != owner)
-          simulation.PartitionWorkerFromNode(worker, node, seconds(30));
-      }
+      if (worker != lost) others.insert(worker);
     }
+    simulation.PartitionNodeWithWorkers(owner, others, seconds(30));
     simulation.RunFor(milliseconds(5500));
     CHECK_FALSE(simulation.worker(lost).running().empty());
     CheckNoViolations(simulation);
@@ -314,14 +312,8 @@
 TEST_CASE("a start goes to a worker that the stored roster does not list any more") {
   // Guards against tasks that run twice under the next owner, which does not wait for a worker that
   // left the roster. Workers are drained, made ready and taken off the list beside other faults.
-  const char* text = std::getenv("CACTUSSHELF_SEEDS");
-  const std::uint64_t seeds = text == nullptr ? 25 : std::strtoull(text, nullptr, 10);
-  SimulationFaults faults;
-  faults.lost_store_answer = 0.02;
-  faults.late_append = 0.01;
-  faults.lost_worker_answer = 0.02;
-  faults.late_order = 0.02;
-  faults.failed_run = 0.05;
+  const std::uint64_t seeds = SeedCount(25);
+  SimulationFaults faults = CallFaults();
   faults.node_kill_period = seconds(3);
   faults.node_freeze_period = seconds(6);
   faults.store_partition_period = seconds(6);
@@ -348,9 +340,7 @@
     simulation.StopFaults();
     for (int i = 0; i < 6; ++i) simulation.store().ListWorker(simulation.worker(i).entry());
     simulation.RunFor(seconds(30));
-    for (const TaskRef& it : simulation.AbsentLongRunningTasks())
-      FAIL_CHECK("seed " << seed << ": " << ToString(it) << " does not run");
-    for (const std::string& it : simulation.violations()) FAIL_CHECK("seed " << seed << ": " << it);
+    CheckScheduleEnd(simulation, seed);
   }
 }
 
--- a/packages/jobs/tests/worker_list_test.cc
+++ b/packages/jobs/tests/worker_list_test.cc
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 #include "job_simulation.h"
 
@@ -170,8 +169,7 @@
 TEST_CASE("seeded schedules in which records are trimmed violate no invariant and lose no job") {
   // Guards against listings in several pages that are interrupted, and that miss or revive jobs.
   // Runs more seeds by hand: CACTUSSHELF_SEEDS=500 jobs_tests.
-  const char* text = std::getenv("CACTUSSHELF_SEEDS");
-  const std::uint64_t seeds = text == nullptr ? 15 : std::strtoull(text, nullptr, 10);
+  const std::uint64_t seeds = SeedCount(15);
   SimulationFaults faults;
   faults.lost_store_answer = 0.02;
   faults.node_kill_period = seconds(6);
