--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -187,8 +187,6 @@
   // Records a lease that is granted to the worker now, and returns its end, if one may be granted.
   // Precondition: worker.has_clock().
   std::optional<WorkerClock> GrantLease(WorkerState& worker, const Now& now);
-  // The longest time within which a worker's clock advances by `duration`.
-  Duration ByWorkerClock(Duration duration) const;
   // Precondition: the quorum is reached.
   void SetEndOfEarlierLeases();
   // Records that the worker has accepted this owner's token.
--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -77,19 +77,14 @@
   return end;
 }
 
-Duration Scheduler::ByWorkerClock(Duration duration) const {
-  const auto slow =
-      std::chrono::duration<double, Duration::period>(duration) / (1.0 - options_.max_clock_drift);
-  return std::chrono::duration_cast<Duration>(slow);
-}
-
 void Scheduler::SetEndOfEarlierLeases() {
   const Time last_granted = earlier_owners_ended_
                                 ? gained_at_
                                 : std::max(gained_at_ + options_.fencing_detection_time,
                                            quorum_.reached_at() + options_.majority_detection_time);
   const auto end_of = [&](Duration lease) {
-    return last_granted + ByWorkerClock(std::max(lease, stored_leases_.lease));
+    return last_granted +
+           LongestTime(std::max(lease, stored_leases_.lease), options_.max_clock_drift);
   };
   earlier_leases_end_ = end_of(options_.longest_lease);
   takeover_end_ = earlier_leases_bound_ ? end_of(options_.lease) : earlier_leases_end_;
--- a/packages/jobs/src/worker_state.cc
+++ b/packages/jobs/src/worker_state.cc
@@ -6,6 +6,11 @@
 
 using std::chrono::duration_cast;
 
+Duration LongestTime(Duration duration, double max_clock_drift) {
+  const std::chrono::duration<double, Duration::period> exact = duration;
+  return duration_cast<Duration>(exact / (1.0 - max_clock_drift));
+}
+
 std::string_view ToString(RunPhase phase) {
   switch (phase) {
     case RunPhase::kStarting:
@@ -28,7 +33,7 @@
 }  // namespace
 
 void WorkerState::Reset(std::int64_t new_incarnation, Duration max_lease, Time now) {
-  lease_expiry_ = std::max(lease_expiry_, SlowestLeaseEnd(now, max_lease));
+  lease_expiry_ = std::max(lease_expiry_, now + LongestTime(max_lease, options_->max_clock_drift));
   incarnation = new_incarnation;
   incarnation_seen_at = now;
   incarnation_known = false;
@@ -127,9 +132,8 @@
 
 void WorkerState::OnLeaseGranted(WorkerClock end, Time now) {
   const auto left = duration_cast<Duration>(end - worker_clock_);
-  const auto slow =
-      std::chrono::duration<double, Duration::period>(left) / (1.0 - options_->max_clock_drift);
-  lease_expiry_ = std::max({lease_expiry_, now, clock_read_at_ + duration_cast<Duration>(slow)});
+  const Time slowest_end = clock_read_at_ + LongestTime(left, options_->max_clock_drift);
+  lease_expiry_ = std::max({lease_expiry_, now, slowest_end});
   lease_sent_at_ = now;
 }
 
@@ -145,13 +149,8 @@
 
 void WorkerState::OnStartedByOtherIncarnation(Run& run, Time now) const {
   run.incarnation = 0;
-  run.may_run_until = std::max(run.may_run_until, SlowestLeaseEnd(now, options_->longest_lease));
-}
-
-Time WorkerState::SlowestLeaseEnd(Time time, Duration lease) const {
-  const auto slow =
-      std::chrono::duration<double, Duration::period>(lease) / (1.0 - options_->max_clock_drift);
-  return time + duration_cast<Duration>(slow);
+  run.may_run_until = std::max(
+      run.may_run_until, now + LongestTime(options_->longest_lease, options_->max_clock_drift));
 }
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -16,6 +16,10 @@
 
 namespace cactusshelf::jobs {
 
+// The longest time within which a worker's clock advances by `duration`, if it may be slower than
+// the owner's by the fraction `max_clock_drift`.
+Duration LongestTime(Duration duration, double max_clock_drift);
+
 enum class RunPhase : std::uint8_t {
   kStarting,          // The start order is not answered yet.
   kStartUnconfirmed,  // The start order got no answer: the run may have begun, or may still begin.
@@ -235,8 +239,6 @@
 
  private:
   void AdjustUsage(const Run& run, int sign);
-  // End of a lease of `lease` that is granted at `time`, by the slowest clock.
-  Time SlowestLeaseEnd(Time time, Duration lease) const;
 
   WorkerEntry entry_;
   const SchedulerOptions* options_;
