Leases of owners: a check and a time that stood twice, a function of one line

ResolveRunsAfterRestart and HasEndedByRestart both compared the confirmation with the restart, so the latter has its earlier form again, with the check as its precondition. The end of what the store allows was added up in two places.

--- a/packages/jobs/src/run_loss.cc
+++ b/packages/jobs/src/run_loss.cc
@@ -21,9 +21,8 @@
   return reflects_orders && cannot_begin && !IsListed(report, run);
 }
 
-bool HasEndedByRestart(const WorkerState& worker, const Run& run, Time confirmed_at) {
-  const bool restarted = run.incarnation != 0 && run.incarnation != worker.incarnation;
-  return restarted && confirmed_at >= worker.incarnation_seen_at;
+bool HasEndedByRestart(const Run& run, std::int64_t incarnation) {
+  return run.incarnation != 0 && run.incarnation != incarnation;
 }
 
 bool HasEndedByLease(const WorkerState& worker, const Run& run, Time now) {
--- a/packages/jobs/src/run_loss.h
+++ b/packages/jobs/src/run_loss.h
@@ -15,9 +15,9 @@
 bool HasEndedByReport(const WorkerState& worker, const Run& run, const HoldReport& report,
                       Time confirmed_at);
 
-// True if the run has ended, or will never begin, because a later incarnation of its worker has
-// reported, and no other owner may have processed its end.
-bool HasEndedByRestart(const WorkerState& worker, const Run& run, Time confirmed_at);
+// True if the run has ended, or will never begin, because `incarnation` of its worker has answered.
+// Precondition: no other owner may have processed ends of earlier incarnations.
+bool HasEndedByRestart(const Run& run, std::int64_t incarnation);
 
 // True if every lease that an unreachable worker may hold for the run has expired at `now`.
 bool HasEndedByLease(const WorkerState& worker, const Run& run, Time now);
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -1,7 +1,6 @@
 #ifndef CACTUSSHELF_JOBS_SRC_SCHEDULER_H_
 #define CACTUSSHELF_JOBS_SRC_SCHEDULER_H_
 
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -145,7 +144,7 @@
   // Gives up the runs of earlier incarnations of a worker once that is safe.
   void ResolveRunsAfterRestart(WorkerState& worker, const Now& now);
   // No other owner has processed ends of runs by this time.
-  Time EndsConfirmedAt() const { return std::max(ownership_confirmed_at_, majority_confirmed_at_); }
+  Time EndsConfirmedAt() const;
   void ExpireLeases(const Now& now);
   // A new owner starts no jobs of earlier owners until all workers on which any task may run have
   // reported, or the leases of earlier owners have ended. Tasks that may run on other workers wait
@@ -177,6 +176,8 @@
   void CheckStoredLeases(const Now& now);
   // When more than half of `voters` had certainly not accepted a later owner; zero if never.
   Time MajorityConfirmedAt(const std::vector<std::string>& voters) const;
+  // Until when whole leases may be granted by what the store has shown.
+  Time AuthorityByStore() const;
   // Finds out until when this owner may grant whole leases.
   void UpdateAuthority(const Now& now);
   // The longest lease that may be granted now; zero for none.
@@ -189,8 +190,6 @@
   std::optional<WorkerClock> GrantLease(WorkerState& worker, const Now& now);
   // Precondition: the quorum is reached.
   void SetEndOfEarlierLeases();
-  // Records that the worker has accepted this owner's token.
-  void NoteTokenAccepted(const WorkerState& worker, const Now& now);
   // Waives the quorum once earlier owners grant no leases without the store.
   void CheckQuorum(const Now& now);
   void OnQuorumReached(const Now& now);
--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -30,10 +30,17 @@
   return *least;
 }
 
+Time Scheduler::EndsConfirmedAt() const {
+  return std::max(ownership_confirmed_at_, majority_confirmed_at_);
+}
+
+Time Scheduler::AuthorityByStore() const {
+  return ownership_confirmed_at_ + options_.fencing_detection_time;
+}
+
 void Scheduler::UpdateAuthority(const Now& now) {
-  const Time by_store = ownership_confirmed_at_ + options_.fencing_detection_time;
-  authority_until_ = std::max(authority_until_, by_store);
-  const bool needs_majority = now.monotonic > by_store || awaits_confirmation_;
+  authority_until_ = std::max(authority_until_, AuthorityByStore());
+  const bool needs_majority = now.monotonic > AuthorityByStore() || awaits_confirmation_;
   if (needs_majority && now.monotonic >= next_majority_check_) {
     next_majority_check_ = now.monotonic + kMajorityCheckPeriod;
     Time confirmed_at = MajorityConfirmedAt(voters_);
@@ -64,7 +71,7 @@
 
 void Scheduler::CheckIncarnationKnown(WorkerState& worker, const Now& now) const {
   if (worker.incarnation_known) return;
-  const bool by_store = now.monotonic <= ownership_confirmed_at_ + options_.fencing_detection_time;
+  const bool by_store = now.monotonic <= AuthorityByStore();
   worker.incarnation_known = by_store || worker.incarnation_seen_at <= EndsConfirmedAt();
 }
 
@@ -90,10 +97,6 @@
   takeover_end_ = earlier_leases_bound_ ? end_of(options_.lease) : earlier_leases_end_;
 }
 
-void Scheduler::NoteTokenAccepted(const WorkerState& worker, const Now& now) {
-  if (quorum_.OnTokenAccepted(worker.entry().id, now.monotonic)) OnQuorumReached(now);
-}
-
 void Scheduler::CheckQuorum(const Now& now) {
   if (quorum_.reached() || now.monotonic < gained_at_ + options_.max_time_without_store) return;
   quorum_.Waive(now.monotonic);
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -102,7 +102,7 @@
     OnAwaitedWorkerReported(worker);
   if (worker.token_accepted) return;
   worker.token_accepted = true;
-  NoteTokenAccepted(worker, now);
+  if (quorum_.OnTokenAccepted(worker.entry().id, now.monotonic)) OnQuorumReached(now);
   placement_needed_ = true;
 }
 
@@ -297,13 +297,12 @@
 
 void Scheduler::ResolveRunsAfterRestart(WorkerState& worker, const Now& now) {
   if (!worker.has_earlier_runs) return;
-  const Time confirmed_at = EndsConfirmedAt();
-  if (confirmed_at < worker.incarnation_seen_at) {
+  if (EndsConfirmedAt() < worker.incarnation_seen_at) {
     awaits_confirmation_ = true;
     return;
   }
   worker.has_earlier_runs = false;
-  const auto ended = [&](const Run& run) { return HasEndedByRestart(worker, run, confirmed_at); };
+  const auto ended = [&](const Run& run) { return HasEndedByRestart(run, worker.incarnation); };
   MarkRunsLostIf(worker, ended, "worker_restarted", now);
 }
 
