One function makes a number between 0 and 1 of 64 bits

Random, the rank of claimants and, since the local share of relays, RelayPool each had the same shift and division. The values are the same. A claim also takes over two marks of earlier owners in one way instead of two equal lines.

--- a/packages/base/include/cactusshelf/base/random.h
+++ b/packages/base/include/cactusshelf/base/random.h
@@ -8,6 +8,9 @@
 
 namespace cactusshelf {
 
+// Number in [0, 1) made of the highest bits of `bits`, as many as a double holds. Thread-safe.
+double ToUnitInterval(std::uint64_t bits);
+
 // Seeded pseudo-random number generator. Yields the same results on every platform, which the
 // standard does not guarantee for the distributions of <random>. Not thread-safe.
 class Random {
--- a/packages/base/src/random.cc
+++ b/packages/base/src/random.cc
@@ -5,6 +5,11 @@
 
 namespace cactusshelf {
 
+double ToUnitInterval(std::uint64_t bits) {
+  constexpr int kMantissaBits = 53;
+  return std::ldexp(static_cast<double>(bits >> (64 - kMantissaBits)), -kMantissaBits);
+}
+
 std::uint64_t Random::Below(std::uint64_t bound) {
   assert(bound > 0);
   // 2^64 is in general not a multiple of `bound`. Rejecting the lowest 2^64 mod `bound` values
@@ -17,10 +22,7 @@
   return n % bound;
 }
 
-double Random::Real() {
-  constexpr int kMantissaBits = 53;
-  return std::ldexp(static_cast<double>(engine_() >> (64 - kMantissaBits)), -kMantissaBits);
-}
+double Random::Real() { return ToUnitInterval(engine_()); }
 
 double Random::Exponential(double mean) {
   assert(mean > 0);
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/base/random.h"
 #include "cactusshelf/base/rendezvous.h"
 
 namespace cactusshelf::jobs {
@@ -33,9 +34,7 @@
   election.owner_silence = options.owner_silence;
   election.claim_jitter = options.election_jitter;
   election.max_read_gap = std::max(options.follow_period, kMultiCellFollowPeriod) * 3;
-  const double rank =
-      static_cast<double>(RendezvousWeight(options.host, std::to_string(index)) >> 11) /
-      static_cast<double>(std::uint64_t{1} << 53);
+  const double rank = ToUnitInterval(RendezvousWeight(options.host, std::to_string(index)));
   const auto by_rank = std::chrono::duration<double, Duration::period>(kMaxClaimDelayByRank) * rank;
   election.claim_delay = options.standby_delay + std::chrono::duration_cast<Duration>(by_rank);
   return election;
@@ -275,8 +274,11 @@
   predecessor_ended_ = last.released || last.host == options_.host;
   claim_ = {};
   claim_.generation = last.generation + 1;
-  claim_.bound_since = last.bound_since != 0 ? last.bound_since : claim_.generation;
-  claim_.limits_since = last.limits_since != 0 ? last.limits_since : claim_.generation;
+  const auto kept_since = [this](std::int64_t earlier) {
+    return earlier != 0 ? earlier : claim_.generation;
+  };
+  claim_.bound_since = kept_since(last.bound_since);
+  claim_.limits_since = kept_since(last.limits_since);
   claim_.member = options_.member;
   claim_.host = options_.host;
   claim_append_id_ = next_claim_append_id_++;
--- a/packages/jobs/src/relay_pool.cc
+++ b/packages/jobs/src/relay_pool.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <set>
 
+#include "cactusshelf/base/random.h"
 #include "cactusshelf/base/rendezvous.h"
 
 namespace cactusshelf::jobs {
@@ -12,13 +14,12 @@
 
 // Interval between checks for unresponsive relays and lost orders.
 constexpr Duration kTimeoutCheckPeriod = std::chrono::milliseconds(50);
-constexpr int kMantissaBits = 53;
-constexpr int kUnusedBits = 64 - kMantissaBits;
+// Half of the least difference of two values of ToUnitInterval, to keep away from 0.
+constexpr double kHalfStep = std::numeric_limits<double>::epsilon() / 4;
 
 // Between 0 and 1, neither included.
 double UniformHash(const std::string& seed, const std::string& name) {
-  const auto bits = static_cast<double>(RendezvousWeight(seed, name) >> kUnusedBits);
-  return (bits + 0.5) / static_cast<double>(std::uint64_t{1} << kMantissaBits);
+  return ToUnitInterval(RendezvousWeight(seed, name)) + kHalfStep;
 }
 
 // Weighted rendezvous hashing: the host with the highest score is chosen for the worker, each host
