--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -51,10 +51,10 @@
     CompleteTakeover(now);
   }
   DropAwaitedWorkers();
-  const bool awaits =
-      std::any_of(unreported_workers_.begin(), unreported_workers_.end(),
-                  [&](const auto& id) { return now.monotonic >= AwaitedUntil(id); });
-  awaits_confirmation_ = awaits_confirmation_ || awaits;
+  const auto is_over = [&](const auto& id) { return now.monotonic >= AwaitedUntil(id); };
+  const bool awaits = std::any_of(unreported_workers_.begin(), unreported_workers_.end(), is_over);
+  // Before the quorum no confirmation would help.
+  awaits_confirmation_ = awaits_confirmation_ || (awaits && quorum_.reached());
 }
 
 bool Scheduler::IsAwaitEnded(const std::string& id) const {
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -523,6 +523,20 @@
   CHECK(starts == (lease == StoredLease::kEndAndExclusive));
 }
 
+TEST_CASE("a new owner without a quorum asks the store to confirm it as fast as it can") {
+  // Guards against 50 appends a second for as long as less than half of the roster answers: the
+  // stored leases on a lost worker have ended, but it is awaited until the quorum.
+  JobLogView view = ViewWithLostWorker(3, {JobKey(kJob), {0, 0, 0}}, StoredLease::kEnd);
+  // Another owner than the predecessor stored its leases last, so a quorum is needed.
+  view.Apply(LeaseRecord{seconds(4), {}, true, 1}, 7);
+  OwnerRecord claim = view.owner();
+  claim.bound_since = 1;
+  view.Apply(claim, 8);
+  SchedulerFixture fixture(3, std::move(view));
+  fixture.RunFor(seconds(2));
+  CHECK_FALSE(fixture.scheduler.awaits_confirmation());
+}
+
 TEST_CASE("the roster says that a task runs on a lost worker only, while it runs elsewhere") {
   // Guards against the same: the earlier owner listed the task on a worker that was draining, and
   // started it on another before it stored a later roster.
