--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -413,10 +413,15 @@
       batch_in_flight_ = batch->id;
       records = std::move(batch->records);
     }
+    // Callers' requests alone are no sign of this owner.
+    const bool heartbeat_due = now.monotonic - last_heartbeat_at_ >= options_.heartbeat_period;
+    if (records.empty() && heartbeat_due) records.push_back(Encode(ownership_));
+    if (!records.empty()) last_heartbeat_at_ = now.monotonic;
     AddQueuedSubmissions(records);
   } else if (since_last_append >= HeartbeatPeriod()) {
     records = DropRecordsOfExpiredJobs(now);
     if (records.empty()) records.push_back(Encode(ownership_));
+    last_heartbeat_at_ = now.monotonic;
   }
   if (!records.empty()) owner_writer_->Begin(std::move(records), now.monotonic);
 }
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -145,6 +145,8 @@
   bool ownership_gained_ = false;
   int cell_count_to_store_ = 0;
   Time last_owner_append_at_;
+  // When the last append began that holds a record of this owner, which others take as a heartbeat.
+  Time last_heartbeat_at_;
 
   std::map<JobKey, Time> finished_at_;
   bool store_was_usable_ = true;
--- a/packages/jobs/tests/job_cell_test.cc
+++ b/packages/jobs/tests/job_cell_test.cc
@@ -1,5 +1,6 @@
 #include "job_cell.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "fake_store.h"
@@ -148,4 +149,28 @@
   fixture.RunUntil([&] { return fixture.cell.scheduler() != nullptr; });
 }
 
+TEST_CASE("an owner that stores only callers' requests stores no heartbeat") {
+  // Guards against owners that are replaced while they are alive: other processes take only the
+  // owner's own records as a sign of it, and while nothing runs there are no others.
+  CellFixture fixture;
+  fixture.RunUntil([&] { return fixture.cell.scheduler() != nullptr; });
+  for (int i = 0; i < 100; ++i) fixture.Step();
+  int silent_steps = 0;
+  int max_silent_steps = 0;
+  for (int i = 0; i < 300; ++i) {
+    SubmittedJob job{JobKey("00000000000000aa"), fixture.state.queues.routes().front().policy,
+                     SimpleJob(1, 1000), WallTime{}};
+    fixture.cell.OnSubmission({"x:1", 0, static_cast<std::uint64_t>(i) + 1, {Encode(job)}});
+    const std::size_t stored = fixture.store.log(0).size();
+    fixture.Step();
+    const auto& log = fixture.store.log(0);
+    const bool heartbeat =
+        std::any_of(log.begin() + static_cast<std::ptrdiff_t>(stored), log.end(),
+                    [](const KeyedRecord& record) { return record.key == "o/h"; });
+    silent_steps = heartbeat ? 0 : silent_steps + 1;
+    max_silent_steps = std::max(max_silent_steps, silent_steps);
+  }
+  CHECK(milliseconds(10) * max_silent_steps < fixture.options.owner_silence / 2);
+}
+
 }  // namespace cactusshelf::jobs
