--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -63,7 +63,10 @@
     if (std::exchange(worker->reachable, false)) worker->unreachable_since = now.monotonic;
     worker->last_hold_failed = true;
     CancelAllQueuedStarts(*worker, now);
-    worker->next_hold = now.monotonic + options_.retry_period;
+    // While its lease lasts, its runs can be saved.
+    const bool lease_lasts = !worker->AllLeasesExpired(now.monotonic);
+    const Time last_attempt_at = lease_lasts ? order.made_at : now.monotonic;
+    worker->next_hold = last_attempt_at + options_.retry_period;
     return;
   }
   if (!worker->reachable) {
