--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -65,6 +65,10 @@
   // Empty until an owner has stored it.
   const LeaseRecord& leases() const { return leases_; }
   const InterferenceRecord& interference() const { return interference_; }
+  // Empty until it is stored and all owners since then have kept to it.
+  VotingHostsRecord VotingHosts() const;
+  // The newest claim of each host with a generation of at least `first` and less than `end`.
+  std::vector<OwnerRecord> ClaimsOf(std::int64_t first, std::int64_t end) const;
   // All entry hosts that have ever announced themselves, by name. Only the first cell's log holds
   // them.
   const std::map<std::string, HostRecord>& hosts() const { return hosts_; }
@@ -81,6 +85,7 @@
   void ApplyRecord(LeaseRecord record, std::int64_t offset);
   void ApplyRecord(const CellCountRecord& record, std::int64_t offset);
   void ApplyRecord(InterferenceRecord record, std::int64_t offset);
+  void ApplyRecord(VotingHostsRecord record, std::int64_t offset);
   void ApplyRecord(HostRecord record, std::int64_t offset);
   void ApplyRecord(SubmittedJob record, std::int64_t offset);
   void ApplyRecord(const CancelRecord& record, std::int64_t offset);
@@ -107,6 +112,7 @@
   Time read_at_;
   LeaseRecord leases_;
   InterferenceRecord interference_;
+  VotingHostsRecord voting_hosts_;
   std::map<std::string, HostRecord> hosts_;
   std::uint64_t host_announcements_ = 0;
   int cell_count_ = 0;
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -37,6 +37,16 @@
   // All owners from this generation up to this one keep to the stored RosterLeasesRecord; 0 in
   // records of earlier versions.
   std::int64_t limits_since = 0;
+  // All owners from this generation up to this one need the votes of the stored VotingHostsRecord
+  // for what they grant without the store; 0 in records of earlier versions.
+  std::int64_t host_votes_since = 0;
+};
+
+// Entry hosts that vote on whether an owner that does not reach the store may go on. Stored only by
+// an owner whose predecessors have all stopped.
+struct VotingHostsRecord {
+  std::int64_t generation = 0;                 // Of the owner that stored the record.
+  std::map<std::string, std::string> members;  // The voting process of each host.
 };
 
 // Workers that may be running tasks on orders of the owner.
@@ -116,9 +126,10 @@
   JobKey key;
 };
 
-using JobLogRecord = std::variant<OwnerRecord, RosterRecord, RosterTasksRecord, RosterLeasesRecord,
-                                  LeaseRecord, CellCountRecord, HostRecord, InterferenceRecord,
-                                  SubmittedJob, CancelRecord, ProgressRecord, DropRecord>;
+using JobLogRecord =
+    std::variant<OwnerRecord, RosterRecord, RosterTasksRecord, RosterLeasesRecord, LeaseRecord,
+                 CellCountRecord, HostRecord, InterferenceRecord, VotingHostsRecord, SubmittedJob,
+                 CancelRecord, ProgressRecord, DropRecord>;
 
 // Thread-safe.
 KeyedRecord Encode(const OwnerRecord& record);
@@ -129,6 +140,7 @@
 KeyedRecord Encode(const CellCountRecord& record);
 KeyedRecord Encode(const HostRecord& record);
 KeyedRecord Encode(const InterferenceRecord& record);
+KeyedRecord Encode(const VotingHostsRecord& record);
 KeyedRecord Encode(const SubmittedJob& record);
 KeyedRecord Encode(const CancelRecord& record);
 KeyedRecord Encode(const ProgressRecord& record);
--- a/packages/jobs/include/cactusshelf/jobs/peer_messages.h
+++ b/packages/jobs/include/cactusshelf/jobs/peer_messages.h
@@ -11,7 +11,8 @@
 #include "cactusshelf/jobs/job_event.h"
 
 // Messages between an owner and the other entry hosts: orders that those hosts relay to workers,
-// and records of callers' requests that they submit to the owner for storage.
+// records of callers' requests that they submit to the owner for storage, and the owner's notices
+// of its ownership.
 namespace cactusshelf::jobs {
 
 // Readings of a relay's clocks. Both are needed because the steady clock does not count a
@@ -57,13 +58,35 @@
   std::int64_t offset = 0;  // Offset of the first record.
 };
 
-using PeerMessageBody = std::variant<OrderBatch, AnswerBatch, Submission, SubmissionStored>;
+// Sent by an owner of a cell to all other hosts. Tells them its generation and asks for the highest
+// one that they know.
+struct OwnershipNotice {
+  std::string reply_address;
+  int cell = 0;
+  std::int64_t generation = 0;  // Its claim is in the log.
+  Duration sent_at{};           // By the sender's steady clock.
+};
+
+// Answer to a notice. If the process owned the cell as an earlier generation, it has stopped.
+struct OwnershipAnswer {
+  std::string host;
+  std::string member;  // The process that answers.
+  int cell = 0;
+  std::int64_t generation = 0;  // The highest one that the process knows, the notice's included.
+  Duration uptime{};            // Least time since the process started.
+  Duration notice_sent_at{};    // OwnershipNotice::sent_at.
+};
+
+using PeerMessageBody = std::variant<OrderBatch, AnswerBatch, Submission, SubmissionStored,
+                                     OwnershipNotice, OwnershipAnswer>;
 
 // Thread-safe.
 std::string Encode(const OrderBatch& batch);
 std::string Encode(const AnswerBatch& batch);
 std::string Encode(const Submission& submission);
 std::string Encode(const SubmissionStored& stored);
+std::string Encode(const OwnershipNotice& notice);
+std::string Encode(const OwnershipAnswer& answer);
 
 // Throws DecodeError for anything that Encode does not produce. Thread-safe.
 PeerMessageBody DecodePeerMessage(std::string_view bytes);
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -23,6 +23,9 @@
 constexpr std::size_t kMaxDropRecordsPerAppend = 64;
 // Limit on the submitted records in one append of the owner.
 constexpr std::size_t kMaxSubmittedBytesPerAppend = std::size_t{1} << 20;
+// Time between two notices of the ownership, and while the votes of the other hosts are needed.
+constexpr Duration kNoticePeriod = std::chrono::milliseconds(500);
+constexpr Duration kUrgentNoticePeriod = std::chrono::milliseconds(150);
 // Cells are spread over the processes: a process that already owns or claims cells, or that ranks
 // low in the cell's rendezvous order of hosts, claims later. An owner reads the logs more often
 // than others, so it leaves them the time to read that a cell has no owner and to claim it.
@@ -108,6 +111,9 @@
   if (!read.has_more) refresh_requested_ = false;
   // The rest of the log may hold records of the owner.
   if (owner_active || !read.has_more) election_.OnRead(owner_active, now.monotonic);
+  // A claim is in the log before its owner tells of it.
+  if (follower_.fresh_at() > noticed_at_)
+    noticed_generation_ = std::min(noticed_generation_, log_view_.owner().generation);
   if (scheduler_ && log_view_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
   if (scheduler_) scheduler_->ConfirmOwnership(follower_.fresh_at());
   AdvanceCandidacy(state, now);
@@ -221,6 +227,7 @@
   UpdateStoreAvailability(now);
   if (scheduler_ && scheduler_->fenced()) StepDown("fenced_by_worker", now);
   AdvanceElection(state, now);
+  SendOwnershipNotices(state, now);
   if (scheduler_) {
     if (!releasing_) scheduler_->Decide(now);
     for (WorkerOrder& order : scheduler_->TakeOrders()) Emit(job_effect::Order{std::move(order)});
@@ -279,6 +286,7 @@
   };
   claim_.bound_since = kept_since(last.bound_since);
   claim_.limits_since = kept_since(last.limits_since);
+  claim_.host_votes_since = kept_since(last.host_votes_since);
   claim_.member = options_.member;
   claim_.host = options_.host;
   claim_append_id_ = next_claim_append_id_++;
@@ -307,7 +315,8 @@
 void JobCell::AdvanceCandidacy(const NodeState& state, const Now& now) {
   if (scheduler_ || state.draining) return;
   const OwnerRecord& owner = log_view_.owner();
-  const bool is_owner = owner.member == options_.member && !owner.released;
+  const bool is_owner =
+      owner.member == options_.member && !owner.released && owner.generation >= noticed_generation_;
   const bool caught_up = follower_.next_offset() > awaited_offset_;
   switch (candidacy_) {
     case Candidacy::kNone:
@@ -340,6 +349,9 @@
       first_append_id_ + (static_cast<std::uint64_t>(claim_.epoch) << kEpochShift);
   owner_writer_ = std::make_unique<BatchWriter>(kOwnerProducer, claim_.epoch, 0, first,
                                                 BatchWriter::RetryPolicy::kRetryUntilStored);
+  host_votes_ =
+      std::make_unique<HostVotes>(options_.host, options_.member, claim_.generation, now.monotonic);
+  next_notice_at_ = now.monotonic;
   owner_writer_->Begin({Encode(claim_)}, now.monotonic);
   candidacy_ = Candidacy::kFencing;
 }
@@ -350,6 +362,7 @@
           .With("reason", std::string(reason)));
   candidacy_ = Candidacy::kNone;
   owner_writer_.reset();
+  host_votes_.reset();
   election_.Reset();
   RequestRefresh(now.monotonic);
 }
@@ -361,7 +374,7 @@
   ownership_gained_ = true;
   scheduler_ =
       std::make_unique<Scheduler>(options_.scheduler, ownership_.epoch, ownership_.generation,
-                                  predecessor_ended_, log_view_, now);
+                                  predecessor_ended_, log_view_, now, host_votes_.get());
   scheduler_->ConfirmOwnership(follower_.fresh_at());
   OnQueuesChanged(state.queues);
   counters_.Add("cactusshelf_ownership_changes_total", "gained");
@@ -381,6 +394,7 @@
   counters_.Merge(scheduler_->counters());
   scheduler_.reset();
   owner_writer_.reset();
+  host_votes_.reset();
   batch_in_flight_ = 0;
   queued_submissions_.clear();
   submissions_in_flight_.clear();
@@ -438,6 +452,42 @@
   request_handler_.OnSubmissionStored(stored, now);
 }
 
+void JobCell::SendOwnershipNotices(const NodeState& state, const Now& now) {
+  const bool can_ask = host_votes_ != nullptr && !options_.peer_address.empty();
+  if (!can_ask || releasing_ || now.monotonic < next_notice_at_) return;
+  const bool urgent = !scheduler_ || scheduler_->needs_host_votes();
+  next_notice_at_ = now.monotonic + (urgent ? kUrgentNoticePeriod : kNoticePeriod);
+  const OwnershipNotice notice{options_.peer_address, index_, claim_.generation,
+                               now.monotonic.time_since_epoch()};
+  const std::string bytes = Encode(notice);
+  for (const auto& [name, host] : *state.hosts) {
+    if (name != options_.host) Emit(job_effect::SendToPeer{host.peer_address, bytes});
+  }
+}
+
+void JobCell::OnOwnershipAnswer(const OwnershipAnswer& answer, const Now& now) {
+  OnGenerationNoticed(answer.generation, now);
+  if (host_votes_) host_votes_->OnAnswer(answer, now.monotonic);
+}
+
+void JobCell::OnGenerationNoticed(std::int64_t generation, const Now& now) {
+  if (generation > noticed_generation_) {
+    noticed_generation_ = generation;
+    noticed_at_ = now.monotonic;
+  }
+  const bool has_successor = host_votes_ != nullptr && claim_.generation < noticed_generation_;
+  if (!has_successor) return;
+  if (scheduler_) {
+    StepDown("told_by_successor", now);
+  } else {
+    AbandonCandidacy("told_by_successor", now);
+  }
+}
+
+std::int64_t JobCell::known_generation() const {
+  return std::max(noticed_generation_, log_view_.owner().generation);
+}
+
 // Passes the submissions of this host to the owner, which is this or another process.
 void JobCell::RouteSubmissions(const NodeState& state) {
   const OwnerRecord& owner = log_view_.owner();
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cactusshelf/jobs/job_node.h"
+#include "host_votes.h"
 #include "job_request_handler.h"
 #include "owner_election.h"
 #include "scheduler.h"
@@ -46,6 +47,11 @@
   // Dropped unless this process is the owner; the sender then times out and stores them itself.
   void OnSubmission(Submission submission);
   void OnSubmissionStored(const SubmissionStored& stored, const Now& now);
+  void OnOwnershipAnswer(const OwnershipAnswer& answer, const Now& now);
+  // An owner of the given generation exists. Stops as an earlier one.
+  void OnGenerationNoticed(std::int64_t generation, const Now& now);
+  // The highest generation that this process knows of.
+  std::int64_t known_generation() const;
   void OnQueuesChanged(const QueueTable& queues);
 
   JobRequestHandler& request_handler() { return request_handler_; }
@@ -86,6 +92,8 @@
   void AdvanceElection(const NodeState& state, const Now& now);
   void AdvanceOwnerWrites(const NodeState& state, const Now& now);
   void RouteSubmissions(const NodeState& state);
+  // Tells the other hosts that this process is the owner, and asks for their votes.
+  void SendOwnershipNotices(const NodeState& state, const Now& now);
   // Adds the records of queued submissions, up to a limit, to the owner's next append.
   void AddQueuedSubmissions(std::vector<KeyedRecord>& records);
   void ConfirmSubmissions(std::int64_t offset, const Now& now);
@@ -134,6 +142,11 @@
 
   // Set while this process is the owner or is fencing earlier owners.
   std::unique_ptr<BatchWriter> owner_writer_;
+  // Set while owner_writer_ is. Outlives the scheduler.
+  std::unique_ptr<HostVotes> host_votes_;
+  Time next_notice_at_;
+  std::int64_t noticed_generation_ = 0;  // The highest one that an owner has told.
+  Time noticed_at_;
   // Set while this process is the owner.
   std::unique_ptr<Scheduler> scheduler_;
   OwnerRecord ownership_;
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -72,6 +72,25 @@
   interference_ = std::move(record);
 }
 
+void JobLogView::ApplyRecord(VotingHostsRecord record, std::int64_t /*offset*/) {
+  voting_hosts_ = std::move(record);
+}
+
+VotingHostsRecord JobLogView::VotingHosts() const {
+  const std::int64_t since = owner_.host_votes_since;
+  const bool kept = since != 0 && since <= voting_hosts_.generation;
+  return kept ? voting_hosts_ : VotingHostsRecord{};
+}
+
+std::vector<OwnerRecord> JobLogView::ClaimsOf(std::int64_t first, std::int64_t end) const {
+  std::vector<OwnerRecord> claims;
+  for (const auto& [host, claim] : claims_) {
+    const std::int64_t generation = claim.record.generation;
+    if (generation >= first && generation < end) claims.push_back(claim.record);
+  }
+  return claims;
+}
+
 void JobLogView::ApplyRecord(HostRecord record, std::int64_t /*offset*/) {
   const std::string host = record.host;
   hosts_[host] = std::move(record);
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -52,6 +52,9 @@
   // relay.
   void OnLocalAnswer(WorkerAnswer answer, const Now& now);
 
+  // Answers with the highest generation that this process knows.
+  void OnOwnershipNotice(const OwnershipNotice& notice, const Now& now);
+
   void OnConfigurationRead(job_event::StreamRead& read);
   void OnWorkersRead(const job_event::StreamRead& read, const Now& now);
   // Tells the scheduler of a listed worker, if this process owns the worker's cell.
@@ -72,7 +75,7 @@
 
   void DetectPause(const Now& now);
   void Advance(const Now& now);
-  void CreateCells();
+  void CreateCells(const Now& now);
   void ChooseCellCount(const Now& now);
   void IssueReads(const Now& now);
   void AdvanceRelaying(const Now& now);
@@ -116,6 +119,9 @@
   std::uint64_t announcements_applied_ = 0;  // Announcements that the pool has been given.
   bool uses_relays_ = false;                 // This process owns or claims a cell.
 
+  Time started_at_;
+  // The highest generation by cell, of cells that are not created yet.
+  std::map<int, std::int64_t> noticed_generations_;
   std::optional<Time> last_event_at_;
   WallTime last_event_wall_{};
   std::optional<Time> drain_started_at_;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -19,6 +19,7 @@
 constexpr char kLeaseKey[] = "leases";
 constexpr char kCellCountKey[] = "layout";
 constexpr char kInterferenceKey[] = "neighbours";
+constexpr char kVotingHostsKey[] = "voting_hosts";
 // Record types, the first character of a key. The name of a host follows in records of owners and
 // hosts, the key of a job in all others.
 constexpr char kOwnerPrefix = 'o';
@@ -173,6 +174,7 @@
   owner.released = value.at(4);
   if (value.size() > 5) owner.bound_since = value.at(5);
   if (value.size() > 6) owner.limits_since = value.at(6);
+  if (value.size() > 7) owner.host_votes_since = value.at(7);
   return owner;
 }
 
@@ -222,12 +224,17 @@
   return record;
 }
 
+VotingHostsRecord DecodeVotingHosts(const json& value) {
+  return {value.at(0), value.at(1).get<std::map<std::string, std::string>>()};
+}
+
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
   if (record_key == kRosterTasksKey) return DecodeRosterTasks(value);
   if (record_key == kRosterLeasesKey) return DecodeRosterLeases(value);
   if (record_key == kLeaseKey) return DecodeLeases(value);
   if (record_key == kInterferenceKey) return DecodeInterference(value);
+  if (record_key == kVotingHostsKey) return DecodeVotingHosts(value);
   if (record_key == kCellCountKey) return CellCountRecord{value.get<int>()};
   const JobKey key(record_key.substr(2));
   switch (record_key.front()) {
@@ -251,7 +258,8 @@
 KeyedRecord Encode(const OwnerRecord& record) {
   return {KeyOf(kOwnerPrefix, record.host),
           ToBytes(json::array({record.epoch, record.generation, record.member, record.host,
-                               record.released, record.bound_since, record.limits_since}))};
+                               record.released, record.bound_since, record.limits_since,
+                               record.host_votes_since}))};
 }
 
 KeyedRecord Encode(const RosterRecord& record) { return {kRosterKey, ToBytes(record.workers)}; }
@@ -292,6 +300,10 @@
   return {kInterferenceKey, ToBytes(rows), 0};
 }
 
+KeyedRecord Encode(const VotingHostsRecord& record) {
+  return {kVotingHostsKey, ToBytes(json::array({record.generation, record.members})), 0};
+}
+
 KeyedRecord Encode(const HostRecord& record) {
   return {KeyOf(kHostPrefix, record.host),
           ToBytes(json::array(
@@ -341,7 +353,7 @@
   const std::string& key = record.key;
   const bool of_job = key.size() > 2 && key[1] == kSeparator;
   const bool of_owner = key == kRosterKey || key == kRosterTasksKey || key == kRosterLeasesKey ||
-                        key == kLeaseKey || key == kCellCountKey;
+                        key == kLeaseKey || key == kCellCountKey || key == kVotingHostsKey;
   if (!of_job && !of_owner && key != kInterferenceKey) {
     throw DecodeError("job log record with an unknown key");
   }
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -19,6 +19,8 @@
 constexpr int kAnswerBatch = 2;
 constexpr int kSubmission = 3;
 constexpr int kSubmissionStored = 4;
+constexpr int kOwnershipNotice = 5;
+constexpr int kOwnershipAnswer = 6;
 
 // First element of an order or an answer.
 enum Kind : std::uint8_t { kHold, kStart, kStop, kPace };
@@ -266,8 +268,19 @@
   return submission;
 }
 
+Duration DurationFromJson(const json& value) { return Duration(value.get<std::int64_t>()); }
+
 PeerMessageBody DecodeMessage(const json& value) {
   const int type = value.at(0);
+  if (type == kOwnershipNotice)
+    return OwnershipNotice{value.at(1), value.at(2), value.at(3), DurationFromJson(value.at(4))};
+  if (type == kOwnershipAnswer)
+    return OwnershipAnswer{value.at(1),
+                           value.at(2),
+                           value.at(3),
+                           value.at(4),
+                           DurationFromJson(value.at(5)),
+                           DurationFromJson(value.at(6))};
   if (type == kSubmission) return DecodeSubmission(value);
   if (type == kSubmissionStored) return SubmissionStored{value.at(1), value.at(2), value.at(3)};
   if (type == kOrderBatch) {
@@ -328,6 +341,17 @@
   return ToBytes(json::array({kSubmissionStored, stored.cell, stored.id, stored.offset}));
 }
 
+std::string Encode(const OwnershipNotice& notice) {
+  return ToBytes(json::array({kOwnershipNotice, notice.reply_address, notice.cell,
+                              notice.generation, notice.sent_at.count()}));
+}
+
+std::string Encode(const OwnershipAnswer& answer) {
+  return ToBytes(
+      json::array({kOwnershipAnswer, answer.host, answer.member, answer.cell, answer.generation,
+                   answer.uptime.count(), answer.notice_sent_at.count()}));
+}
+
 PeerMessageBody DecodePeerMessage(std::string_view bytes) {
   try {
     return DecodeMessage(DecodeCbor(bytes, kMaxDepth));
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -20,6 +20,8 @@
 constexpr Duration kInterferenceExportPeriod = std::chrono::seconds(4);
 // A takeover in which all workers answer ends within this time.
 constexpr Duration kFirstTakeoverReportDelay = std::chrono::milliseconds(500);
+// Time for other hosts to answer before the first of them are stored as voters.
+constexpr Duration kFirstVotingHostsDelay = std::chrono::seconds(1);
 // Number of bits of a call number below the owner's token, so that call numbers of different owners
 // in one process do not collide.
 constexpr int kCallNumberBits = 24;
@@ -37,7 +39,8 @@
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
-                     bool predecessor_ended, const JobLogView& log_view, const Now& now)
+                     bool predecessor_ended, const JobLogView& log_view, const Now& now,
+                     const HostVotes* host_votes)
     : options_(options),
       log_view_(log_view),
       token_(token),
@@ -49,10 +52,19 @@
       next_takeover_report_(now.monotonic + kFirstTakeoverReportDelay),
       generation_(generation),
       stored_leases_(log_view.leases()),
-      earlier_owners_ended_(predecessor_ended && stored_leases_.generation + 1 == generation),
-      quorum_(log_view.roster(), generation > 1 && !earlier_owners_ended_, now.monotonic),
+      quorum_(log_view.roster(),
+              generation > 1 && !(predecessor_ended && stored_leases_.generation + 1 == generation),
+              now.monotonic),
       voters_(log_view.roster()),
+      host_votes_(host_votes),
+      voting_hosts_(log_view.VotingHosts()),
+      next_voting_hosts_check_(now.monotonic + kFirstVotingHostsDelay),
       earlier_leases_bound_(generation <= 1 || EarlierLeasesBound(log_view, generation)) {
+  if (predecessor_ended && stored_leases_.generation + 1 == generation)
+    earlier_owners_ended_at_ = now.monotonic;
+  // Owners before the one that stored the lease record had stopped when it was stored.
+  earlier_claims_ = log_view.ClaimsOf(stored_leases_.generation, generation);
+  if (!HasClaimOfEachGeneration()) followed_owners_ended_at_ = now.monotonic;
   if (quorum_.reached()) SetEndOfEarlierLeases();
   for (const auto& [key, entry] : log_view.entries()) {
     if (entry.job == nullptr) continue;
@@ -149,6 +161,8 @@
   CheckRoster(now);
   ReportRenewedLeases(now);
   CheckStoredLeases(now);
+  CheckVotingHosts(now);
+  CheckHostVotesNeeded(now);
   SweepRuns(now);
   // If the store is unreachable, ownership is confirmed by all workers accepting the token.
   if (ownership_unconfirmed_ && AllListedWorkersAcceptedToken()) ownership_unconfirmed_ = false;
@@ -227,6 +241,11 @@
     batch.records.push_back(Encode(stored_leases_));
     leases_changed_ = false;
   }
+  if (voting_hosts_changed_) {
+    voting_hosts_batch_id_ = batch.id;
+    batch.records.push_back(Encode(*voting_hosts_batch_));
+    voting_hosts_changed_ = false;
+  }
   if (roster_changed_) {
     AddRosterRecords(batch, now);
     roster_changed_ = false;
@@ -237,6 +256,10 @@
 void Scheduler::OnStored(std::uint64_t batch, const Now& now) {
   last_stored_batch_ = batch;
   OnRosterStored(batch);
+  if (voting_hosts_batch_id_ == batch) {
+    voting_hosts_batch_id_ = 0;
+    voting_hosts_ = *std::exchange(voting_hosts_batch_, std::nullopt);
+  }
   for (auto& [id, worker] : workers_) {
     if (worker.last_stored_end == worker.last_processed_end || worker.processed_ends_batch > batch)
       continue;
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -12,6 +12,7 @@
 #include "best_effort_throttle.h"
 #include "cactusshelf/base/counters.h"
 #include "cactusshelf/base/log_event.h"
+#include "host_votes.h"
 #include "job_tracker.h"
 #include "placer.h"
 #include "takeover_quorum.h"
@@ -39,9 +40,11 @@
  public:
   // `log_view` is the state of the job log, read at least up to the record that made this process
   // the owner; it must outlive the scheduler. `predecessor_ended` tells that the earlier owner
-  // certainly sends no more orders.
+  // certainly sends no more orders. `host_votes` are the answers of the other hosts to this owner;
+  // it must outlive the scheduler, and is null if no host is asked.
   Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
-            bool predecessor_ended, const JobLogView& log_view, const Now& now);
+            bool predecessor_ended, const JobLogView& log_view, const Now& now,
+            const HostVotes* host_votes = nullptr);
 
   void OnJob(const std::shared_ptr<const SubmittedJob>& job, const Now& now);
   void OnJobDropped(const JobKey& key) { tracker_.Forget(key); }
@@ -75,9 +78,14 @@
   // Returns the records to be stored, or nothing. Batches must be stored in order, and each must be
   // confirmed with OnStored.
   std::optional<ChangeBatch> TakeChanges(const Now& now);
-  bool has_changes() const { return tracker_.has_changes() || roster_changed_ || leases_changed_; }
+  bool has_changes() const {
+    return tracker_.has_changes() || roster_changed_ || leases_changed_ || voting_hosts_changed_;
+  }
   void OnStored(std::uint64_t batch, const Now& now);
 
+  // True while the votes of hosts decide what this owner may do next.
+  bool needs_host_votes() const { return needs_host_votes_; }
+
   // True once a worker has refused the token as outdated: another process is the owner.
   bool fenced() const { return fenced_; }
 
@@ -176,6 +184,11 @@
   void CheckStoredLeases(const Now& now);
   // When more than half of `voters` had certainly not accepted a later owner; zero if never.
   Time MajorityConfirmedAt(const std::vector<std::string>& voters) const;
+  // When more than half of the hosts of each record that may be the stored one had not learned of a
+  // later owner; Time::max() if no record is in force.
+  Time HostsConfirmedAt(const Now& now) const;
+  // When this owner was last certain, without the store, that it had no successor.
+  Time VotersConfirmedAt(const Now& now) const;
   // Until when whole leases may be granted by what the store has shown.
   Time AuthorityByStore() const;
   // Finds out until when this owner may grant whole leases.
@@ -190,9 +203,19 @@
   std::optional<WorkerClock> GrantLease(WorkerState& worker, const Now& now);
   // Precondition: the quorum is reached.
   void SetEndOfEarlierLeases();
-  // Waives the quorum once earlier owners grant no leases without the store.
+  // Finds out whether anything but the votes of workers shows that earlier owners get no evidence
+  // any more: the votes of hosts, the owners' own answers, or the time.
   void CheckQuorum(const Now& now);
-  void OnQuorumReached(const Now& now);
+  // Finds out whether all earlier owners that may still grant leases have answered.
+  void CheckEarlierOwners();
+  // `reason` tells what has shown it, as a text for the log.
+  void OnQuorumReached(std::string_view reason, const Now& now);
+  // True if no claim of an owner that may still grant leases was followed by another of its host.
+  bool HasClaimOfEachGeneration() const;
+  // Sets needs_host_votes_.
+  void CheckHostVotesNeeded(const Now& now);
+  // Hands over the hosts that answer, if they have changed.
+  void CheckVotingHosts(const Now& now);
   // True if the worker, which accepts orders of this owner only, has been unreachable for so long
   // that the roster should say when the leases there end.
   static bool IsLost(const WorkerState& worker, const Now& now);
@@ -337,14 +360,27 @@
   bool roster_changed_ = false;
   Time next_roster_drop_;
   std::int64_t generation_;
+  // Claims of owners that may still grant leases when the ownership is gained, and the time at
+  // which those of them that other claims of their hosts have followed had stopped.
+  std::vector<OwnerRecord> earlier_claims_;
+  Time followed_owners_ended_at_;
   LeaseRecord stored_leases_;  // As last handed over to be stored, by this or an earlier owner.
   bool leases_changed_ = false;
   // No lease of earlier owners lasts longer, bound or not. Unknown before the quorum.
   Time earlier_leases_end_ = Time::max();
-  // When the ownership was gained, no earlier owner granted leases any more.
-  bool earlier_owners_ended_;
+  // No earlier owner grants leases after this time. Unknown before the quorum.
+  Time last_earlier_grant_ = Time::max();
+  // The same, as shown by the earlier owners themselves.
+  std::optional<Time> earlier_owners_ended_at_;
   TakeoverQuorum quorum_;
   std::vector<std::string> voters_;  // Workers of the stored roster.
+  const HostVotes* host_votes_;
+  VotingHostsRecord voting_hosts_;                       // In force.
+  std::optional<VotingHostsRecord> voting_hosts_batch_;  // Handed over, not known to be stored.
+  std::uint64_t voting_hosts_batch_id_ = 0;
+  bool voting_hosts_changed_ = false;
+  Time next_voting_hosts_check_;
+  bool needs_host_votes_ = false;
   // Whole leases may be granted until then, and later ones may not last longer than they.
   Time authority_until_;
   Time majority_confirmed_at_;  // MajorityConfirmedAt of all rosters that may be the stored one.
--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <set>
 
 #include "scheduler.h"
 
@@ -9,6 +10,13 @@
 
 // Time between two looks at the answers of all voters.
 constexpr Duration kMajorityCheckPeriod = std::chrono::milliseconds(100);
+// The votes of hosts are asked for more often once the store has not confirmed the ownership for
+// this long, so that they are there before it is needed.
+constexpr Duration kMaxUnconfirmedTime = std::chrono::milliseconds(600);
+// Time between two comparisons of the stored voting hosts with those that answer.
+constexpr Duration kVotingHostsCheckPeriod = std::chrono::seconds(1);
+// A host that has not answered for this long does not vote from the next record on.
+constexpr Duration kMaxHostSilence = std::chrono::seconds(3);
 // Time between two comparisons of the stored lease with the longest one that any worker holds.
 constexpr Duration kLeaseCheckPeriod = std::chrono::seconds(1);
 
@@ -30,6 +38,23 @@
   return *least;
 }
 
+Time Scheduler::HostsConfirmedAt(const Now& now) const {
+  const auto confirmed_at = [&](const VotingHostsRecord& record) {
+    if (record.members.empty()) return Time::max();
+    if (host_votes_ == nullptr) return Time{};
+    return host_votes_->MajorityConfirmedAt(record.members, now.monotonic);
+  };
+  const Time stored = confirmed_at(voting_hosts_);
+  return voting_hosts_batch_ ? std::min(stored, confirmed_at(*voting_hosts_batch_)) : stored;
+}
+
+Time Scheduler::VotersConfirmedAt(const Now& now) const {
+  Time confirmed_at = std::min(MajorityConfirmedAt(voters_), HostsConfirmedAt(now));
+  for (const auto& [id, roster] : roster_batches_)
+    confirmed_at = std::min(confirmed_at, MajorityConfirmedAt(roster.voters));
+  return std::min(confirmed_at, ownership_confirmed_at_ + options_.max_time_without_store);
+}
+
 Time Scheduler::EndsConfirmedAt() const {
   return std::max(ownership_confirmed_at_, majority_confirmed_at_);
 }
@@ -43,12 +68,7 @@
   const bool needs_majority = now.monotonic > AuthorityByStore() || awaits_confirmation_;
   if (needs_majority && now.monotonic >= next_majority_check_) {
     next_majority_check_ = now.monotonic + kMajorityCheckPeriod;
-    Time confirmed_at = MajorityConfirmedAt(voters_);
-    for (const auto& [id, roster] : roster_batches_)
-      confirmed_at = std::min(confirmed_at, MajorityConfirmedAt(roster.voters));
-    confirmed_at =
-        std::min(confirmed_at, ownership_confirmed_at_ + options_.max_time_without_store);
-    majority_confirmed_at_ = std::max(majority_confirmed_at_, confirmed_at);
+    majority_confirmed_at_ = std::max(majority_confirmed_at_, VotersConfirmedAt(now));
     authority_until_ =
         std::max(authority_until_, majority_confirmed_at_ + options_.majority_detection_time);
   }
@@ -85,25 +105,58 @@
 }
 
 void Scheduler::SetEndOfEarlierLeases() {
-  const Time last_granted = earlier_owners_ended_
-                                ? gained_at_
-                                : std::max(gained_at_ + options_.fencing_detection_time,
-                                           quorum_.reached_at() + options_.majority_detection_time);
+  last_earlier_grant_ = std::max(gained_at_ + options_.fencing_detection_time,
+                                 quorum_.reached_at() + options_.majority_detection_time);
+  if (earlier_owners_ended_at_)
+    last_earlier_grant_ = std::min(last_earlier_grant_, *earlier_owners_ended_at_);
   const auto end_of = [&](Duration lease) {
-    return last_granted +
+    return last_earlier_grant_ +
            LongestTime(std::max(lease, stored_leases_.lease), options_.max_clock_drift);
   };
   earlier_leases_end_ = end_of(options_.longest_lease);
   takeover_end_ = earlier_leases_bound_ ? end_of(options_.lease) : earlier_leases_end_;
 }
 
+bool Scheduler::HasClaimOfEachGeneration() const {
+  std::set<std::int64_t> generations;
+  for (const OwnerRecord& claim : earlier_claims_) generations.insert(claim.generation);
+  const std::int64_t first = std::max<std::int64_t>(stored_leases_.generation, 1);
+  return static_cast<std::int64_t>(generations.size()) >= generation_ - first;
+}
+
+void Scheduler::CheckEarlierOwners() {
+  if (earlier_owners_ended_at_ || host_votes_ == nullptr) return;
+  Time ended_at = followed_owners_ended_at_;
+  for (const OwnerRecord& claim : earlier_claims_) {
+    const std::optional<Time> stopped_at = host_votes_->StoppedAt(claim);
+    if (!stopped_at) return;
+    ended_at = std::max(ended_at, *stopped_at);
+  }
+  earlier_owners_ended_at_ = ended_at;
+  if (quorum_.reached()) SetEndOfEarlierLeases();
+  Log(LogEvent(LogLevel::kInfo, "earlier_owners_stopped")
+          .With("claims", earlier_claims_.size())
+          .With("ms_since_gained", ToMilliseconds(ended_at - gained_at_)));
+}
+
+void Scheduler::CheckHostVotesNeeded(const Now& now) {
+  const bool waits_for_earlier_owners = !unreported_workers_.empty() && !earlier_owners_ended_at_;
+  const bool store_silent = now.monotonic - ownership_confirmed_at_ > kMaxUnconfirmedTime;
+  needs_host_votes_ = !quorum_.reached() || waits_for_earlier_owners || store_silent;
+}
+
 void Scheduler::CheckQuorum(const Now& now) {
-  if (quorum_.reached() || now.monotonic < gained_at_ + options_.max_time_without_store) return;
+  CheckEarlierOwners();
+  if (quorum_.reached()) return;
+  const auto& hosts = voting_hosts_.members;
+  const bool by_hosts = host_votes_ != nullptr && !hosts.empty() && host_votes_->HasQuorum(hosts);
+  const bool by_time = now.monotonic >= gained_at_ + options_.max_time_without_store;
+  if (!by_hosts && !by_time && !earlier_owners_ended_at_) return;
   quorum_.Waive(now.monotonic);
-  OnQuorumReached(now);
+  OnQuorumReached(by_hosts ? "hosts" : earlier_owners_ended_at_ ? "earlier_owners" : "time", now);
 }
 
-void Scheduler::OnQuorumReached(const Now& now) {
+void Scheduler::OnQuorumReached(std::string_view reason, const Now& now) {
   SetEndOfEarlierLeases();
   // The roster may list further workers from now on, and the next owner learns of the quorum.
   roster_changed_ = true;
@@ -111,14 +164,30 @@
   Log(LogEvent(LogLevel::kInfo, "takeover_quorum")
           .With("voters", quorum_.voters())
           .With("accepted", quorum_.accepted())
+          .With("voting_hosts", voting_hosts_.members.size())
+          .With("reason", std::string(reason))
           .With("ms", ToMilliseconds(now.monotonic - gained_at_)));
 }
 
+void Scheduler::CheckVotingHosts(const Now& now) {
+  if (now.monotonic < next_voting_hosts_check_) return;
+  next_voting_hosts_check_ = now.monotonic + kVotingHostsCheckPeriod;
+  // The record of earlier owners keeps them apart until the quorum.
+  const bool may_store = host_votes_ != nullptr && quorum_.reached() && !voting_hosts_batch_;
+  if (!may_store) return;
+  VotingHostsRecord present{generation_,
+                            host_votes_->AnsweredSince(now.monotonic - kMaxHostSilence)};
+  const bool stored = voting_hosts_.generation == generation_;
+  if (stored && voting_hosts_.members == present.members) return;
+  voting_hosts_batch_ = std::move(present);
+  voting_hosts_changed_ = true;
+}
+
 void Scheduler::CheckStoredLeases(const Now& now) {
   if (now.monotonic < next_lease_check_) return;
   next_lease_check_ = now.monotonic + kLeaseCheckPeriod;
   // The record tells the next owner that no owner before this one grants leases any more.
-  if (!quorum_.reached()) return;
+  if (now.monotonic < last_earlier_grant_) return;
   const bool earlier_ended = now.monotonic >= earlier_leases_end_;
   earlier_leases_bound_ = earlier_leases_bound_ || earlier_ended;
   // Until then the record of the earlier owner still says which of its leases are known.
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -105,7 +105,7 @@
     OnAwaitedWorkerReported(worker);
   if (worker.token_accepted) return;
   worker.token_accepted = true;
-  if (quorum_.OnTokenAccepted(worker.entry().id, now.monotonic)) OnQuorumReached(now);
+  if (quorum_.OnTokenAccepted(worker.entry().id, now.monotonic)) OnQuorumReached("workers", now);
   placement_needed_ = true;
 }
 
--- a/packages/jobs/tests/job_record_test.cc
+++ b/packages/jobs/tests/job_record_test.cc
@@ -1,9 +1,8 @@
-#include "cactusshelf/jobs/job_record.h"
-
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "cactusshelf/base/errors.h"
+#include "cactusshelf/jobs/job_log_view.h"
 
 // Encoding of the progress of wide jobs, which every host reads.
 namespace cactusshelf::jobs {
@@ -60,6 +59,33 @@
   }
 }
 
+TEST_CASE("records of voting hosts lose no field when they are encoded and decoded") {
+  const VotingHostsRecord record{4, {{"h0", "h0/1"}, {"h1", "h1/7"}}};
+  const auto decoded = std::get<VotingHostsRecord>(DecodeJobLogRecord(Encode(record)));
+  CHECK(decoded.generation == record.generation);
+  CHECK(decoded.members == record.members);
+  OwnerRecord owner;
+  owner.host = "h0";
+  owner.host_votes_since = 3;
+  CHECK(std::get<OwnerRecord>(DecodeJobLogRecord(Encode(owner))).host_votes_since == 3);
+}
+
+TEST_CASE("voting hosts are in force although an owner since then does not need their votes") {
+  // Guards against two owners that grant leases: one of an earlier version goes on without the
+  // votes of which its successor has the quorum.
+  JobLogView view;
+  OwnerRecord owner;
+  owner.generation = 5;
+  owner.host = "h0";
+  owner.host_votes_since = 4;
+  view.Apply(VotingHostsRecord{4, {{"h0", "h0/1"}}}, 0);
+  view.Apply(owner, 1);
+  CHECK(view.VotingHosts().members.size() == 1);
+  owner.host_votes_since = 5;
+  view.Apply(owner, 2);
+  CHECK(view.VotingHosts().members.empty());
+}
+
 TEST_CASE("a record keeps the runs of tasks that have failed") {
   ProgressRecord record{JobKey(kJob), {JobState::kRunning, {}}};
   record.progress.tasks = {{{0, 0, 3}, false, 9, {8, 9}}, {{2, 1, 0}, true, 5, {4}}};
--- a/packages/jobs/tests/malformed_input_test.cc
+++ b/packages/jobs/tests/malformed_input_test.cc
@@ -73,8 +73,13 @@
   hold.lease_end = WorkerClock(4000);
   orders.orders.emplace_back(hold);
   const Submission submission{"10.0.0.2:70", 0, 1, {{std::string("c/") + kJob, "\x80"}}};
-  return {Encode(orders), Encode(SampleAnswers()), Encode(submission),
-          Encode(SubmissionStored{0, 1, 17})};
+  return {Encode(orders),
+          Encode(SampleAnswers()),
+          Encode(submission),
+          Encode(SubmissionStored{0, 1, 17}),
+          Encode(OwnershipNotice{"10.0.0.2:70", 0, 3, std::chrono::seconds(9)}),
+          Encode(OwnershipAnswer{"h1", "h1/2", 0, 3, std::chrono::seconds(5),
+                                 std::chrono::seconds(9)})};
 }
 
 std::vector<KeyedRecord> SampleRecords() {
@@ -94,7 +99,8 @@
           Encode(RosterRecord{{"w0", "w1"}}),
           Encode(RosterTasksRecord{{{"w0", {{JobKey(kJob), {0, 0, 1}}}}}}),
           Encode(CellCountRecord{2}),
-          Encode(LeaseRecord{std::chrono::seconds(4), {{"w0", 7}}})};
+          Encode(LeaseRecord{std::chrono::seconds(4), {{"w0", 7}}}),
+          Encode(VotingHostsRecord{3, {{"h0", "h0/1"}}})};
 }
 
 }  // namespace
--- a/packages/jobs/tests/relay_test.cc
+++ b/packages/jobs/tests/relay_test.cc
@@ -125,6 +125,23 @@
   CHECK(std::get<job_event::StopDone>(read.answers.at(1)).answer.reason == "why");
 }
 
+TEST_CASE("notices of an owner and their answers lose no field when they are encoded and decoded") {
+  const auto notice = std::get<OwnershipNotice>(
+      DecodePeerMessage(Encode(OwnershipNotice{"o:1", 2, 7, milliseconds(1234)})));
+  CHECK(notice.reply_address == "o:1");
+  CHECK(notice.cell == 2);
+  CHECK(notice.generation == 7);
+  CHECK(notice.sent_at == milliseconds(1234));
+  const auto answer = std::get<OwnershipAnswer>(DecodePeerMessage(
+      Encode(OwnershipAnswer{"h", "h/1", 2, 8, milliseconds(55), milliseconds(1234)})));
+  CHECK(answer.host == "h");
+  CHECK(answer.member == "h/1");
+  CHECK(answer.cell == 2);
+  CHECK(answer.generation == 8);
+  CHECK(answer.uptime == milliseconds(55));
+  CHECK(answer.notice_sent_at == milliseconds(1234));
+}
+
 TEST_CASE("a truncated peer message is reported as a decode error") {
   const std::string bytes = Encode(OrderBatch{"o:1", std::nullopt, {StartOf("w", 2)}});
   for (std::size_t n = 0; n < bytes.size(); ++n) {
--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -268,6 +268,35 @@
   }
 }
 
+TEST_CASE("a new owner waits for a quorum of workers that were lost with its predecessor") {
+  // Guards against work that stands still: most workers of the stored roster are gone, and the
+  // hosts are not asked whether the earlier owner may still be at work.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    const auto simulation = BusySimulation(seed);
+    const int owner = simulation->OwnerIndex();
+    for (int worker = 0; worker < 4; ++worker) simulation->LoseWorker(worker, seconds(2));
+    simulation->LoseNode(owner);
+    simulation->RunFor(seconds(14));
+    CHECK(simulation->running_tasks() == kTasks);
+    CheckNoViolations(*simulation);
+  }
+}
+
+TEST_CASE("a new owner waits for a quorum of workers after its predecessor has woken up") {
+  // Guards against work that stands still: an owner that was suspended is alive but has stopped,
+  // and most workers are gone.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    const auto simulation = BusySimulation(seed);
+    simulation->FreezeNode(simulation->OwnerIndex(), seconds(4));
+    for (int worker = 0; worker < 4; ++worker) simulation->LoseWorker(worker, seconds(2));
+    simulation->RunFor(seconds(14));
+    CHECK(simulation->running_tasks() == kTasks);
+    CheckNoViolations(*simulation);
+  }
+}
+
 TEST_CASE("a replaced owner gives up the runs of a worker whose leases its successor renews") {
   // Guards against tasks that run twice: an owner loses a worker and then the store. Its successor
   // reaches the worker and renews the lease there, whose end the owner still expects.
