--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -24,7 +24,7 @@
 // Limit on the submitted records in one append of the owner.
 constexpr std::size_t kMaxSubmittedBytesPerAppend = std::size_t{1} << 20;
 // Time between two notices of the ownership, and while the votes of the other hosts are needed.
-constexpr Duration kNoticePeriod = std::chrono::milliseconds(500);
+constexpr Duration kNoticePeriod = std::chrono::milliseconds(1000);
 constexpr Duration kUrgentNoticePeriod = std::chrono::milliseconds(150);
 // Cells are spread over the processes: a process that already owns or claims cells, or that ranks
 // low in the cell's rendezvous order of hosts, claims later. An owner reads the logs more often
@@ -351,7 +351,7 @@
                                                 BatchWriter::RetryPolicy::kRetryUntilStored);
   host_votes_ =
       std::make_unique<HostVotes>(options_.host, options_.member, claim_.generation, now.monotonic);
-  next_notice_at_ = now.monotonic;
+  last_notice_at_.reset();
   owner_writer_->Begin({Encode(claim_)}, now.monotonic);
   candidacy_ = Candidacy::kFencing;
 }
@@ -454,9 +454,11 @@
 
 void JobCell::SendOwnershipNotices(const NodeState& state, const Now& now) {
   const bool can_ask = host_votes_ != nullptr && !options_.peer_address.empty();
-  if (!can_ask || releasing_ || now.monotonic < next_notice_at_) return;
   const bool urgent = !scheduler_ || scheduler_->needs_host_votes();
-  next_notice_at_ = now.monotonic + (urgent ? kUrgentNoticePeriod : kNoticePeriod);
+  const Duration period = urgent ? kUrgentNoticePeriod : kNoticePeriod;
+  const bool due = !last_notice_at_ || now.monotonic - *last_notice_at_ >= period;
+  if (!can_ask || releasing_ || !due) return;
+  last_notice_at_ = now.monotonic;
   const OwnershipNotice notice{options_.peer_address, index_, claim_.generation,
                                now.monotonic.time_since_epoch()};
   const std::string bytes = Encode(notice);
