--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -67,8 +67,8 @@
   const InterferenceRecord& interference() const { return interference_; }
   // Empty until it is stored and all owners since then have kept to it.
   VotingHostsRecord VotingHosts() const;
-  // The newest claim of each host with a generation of at least `first` and less than `end`.
-  std::vector<OwnerRecord> ClaimsOf(std::int64_t first, std::int64_t end) const;
+  // The newest claim of each host with a generation from `first` to `last`.
+  std::vector<OwnerRecord> ClaimsOf(std::int64_t first, std::int64_t last) const;
   // All entry hosts that have ever announced themselves, by name. Only the first cell's log holds
   // them.
   const std::map<std::string, HostRecord>& hosts() const { return hosts_; }
--- a/packages/jobs/include/cactusshelf/jobs/peer_messages.h
+++ b/packages/jobs/include/cactusshelf/jobs/peer_messages.h
@@ -58,23 +58,25 @@
   std::int64_t offset = 0;  // Offset of the first record.
 };
 
-// Sent by an owner of a cell to all other hosts. Tells them its generation and asks for the highest
-// one that they know.
+// Sent by an owner of a cell to all other hosts. Tells them its epoch and asks for the highest one
+// that an owner has told them.
 struct OwnershipNotice {
   std::string reply_address;
   int cell = 0;
-  std::int64_t generation = 0;  // Its claim is in the log.
-  Duration sent_at{};           // By the sender's steady clock.
+  std::int64_t epoch = 0;  // Other processes cannot append under an earlier one any more.
+  Duration sent_at{};      // By the sender's steady clock.
 };
 
-// Answer to a notice. If the process owned the cell as an earlier generation, it has stopped.
+// Answer to a notice. If the process owned the cell under an earlier epoch, it has stopped.
 struct OwnershipAnswer {
   std::string host;
   std::string member;  // The process that answers.
   int cell = 0;
-  std::int64_t generation = 0;  // The highest one that the process knows, the notice's included.
-  Duration uptime{};            // Least time since the process started.
-  Duration notice_sent_at{};    // OwnershipNotice::sent_at.
+  std::int64_t epoch = 0;  // The highest one that the process was told, the notice's included.
+  Duration uptime{};       // Least time since the process started.
+  // Least time since the process voted for an owner before `epoch`.
+  Duration since_earlier_vote{};
+  Duration notice_sent_at{};  // OwnershipNotice::sent_at.
 };
 
 using PeerMessageBody = std::variant<OrderBatch, AnswerBatch, Submission, SubmissionStored,
--- a/packages/jobs/src/host_votes.cc
+++ b/packages/jobs/src/host_votes.cc
@@ -7,15 +7,20 @@
 namespace cactusshelf::jobs {
 
 void HostVotes::OnAnswer(const OwnershipAnswer& answer, Time now) {
-  if (answer.generation != generation_ || answer.host == host_) return;
+  const Time sent_at{answer.notice_sent_at};
+  const bool possible = sent_at <= now && answer.uptime >= Duration::zero() &&
+                        answer.since_earlier_vote >= Duration::zero();
+  if (answer.epoch != epoch_ || answer.host == host_ || !possible) return;
   const Time started_before = now - answer.uptime;
+  const Time voted_before = now - answer.since_earlier_vote;
   const auto [it, is_new] = processes_[answer.host].try_emplace(
-      answer.member, Process{now, now, Time{answer.notice_sent_at}, started_before});
+      answer.member, Process{now, now, sent_at, started_before, voted_before});
   if (is_new) return;
   Process& process = it->second;
   process.last_answer_at = now;
-  process.confirmed_at = std::max(process.confirmed_at, Time{answer.notice_sent_at});
+  process.confirmed_at = std::max(process.confirmed_at, sent_at);
   process.started_before = std::min(process.started_before, started_before);
+  process.voted_before = std::min(process.voted_before, voted_before);
 }
 
 Time HostVotes::MajorityConfirmedAt(const Voters& voters, Time now) const {
@@ -36,11 +41,30 @@
   return *least;
 }
 
-bool HostVotes::HasQuorum(const Voters& voters) const {
-  const auto n = std::count_if(voters.begin(), voters.end(), [this](const auto& voter) {
-    return voter.first == host_ || processes_.contains(voter.first);
-  });
-  return 2 * static_cast<std::size_t>(n) >= voters.size();
+std::optional<Time> HostVotes::LastEarlierVote(const std::string& host,
+                                               const std::string& member) const {
+  if (host == host_) return member == member_ ? earlier_vote_at_ : began_at_;
+  const auto it = processes_.find(host);
+  if (it == processes_.end()) return std::nullopt;
+  const auto process = it->second.find(member);
+  if (process != it->second.end()) return process->second.voted_before;
+  Time ended_before = Time::max();
+  for (const auto& [other, later] : it->second)
+    ended_before = std::min(ended_before, later.started_before);
+  return ended_before;
+}
+
+std::optional<Time> HostVotes::QuorumAt(const Voters& voters) const {
+  std::vector<Time> times;
+  for (const auto& [host, member] : voters) {
+    const std::optional<Time> vote_at = LastEarlierVote(host, member);
+    if (vote_at) times.push_back(*vote_at);
+  }
+  const std::size_t half = (voters.size() + 1) / 2;
+  if (times.size() < half) return std::nullopt;
+  const auto last = times.begin() + static_cast<std::ptrdiff_t>(half - 1);
+  std::nth_element(times.begin(), last, times.end());
+  return *last;
 }
 
 std::optional<Time> HostVotes::StoppedAt(const OwnerRecord& claim) const {
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -112,9 +112,10 @@
   if (!read.has_more) refresh_requested_ = false;
   // The rest of the log may hold records of the owner.
   if (owner_active || !read.has_more) election_.OnRead(owner_active, now.monotonic);
-  // A claim is in the log before its owner tells of it.
-  if (follower_.fresh_at() > noticed_at_)
-    noticed_generation_ = std::min(noticed_generation_, log_view_.owner().generation);
+  // The claim of an epoch is in the log before its owner tells of it.
+  const bool would_be_read = follower_.fresh_at() > noticed_at_;
+  if (would_be_read && noticed_epoch_ > follower_.next_offset())
+    noticed_epoch_ = log_view_.owner().epoch;
   if (scheduler_ && log_view_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
   if (scheduler_) scheduler_->ConfirmOwnership(follower_.fresh_at());
   AdvanceCandidacy(state, now);
@@ -329,7 +330,7 @@
   if (scheduler_ || state.draining) return;
   const OwnerRecord& owner = log_view_.owner();
   const bool is_owner =
-      owner.member == options_.member && !owner.released && owner.generation >= noticed_generation_;
+      owner.member == options_.member && !owner.released && owner.epoch >= noticed_epoch_;
   const bool caught_up = follower_.next_offset() > awaited_offset_;
   switch (candidacy_) {
     case Candidacy::kNone:
@@ -362,20 +363,23 @@
       first_append_id_ + (static_cast<std::uint64_t>(claim_.epoch) << kEpochShift);
   owner_writer_ = std::make_unique<BatchWriter>(kOwnerProducer, claim_.epoch, 0, first,
                                                 BatchWriter::RetryPolicy::kRetryUntilStored);
-  host_votes_ =
-      std::make_unique<HostVotes>(options_.host, options_.member, claim_.generation, now.monotonic);
-  last_notice_at_.reset();
   owner_writer_->Begin({Encode(claim_)}, now.monotonic);
   candidacy_ = Candidacy::kFencing;
 }
 
+void JobCell::BeginVoting(const Now& now) {
+  OnEpochNoticed(claim_.epoch, now);
+  host_votes_ = std::make_unique<HostVotes>(options_.host, options_.member, claim_.epoch,
+                                            last_earlier_vote_at_, now.monotonic);
+  last_notice_at_.reset();
+}
+
 void JobCell::AbandonCandidacy(std::string_view reason, const Now& now) {
   Log(LogEvent(LogLevel::kInfo, "owner_claim_failed")
           .With("generation", claim_.generation)
           .With("reason", std::string(reason)));
   candidacy_ = Candidacy::kNone;
   owner_writer_.reset();
-  host_votes_.reset();
   election_.Reset();
   RequestRefresh(now.monotonic);
 }
@@ -385,6 +389,7 @@
   candidacy_ = Candidacy::kNone;
   releasing_ = false;
   ownership_gained_ = true;
+  BeginVoting(now);
   scheduler_ = std::make_unique<Scheduler>(
       options_.scheduler, ownership_.epoch, ownership_.generation,
       EarlierOwners{predecessor_ended_, last_other_owner_record_at_, host_votes_.get()}, log_view_,
@@ -411,6 +416,8 @@
   scheduler_.reset();
   owner_writer_.reset();
   host_votes_.reset();
+  // Until now it has voted for itself.
+  last_vote_at_ = now.monotonic;
   batch_in_flight_ = 0;
   queued_submissions_.clear();
   submissions_in_flight_.clear();
@@ -469,13 +476,12 @@
 }
 
 void JobCell::SendOwnershipNotices(const NodeState& state, const Now& now) {
-  const bool can_ask = host_votes_ != nullptr && !options_.peer_address.empty();
-  const bool urgent = !scheduler_ || scheduler_->needs_host_votes();
-  const Duration period = urgent ? kUrgentNoticePeriod : kNoticePeriod;
-  const bool due = !last_notice_at_ || now.monotonic - *last_notice_at_ >= period;
-  if (!can_ask || releasing_ || !due) return;
+  const bool can_ask = scheduler_ != nullptr && !options_.peer_address.empty();
+  if (!can_ask || releasing_) return;
+  const Duration period = scheduler_->needs_host_votes() ? kUrgentNoticePeriod : kNoticePeriod;
+  if (last_notice_at_ && now.monotonic - *last_notice_at_ < period) return;
   last_notice_at_ = now.monotonic;
-  const OwnershipNotice notice{options_.peer_address, index_, claim_.generation,
+  const OwnershipNotice notice{options_.peer_address, index_, claim_.epoch,
                                now.monotonic.time_since_epoch()};
   const std::string bytes = Encode(notice);
   for (const auto& [name, host] : *state.hosts) {
@@ -484,26 +490,26 @@
 }
 
 void JobCell::OnOwnershipAnswer(const OwnershipAnswer& answer, const Now& now) {
-  OnGenerationNoticed(answer.generation, now);
+  OnEpochNoticed(answer.epoch, now);
   if (host_votes_) host_votes_->OnAnswer(answer, now.monotonic);
 }
 
-void JobCell::OnGenerationNoticed(std::int64_t generation, const Now& now) {
-  if (generation > noticed_generation_) {
-    noticed_generation_ = generation;
-    noticed_at_ = now.monotonic;
-  }
-  const bool has_successor = host_votes_ != nullptr && claim_.generation < noticed_generation_;
-  if (!has_successor) return;
-  if (scheduler_) {
-    StepDown("told_by_successor", now);
-  } else {
-    AbandonCandidacy("told_by_successor", now);
-  }
+void JobCell::OnEpochNoticed(std::int64_t epoch, const Now& now) {
+  if (epoch <= noticed_epoch_) return;
+  noticed_epoch_ = epoch;
+  noticed_at_ = now.monotonic;
+  if (scheduler_) StepDown("told_by_successor", now);
+  last_earlier_vote_at_ = last_vote_at_;
 }
 
-std::int64_t JobCell::known_generation() const {
-  return std::max(noticed_generation_, log_view_.owner().generation);
+OwnershipAnswer JobCell::AnswerNotice(const OwnershipNotice& notice, const Now& now) {
+  OnEpochNoticed(notice.epoch, now);
+  const bool votes = notice.epoch == noticed_epoch_;
+  if (votes) last_vote_at_ = now.monotonic;
+  OwnershipAnswer answer{options_.host, options_.member, index_, noticed_epoch_};
+  answer.notice_sent_at = notice.sent_at;
+  answer.since_earlier_vote = now.monotonic - last_earlier_vote_at_;
+  return answer;
 }
 
 // Passes the submissions of this host to the owner, which is this or another process.
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -48,10 +48,10 @@
   void OnSubmission(Submission submission);
   void OnSubmissionStored(const SubmissionStored& stored, const Now& now);
   void OnOwnershipAnswer(const OwnershipAnswer& answer, const Now& now);
-  // An owner of the given generation exists. Stops as an earlier one.
-  void OnGenerationNoticed(std::int64_t generation, const Now& now);
-  // The highest generation that this process knows of.
-  std::int64_t known_generation() const;
+  // Another process owns the cell under `epoch`. Stops as an earlier owner.
+  void OnEpochNoticed(std::int64_t epoch, const Now& now);
+  // Votes for the owner that sent the notice, unless this process was told of a later one.
+  OwnershipAnswer AnswerNotice(const OwnershipNotice& notice, const Now& now);
   void OnQueuesChanged(const QueueTable& queues);
 
   JobRequestHandler& request_handler() { return request_handler_; }
@@ -111,6 +111,8 @@
   void OnOwnerAppendDone(const job_event::AppendDone& done, const Now& now);
   void AdvanceCandidacy(const NodeState& state, const Now& now);
   void BeginFencing(const Now& now);
+  // From now on this process votes for itself only, and asks the other hosts.
+  void BeginVoting(const Now& now);
   void AbandonCandidacy(std::string_view reason, const Now& now);
   void BecomeOwner(const NodeState& state, const Now& now);
   void StepDown(std::string_view reason, const Now& now);
@@ -147,11 +149,13 @@
 
   // Set while this process is the owner or is fencing earlier owners.
   std::unique_ptr<BatchWriter> owner_writer_;
-  // Set while owner_writer_ is. Outlives the scheduler.
-  std::unique_ptr<HostVotes> host_votes_;
+  std::unique_ptr<HostVotes> host_votes_;  // Set while scheduler_ is.
   std::optional<Time> last_notice_at_;
-  std::int64_t noticed_generation_ = 0;  // The highest one that an owner has told.
+  std::int64_t noticed_epoch_ = 0;  // The highest one that this process was told, or owned.
   Time noticed_at_;
+  // When this process last voted for an owner, and for one before noticed_epoch_; zero if never.
+  Time last_vote_at_;
+  Time last_earlier_vote_at_;
   // Set while this process is the owner.
   std::unique_ptr<Scheduler> scheduler_;
   OwnerRecord ownership_;
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -82,11 +82,11 @@
   return kept ? voting_hosts_ : VotingHostsRecord{};
 }
 
-std::vector<OwnerRecord> JobLogView::ClaimsOf(std::int64_t first, std::int64_t end) const {
+std::vector<OwnerRecord> JobLogView::ClaimsOf(std::int64_t first, std::int64_t last) const {
   std::vector<OwnerRecord> claims;
   for (const auto& [host, claim] : claims_) {
     const std::int64_t generation = claim.record.generation;
-    if (generation >= first && generation < end) claims.push_back(claim.record);
+    if (generation >= first && generation <= last) claims.push_back(claim.record);
   }
   return claims;
 }
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -367,18 +367,10 @@
 void JobNode::Impl::OnOwnershipNotice(const OwnershipNotice& notice, const Now& now) {
   if (notice.cell < 0 || notice.cell >= kMaxCells)
     throw DecodeError("ownership notice: no cell " + std::to_string(notice.cell));
-  std::int64_t known = 0;
-  if (static_cast<std::size_t>(notice.cell) < cells_.size()) {
-    JobCell& cell = CellAt(notice.cell);
-    cell.OnGenerationNoticed(notice.generation, now);
-    known = cell.known_generation();
-  } else {
-    known = std::max(noticed_generations_[notice.cell], notice.generation);
-    noticed_generations_[notice.cell] = known;
-  }
-  const OwnershipAnswer answer{
-      options_.host, options_.member, notice.cell, known, now.monotonic - started_at_,
-      notice.sent_at};
+  // No vote is given for a cell that this process does not follow yet.
+  if (static_cast<std::size_t>(notice.cell) >= cells_.size()) return;
+  OwnershipAnswer answer = CellAt(notice.cell).AnswerNotice(notice, now);
+  answer.uptime = now.monotonic - started_at_;
   Emit(job_effect::SendToPeer{notice.reply_address, Encode(answer)});
 }
 
@@ -392,7 +384,7 @@
 void JobNode::Impl::Advance(const Now& now) {
   for (const WorkerAnswer& answer : relay_pool_.TakeLostOrders(now.monotonic))
     OnOrderAnswer(answer, now);
-  CreateCells(now);
+  CreateCells();
   node_state_.cell_count = static_cast<int>(cells_.size());
   node_state_.hosts = &cells_.front()->log_view().hosts();
   ChooseCellCount(now);
@@ -474,14 +466,11 @@
   Emit(job_effect::Append{0, kAnnouncementAppendId, {Encode(self)}, "", 0, 0});
 }
 
-void JobNode::Impl::CreateCells(const Now& now) {
+void JobNode::Impl::CreateCells() {
   const int n = cells_.front()->log_view().cell_count();
   while (static_cast<int>(cells_.size()) < n) {
     cells_.push_back(
         std::make_unique<JobCell>(static_cast<int>(cells_.size()), options_, random_.Next()));
-    const auto noticed = noticed_generations_.find(static_cast<int>(cells_.size()) - 1);
-    if (noticed != noticed_generations_.end())
-      cells_.back()->OnGenerationNoticed(noticed->second, now);
   }
 }
 
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -52,7 +52,6 @@
   // relay.
   void OnLocalAnswer(WorkerAnswer answer, const Now& now);
 
-  // Answers with the highest generation that this process knows.
   void OnOwnershipNotice(const OwnershipNotice& notice, const Now& now);
 
   void OnConfigurationRead(job_event::StreamRead& read);
@@ -75,7 +74,7 @@
 
   void DetectPause(const Now& now);
   void Advance(const Now& now);
-  void CreateCells(const Now& now);
+  void CreateCells();
   void ChooseCellCount(const Now& now);
   void IssueReads(const Now& now);
   void AdvanceRelaying(const Now& now);
@@ -120,8 +119,6 @@
   bool uses_relays_ = false;                 // This process owns or claims a cell.
 
   Time started_at_;
-  // The highest generation by cell, of cells that are not created yet.
-  std::map<int, std::int64_t> noticed_generations_;
   std::optional<Time> last_event_at_;
   WallTime last_event_wall_{};
   std::optional<Time> drain_started_at_;
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -280,7 +280,8 @@
                            value.at(3),
                            value.at(4),
                            DurationFromJson(value.at(5)),
-                           DurationFromJson(value.at(6))};
+                           DurationFromJson(value.at(6)),
+                           DurationFromJson(value.at(7))};
   if (type == kSubmission) return DecodeSubmission(value);
   if (type == kSubmissionStored) return SubmissionStored{value.at(1), value.at(2), value.at(3)};
   if (type == kOrderBatch) {
@@ -342,14 +343,14 @@
 }
 
 std::string Encode(const OwnershipNotice& notice) {
-  return ToBytes(json::array({kOwnershipNotice, notice.reply_address, notice.cell,
-                              notice.generation, notice.sent_at.count()}));
+  return ToBytes(json::array(
+      {kOwnershipNotice, notice.reply_address, notice.cell, notice.epoch, notice.sent_at.count()}));
 }
 
 std::string Encode(const OwnershipAnswer& answer) {
-  return ToBytes(
-      json::array({kOwnershipAnswer, answer.host, answer.member, answer.cell, answer.generation,
-                   answer.uptime.count(), answer.notice_sent_at.count()}));
+  return ToBytes(json::array({kOwnershipAnswer, answer.host, answer.member, answer.cell,
+                              answer.epoch, answer.uptime.count(),
+                              answer.since_earlier_vote.count(), answer.notice_sent_at.count()}));
 }
 
 PeerMessageBody DecodePeerMessage(std::string_view bytes) {
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -66,7 +66,10 @@
     earlier_owners_ended_at_ = now.monotonic;
   // Owners before the one that stored the lease record had stopped when it was stored.
   earlier_claims_ = log_view.ClaimsOf(stored_leases_.generation, generation);
-  if (!HasClaimOfEachGeneration()) followed_owners_ended_at_ = now.monotonic;
+  std::erase_if(earlier_claims_,
+                [&](const OwnerRecord& claim) { return claim.host == log_view.owner().host; });
+  if (!HasOwnerOfEachGeneration()) followed_owners_ended_at_ = now.monotonic;
+  last_earlier_vote_at_ = now.monotonic;
   if (quorum_.reached()) SetEndOfEarlierLeases();
   for (const auto& [key, entry] : log_view.entries()) {
     if (entry.job == nullptr) continue;
@@ -143,6 +146,9 @@
 void Scheduler::OnPaused(const Now& now) {
   ownership_unconfirmed_ = true;
   resumed_at_ = now.monotonic;
+  heartbeat_confirmed_at_ = {};
+  majority_confirmed_at_ = {};
+  authority_until_ = {};
   for (auto& [id, worker] : workers_) {
     worker.token_accepted = false;
     worker.next_hold = now.monotonic;
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -220,8 +220,9 @@
   void CheckEarlierOwners();
   // `reason` tells what has shown it, as a text for the log.
   void OnQuorumReached(std::string_view reason, const Now& now);
-  // True if no claim of an owner that may still grant leases was followed by another of its host.
-  bool HasClaimOfEachGeneration() const;
+  // True if the owner of each generation that may still grant leases is among earlier_claims_, so
+  // that its host has claimed no other since.
+  bool HasOwnerOfEachGeneration() const;
   // Sets needs_host_votes_.
   void CheckHostVotesNeeded(const Now& now);
   // Hands over the hosts that answer, if they have changed.
@@ -379,6 +380,8 @@
   bool leases_changed_ = false;
   // No lease of earlier owners lasts longer, bound or not. Unknown before the quorum.
   Time earlier_leases_end_ = Time::max();
+  // When earlier owners got their last evidence from workers or hosts. Unknown before the quorum.
+  Time last_earlier_vote_at_;
   // No earlier owner grants leases after this time. Unknown before the quorum.
   Time last_earlier_grant_ = Time::max();
   // The same, as shown by the earlier owners themselves.
--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -52,7 +52,9 @@
   Time confirmed_at = std::min(MajorityConfirmedAt(voters_), HostsConfirmedAt(now));
   for (const auto& [id, roster] : roster_batches_)
     confirmed_at = std::min(confirmed_at, MajorityConfirmedAt(roster.voters));
-  return std::min(confirmed_at, ownership_confirmed_at_ + options_.max_time_without_store);
+  confirmed_at = std::min(confirmed_at, ownership_confirmed_at_ + options_.max_time_without_store);
+  // The steady clock may not count a suspension.
+  return confirmed_at >= resumed_at_ ? confirmed_at : Time{};
 }
 
 Time Scheduler::EndsConfirmedAt() const {
@@ -79,7 +81,10 @@
   LogEvent event(may_grant ? LogLevel::kInfo : LogLevel::kWarning,
                  may_grant ? "leases_resumed" : "leases_withheld");
   event.With("ms_since_confirmed", ToMilliseconds(now.monotonic - ownership_confirmed_at_))
-      .With("voters", voters_.size());
+      .With("voters", voters_.size())
+      .With("voting_hosts", voting_hosts_.members.size())
+      .With("ms_since_workers", ToMilliseconds(now.monotonic - MajorityConfirmedAt(voters_)))
+      .With("ms_since_hosts", ToMilliseconds(now.monotonic - HostsConfirmedAt(now)));
   Log(std::move(event));
   if (!may_grant) counters_.Add("cactusshelf_leases_withheld_total", "ownership_unconfirmed");
 }
@@ -106,7 +111,7 @@
 
 void Scheduler::SetEndOfEarlierLeases() {
   last_earlier_grant_ = std::max(last_earlier_record_at_ + options_.fencing_detection_time,
-                                 quorum_.reached_at() + options_.majority_detection_time);
+                                 last_earlier_vote_at_ + options_.majority_detection_time);
   if (earlier_owners_ended_at_)
     last_earlier_grant_ = std::min(last_earlier_grant_, *earlier_owners_ended_at_);
   const auto end_of = [&](Duration lease) {
@@ -117,16 +122,21 @@
   takeover_end_ = earlier_leases_bound_ ? end_of(options_.lease) : earlier_leases_end_;
 }
 
-bool Scheduler::HasClaimOfEachGeneration() const {
+bool Scheduler::HasOwnerOfEachGeneration() const {
   std::set<std::int64_t> generations;
-  for (const OwnerRecord& claim : earlier_claims_) generations.insert(claim.generation);
+  for (const OwnerRecord& claim : earlier_claims_) {
+    // Only owners store records with their epoch.
+    const bool owned = claim.epoch != 0 && claim.generation < generation_;
+    if (owned) generations.insert(claim.generation);
+  }
   const std::int64_t first = std::max<std::int64_t>(stored_leases_.generation, 1);
   return static_cast<std::int64_t>(generations.size()) >= generation_ - first;
 }
 
 void Scheduler::CheckEarlierOwners() {
   if (earlier_owners_ended_at_ || host_votes_ == nullptr) return;
-  Time ended_at = followed_owners_ended_at_;
+  // The claims don't tell of this process, which may have owned the cell before.
+  Time ended_at = std::max(followed_owners_ended_at_, host_votes_->earlier_vote_at());
   for (const OwnerRecord& claim : earlier_claims_) {
     const std::optional<Time> stopped_at = host_votes_->StoppedAt(claim);
     if (!stopped_at) return;
@@ -149,10 +159,13 @@
   CheckEarlierOwners();
   if (quorum_.reached()) return;
   const auto& hosts = voting_hosts_.members;
-  const bool by_hosts = host_votes_ != nullptr && !hosts.empty() && host_votes_->HasQuorum(hosts);
+  std::optional<Time> hosts_voted_at;
+  if (host_votes_ != nullptr && !hosts.empty()) hosts_voted_at = host_votes_->QuorumAt(hosts);
+  const bool by_hosts = hosts_voted_at.has_value();
   const bool by_time = now.monotonic >= gained_at_ + options_.max_time_without_store;
   if (!by_hosts && !by_time && !earlier_owners_ended_at_) return;
   quorum_.Waive(now.monotonic);
+  last_earlier_vote_at_ = hosts_voted_at.value_or(now.monotonic);
   OnQuorumReached(by_hosts ? "hosts" : earlier_owners_ended_at_ ? "earlier_owners" : "time", now);
 }
 
