--- a/packages/jobs/src/host_votes.h
+++ b/packages/jobs/src/host_votes.h
@@ -21,12 +21,16 @@
   using Voters = std::map<std::string, std::string>;  // The voting process of each host.
 
   // `host` and `member` are those of the owner, which votes for itself. At `now` this process has
-  // stopped as any earlier owner.
-  HostVotes(std::string host, std::string member, std::int64_t generation, Time now)
+  // stopped as any earlier owner; `last_owned_at` is when it did, zero if it never was an owner.
+  HostVotes(std::string host, std::string member, std::int64_t generation, Time now,
+            Time last_owned_at = {})
       : host_(std::move(host)),
         member_(std::move(member)),
         generation_(generation),
-        began_at_(now) {}
+        began_at_(now),
+        last_owned_at_(last_owned_at) {}
+
+  Time last_owned_at() const { return last_owned_at_; }
 
   // Ignores answers to notices of another generation.
   void OnAnswer(const OwnershipAnswer& answer, Time now);
@@ -58,6 +62,7 @@
   std::string member_;
   std::int64_t generation_;
   Time began_at_;
+  Time last_owned_at_;
   std::map<std::string, std::map<std::string, Process>> processes_;  // By host and member.
 };
 
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -349,8 +349,8 @@
       first_append_id_ + (static_cast<std::uint64_t>(claim_.epoch) << kEpochShift);
   owner_writer_ = std::make_unique<BatchWriter>(kOwnerProducer, claim_.epoch, 0, first,
                                                 BatchWriter::RetryPolicy::kRetryUntilStored);
-  host_votes_ =
-      std::make_unique<HostVotes>(options_.host, options_.member, claim_.generation, now.monotonic);
+  host_votes_ = std::make_unique<HostVotes>(options_.host, options_.member, claim_.generation,
+                                            now.monotonic, last_owned_at_);
   next_notice_at_ = now.monotonic;
   owner_writer_->Begin({Encode(claim_)}, now.monotonic);
   candidacy_ = Candidacy::kFencing;
@@ -393,6 +393,7 @@
   for (LogEvent& event : scheduler_->TakeLog()) Log(std::move(event));
   counters_.Merge(scheduler_->counters());
   scheduler_.reset();
+  last_owned_at_ = now.monotonic;
   owner_writer_.reset();
   host_votes_.reset();
   batch_in_flight_ = 0;
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -144,6 +144,7 @@
   std::unique_ptr<BatchWriter> owner_writer_;
   // Set while owner_writer_ is. Outlives the scheduler.
   std::unique_ptr<HostVotes> host_votes_;
+  Time last_owned_at_;  // When this process last stopped as the owner.
   Time next_notice_at_;
   std::int64_t noticed_generation_ = 0;  // The highest one that an owner has told.
   Time noticed_at_;
--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -126,7 +126,9 @@
 
 void Scheduler::CheckEarlierOwners() {
   if (earlier_owners_ended_at_ || host_votes_ == nullptr) return;
-  Time ended_at = followed_owners_ended_at_;
+  // A claim of this process that is stored twice makes it the owner of one generation twice. The
+  // earlier claims don't tell of the first time.
+  Time ended_at = std::max(followed_owners_ended_at_, host_votes_->last_owned_at());
   for (const OwnerRecord& claim : earlier_claims_) {
     const std::optional<Time> stopped_at = host_votes_->StoppedAt(claim);
     if (!stopped_at) return;
