--- a/packages/jobs/tests/lost_majority_test.cc
+++ b/packages/jobs/tests/lost_majority_test.cc
@@ -12,10 +12,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::int64_t kLongNeed = 500;   // Milliprocessors of a long-running task.
-constexpr std::int64_t kShortNeed = 200;  // Milliprocessors of a short task.
-// So few that one worker holds them twice over.
-constexpr int kLongRunningTasks = 8;
+// Milliprocessors of tasks. One worker holds all long-running tasks twice over.
+constexpr std::int64_t kLongNeed = 300;
+constexpr std::int64_t kShortNeed = 200;
+constexpr int kMaxLongRunningTasks = 12;
+// Milliprocessors of a task that leaves room for one long-running task on its worker.
+constexpr std::int64_t kFillingNeed = 7500;
+constexpr char kFillingTime[] = "duration=3000";  // In milliseconds.
 // Workers that are never lost for good.
 constexpr int kRemainingWorkers = 2;
 constexpr int kFailureDomains = 3;
@@ -29,24 +32,15 @@
 // A simulation, with functions for what schedules consist of.
 class LossPlay {
  public:
-  // Starts the long-running tasks on workers all over the pool.
-  LossPlay(std::uint64_t seed, int nodes, int workers) : nodes_(nodes), workers_(workers) {
-    SimulationOptions options;
-    options.long_polls = seed % 4 == 0;
-    simulation_ =
-        std::make_unique<JobSimulation>(seed, nodes, workers, SimulationFaults{}, options);
-    simulation_->RunFor(seconds(3));
-    simulation_->Submit(LongRunningJob(kLongRunningTasks, kLongNeed));
-    simulation_->RunFor(seconds(8));
-    REQUIRE(simulation_->running_tasks() == kLongRunningTasks);
-  }
+  // Starts long-running tasks, at first each on a worker of its own.
+  LossPlay(std::uint64_t seed, int nodes, int workers);
 
   JobSimulation& simulation() { return *simulation_; }
   Random& random() { return simulation_->random(); }
 
   void SubmitShortTasks() { simulation_->Submit(SimpleJob(4, kShortNeed)); }
 
-  // The faults of one disturbance, in any order.
+  // The faults of one disturbance, in any order. The next owner may be disturbed too.
   void Disturb();
   // Cuts off a random group, often with the owner.
   void PartitionRandomGroup();
@@ -76,6 +70,21 @@
   std::unique_ptr<JobSimulation> simulation_;
 };
 
+LossPlay::LossPlay(std::uint64_t seed, int nodes, int workers) : nodes_(nodes), workers_(workers) {
+  SimulationOptions options;
+  options.long_polls = seed % 4 == 0;
+  simulation_ = std::make_unique<JobSimulation>(seed, nodes, workers, SimulationFaults{}, options);
+  simulation_->RunFor(seconds(3));
+  JobSpec filling = SimpleJob(workers, kFillingNeed);
+  filling.payload = kFillingTime;
+  simulation_->Submit(filling);
+  simulation_->RunFor(seconds(1));
+  const int tasks = std::min(workers, kMaxLongRunningTasks);
+  simulation_->Submit(LongRunningJob(tasks, kLongNeed));
+  simulation_->RunFor(seconds(8));
+  REQUIRE(simulation_->running_tasks() == tasks);
+}
+
 int LossPlay::OwnerOrAny() {
   const int owner = simulation_->OwnerIndex();
   return owner >= 0 ? owner : static_cast<int>(random().Below(static_cast<std::uint64_t>(nodes_)));
@@ -163,6 +172,10 @@
   DisturbOwner();
   Pause();
   if (!workers_first) DisturbWorkers();
+  if (random().Chance(0.25)) {
+    simulation_->RunFor(random().Between(seconds(1), seconds(5)));
+    DisturbOwner();
+  }
   Pause();
   DisturbOthers();
 }
