--- a/packages/jobs/tests/host_votes_schedule_test.cc
+++ b/packages/jobs/tests/host_votes_schedule_test.cc
@@ -32,7 +32,9 @@
     const auto simulation = BusySimulation(seed, nodes);
     if (seed % 2 == 0) simulation->SetFaults(CallFaults());
     Random& random = simulation->random();
-    const auto any_node = [&] { return static_cast<int>(random.Below(static_cast<std::uint64_t>(nodes))); };
+    const auto any_node = [&] {
+      return static_cast<int>(random.Below(static_cast<std::uint64_t>(nodes)));
+    };
     for (int i = 0; i < 12; ++i) {
       const int owner = simulation->OwnerIndex();
       const int node = owner >= 0 && random.Chance(0.7) ? owner : any_node();
