--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -178,7 +178,7 @@
   if (now.monotonic < next_sweep_) return;
   next_sweep_ = now.monotonic + kSweepPeriod;
   for (auto& [id, worker] : workers_) {
-    if (worker.entry().draining) EvacuateDrainingWorker(worker);
+    if (worker.entry().draining) EvacuateDrainingWorker(worker, now);
     SendStops(worker, now);
     SendPaceOrders(worker, now);
   }
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -219,14 +219,18 @@
   // True if the worker, which accepts orders of this owner only, has been unreachable for so long
   // that the roster should say when the leases there end.
   static bool IsLost(const WorkerState& worker, const Now& now);
+  // True if the worker, which accepts orders of this owner only, is draining. What runs there ends
+  // within its last lease.
+  static bool IsLeaving(const WorkerState& worker);
   // As IsLost, for an unreported worker.
   bool IsUnreportedLost(const std::string& id, const Now& now) const;
   // True if the last roster that was handed over says when the leases on the worker end.
   bool IsLimitedByLastRoster(const std::string& id) const;
   // True if no task has another run than the one on the worker whose tasks these are.
   bool HoldsOnlyRunOfEach(const std::vector<TaskRef>& tasks);
-  // Adds to the batch until when the workers that this owner does not reach may run something. No
-  // lease is granted there until a later roster is stored that says nothing of them.
+  // Adds to the batch until when the workers that this owner does not reach, or that are leaving,
+  // may run something. No lease is granted there until a later roster is stored that says nothing
+  // of them.
   void AddRosterLeases(ChangeBatch& batch, RosterBatch& roster, const Now& now);
   // How the roster has to list the worker, which has reported to this owner or was in no roster of
   // earlier ones. While nothing is started there without a later roster, only those tasks may run
@@ -321,8 +325,9 @@
   // Evacuates draining workers, and sends due stop and pace orders of all runs, including repeats
   // of unanswered ones.
   void SweepRuns(const Now& now);
-  // Stops the runs on a draining worker that would not end before the worker leaves.
-  void EvacuateDrainingWorker(WorkerState& worker);
+  // Stops the runs on a draining worker that would not end before the worker leaves, and all runs
+  // before its last lease ends.
+  void EvacuateDrainingWorker(WorkerState& worker, const Now& now);
 
   SchedulerOptions options_;
   const JobLogView& log_view_;
--- a/packages/jobs/src/scheduler_orders.cc
+++ b/packages/jobs/src/scheduler_orders.cc
@@ -8,6 +8,9 @@
 
 // Maximum number of orders in flight to one worker, other than holds. Each needs a connection.
 constexpr int kMaxOrdersInFlight = 2;
+// What still runs on a worker that gets no more leases is stopped this long before the last one
+// ends: time for the stop, for its repeat, and for the report of the end.
+constexpr Duration kLastStopTime = std::chrono::milliseconds(1500);
 // A draining worker keeps running for at least about this time. A task that needs longer is stopped
 // and started on another worker.
 constexpr Duration kMinDrainTime = std::chrono::milliseconds(1500);
@@ -120,10 +123,11 @@
   order.acknowledged_end = worker.AcknowledgeableEnd();
   // The lease of a worker that does not answer is not renewed, so that its tasks can soon start
   // elsewhere.
-  const bool may_renew = worker.token_accepted && !lease_limited_.contains(worker.entry().id);
-  if (may_renew && worker.reachable && worker.has_clock())
-    order.lease_end = GrantLease(worker, now);
-  if (order.lease_end) {
+  const bool usable = worker.token_accepted && worker.reachable && worker.has_clock();
+  const bool limited = lease_limited_.contains(worker.entry().id);
+  if (usable && !limited) order.lease_end = GrantLease(worker, now);
+  // Any other limited worker gets its next lease as soon as that is allowed.
+  if (order.lease_end || (usable && limited && worker.entry().draining)) {
     const bool awaited = unreported_workers_.contains(worker.entry().id);
     const bool wait = !worker.runs().empty() && !worker.report_needed_now &&
                       worker.incarnation_confirmed && !awaited &&
@@ -193,12 +197,15 @@
   }
 }
 
-void Scheduler::EvacuateDrainingWorker(WorkerState& worker) {
+void Scheduler::EvacuateDrainingWorker(WorkerState& worker, const Now& now) {
+  const bool last_lease_ends = lease_limited_.contains(worker.entry().id) &&
+                               now.monotonic >= worker.lease_expiry() - kLastStopTime;
   for (auto& [ref, run] : worker.runs()) {
     if (run.phase != RunPhase::kRunning) continue;
     const double left = 1.0 - run.progress_percent / kFullProgressPercent;
     const auto remaining = std::chrono::duration<double, Duration::period>(run.estimate) * left;
-    if (run.long_running || remaining > kMinDrainTime) run.phase = RunPhase::kStopping;
+    if (run.long_running || remaining > kMinDrainTime || last_lease_ends)
+      run.phase = RunPhase::kStopping;
   }
 }
 
--- a/packages/jobs/src/scheduler_roster.cc
+++ b/packages/jobs/src/scheduler_roster.cc
@@ -27,6 +27,10 @@
          now.monotonic - worker.unreachable_since >= kMinUnreachableTime;
 }
 
+bool Scheduler::IsLeaving(const WorkerState& worker) {
+  return worker.token_accepted && worker.entry().draining;
+}
+
 bool Scheduler::IsUnreportedLost(const std::string& id, const Now& now) const {
   // Before the quorum an earlier owner may renew its leases.
   if (AwaitedUntil(id) == Time::max()) return false;
@@ -69,8 +73,10 @@
     if (unreported_workers_.contains(id)) continue;
     const bool limited = IsLimitedByLastRoster(id);
     const bool may_run_something = worker.roster_entry != RosterEntry::kAbsent;
-    const bool to_limit = may_drop && may_run_something && IsLost(worker, now);
-    if (limited ? worker.reachable : to_limit) roster_changed_ = true;
+    const bool newly_lost = may_drop && !worker.lost_in_roster && IsLost(worker, now);
+    const bool newly_leaving = !limited && IsLeaving(worker);
+    const bool stays = limited && worker.reachable && !IsLeaving(worker);
+    if (stays || (may_run_something && (newly_lost || newly_leaving))) roster_changed_ = true;
     const RosterEntry wanted = RosterEntryOf(worker, now);
     const bool with_tasks = wanted == RosterEntry::kWithTasks && wanted == worker.roster_entry;
     const bool more = wanted > worker.roster_entry || (with_tasks && RunsUnlistedTask(worker));
@@ -137,9 +143,11 @@
   }
   for (const auto& [id, worker] : workers_) {
     const bool listed = worker.roster_entry != RosterEntry::kAbsent;
-    if (!listed || unreported_workers_.contains(id) || !IsLost(worker, now)) continue;
-    add_remaining(id, worker.LastRunEnd());
-    if (HoldsOnlyRunOfEach(worker.roster_tasks)) add_exclusive(id, worker.roster_tasks);
+    if (!listed || unreported_workers_.contains(id)) continue;
+    const bool lost = IsLost(worker, now);
+    if (lost || IsLeaving(worker)) add_remaining(id, worker.LastRunEnd());
+    // What has ended on a worker that is leaving starts elsewhere without a later roster.
+    if (lost && HoldsOnlyRunOfEach(worker.roster_tasks)) add_exclusive(id, worker.roster_tasks);
   }
   limited_tasks_.insert(roster.limited_tasks.begin(), roster.limited_tasks.end());
   for (const std::string& id : lease_limited_) {
@@ -157,6 +165,7 @@
                                                              : "unreachable");
   }
   worker.roster_entry = entry;
+  worker.lost_in_roster = IsLost(worker, now);
   worker.roster_tasks.clear();
   if (entry == RosterEntry::kAnyTask) return;
   // No task starts there from now on, whatever becomes of the smaller roster.
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -214,6 +214,7 @@
   Time unreachable_since;         // Valid while the worker is not reachable.
   RosterEntry roster_entry = RosterEntry::kAbsent;  // In the last roster handed over to be stored.
   std::vector<TaskRef> roster_tasks;       // In the same roster, if roster_entry is kWithTasks.
+  bool lost_in_roster = false;             // It was unreachable for long when that was made.
   bool in_stored_roster = false;           // The stored roster lists the worker for any task.
   std::int64_t last_processed_end = 0;     // Number of the last end that was processed.
   std::int64_t last_stored_end = 0;        // Number of the last end whose effect is stored.
--- a/packages/jobs/tests/fake_worker.cc
+++ b/packages/jobs/tests/fake_worker.cc
@@ -41,13 +41,21 @@
   next_end_at_ = {};
 }
 
+void FakeWorker::StopRun(ActiveRun& active, const TaskRef& task, Time now) {
+  active.stops = std::min(active.stops, now + stop_time_);
+  next_end_at_ = {};
+  if (active.stops <= now) EndRun(task, RunEnd::kStopped);
+}
+
 Time FakeWorker::NextEnd(Time now) const {
   if (running_.empty() && done_.empty()) return Time::max();
   const auto uptime = std::chrono::duration<double, std::milli>(lease_end_) / clock_rate_;
   // A millisecond less than the clock's resolution allows for rounding.
   Time next = started_at_ + std::chrono::duration_cast<Duration>(uptime) - 2 * WorkerClock(1);
-  if (hung_since_ <= now) return next;
-  for (const auto& [task, active] : running_) next = std::min(next, active.ends);
+  for (const auto& [task, active] : running_) {
+    next = std::min(next, active.stops);
+    if (hung_since_ > now) next = std::min(next, active.ends);
+  }
   return next;
 }
 
@@ -55,7 +63,11 @@
   if (now < next_end_at_) return false;
   std::vector<std::pair<TaskRef, RunEnd>> due;
   for (const auto& [task, active] : running_) {
-    if (std::min(now, hung_since_) >= active.ends) due.emplace_back(task, active.end);
+    if (std::min(now, hung_since_) >= active.ends) {
+      due.emplace_back(task, active.end);
+    } else if (now >= active.stops) {
+      due.emplace_back(task, RunEnd::kStopped);
+    }
   }
   for (const auto& [task, end] : due) EndRun(task, end);
   bool ended = !due.empty();
@@ -131,7 +143,7 @@
     return answer;
   }
   const auto it = running_.find(order.task);
-  if (it != running_.end() && it->second.run <= order.run) EndRun(order.task, RunEnd::kStopped);
+  if (it != running_.end() && it->second.run <= order.run) StopRun(it->second, order.task, now);
   highest_ended_[order.task] = std::max(highest_ended_[order.task], order.run);
   return answer;
 }
--- a/packages/jobs/tests/fake_worker.h
+++ b/packages/jobs/tests/fake_worker.h
@@ -27,6 +27,7 @@
     Time begins;
     Time ends;  // Practically never for a long-running task.
     RunEnd end = RunEnd::kDone;
+    Time stops = Time::max();  // When a stop takes effect.
   };
   using Planner = std::function<RunPlan(const StartOrder&)>;
   using StartObserver = std::function<void(const FakeWorker&, const StartOrder&)>;
@@ -58,6 +59,9 @@
   void FailRun(const TaskRef& task, Time now);
   void FailAllRuns(Time now);
 
+  // From now on a stopped run ends only this long after the stop.
+  void SetStopTime(Duration time) { stop_time_ = time; }
+
   // From now on all starts are turned away, and have no effect.
   void RejectStarts() { rejects_starts_ = true; }
 
@@ -101,6 +105,7 @@
   bool AcceptToken(std::int64_t token);
   void Acknowledge(std::int64_t end);
   void EndRun(TaskRef task, RunEnd end);
+  void StopRun(ActiveRun& active, const TaskRef& task, Time now);
   // A time before which no run ends by itself or with the lease.
   Time NextEnd(Time now) const;
 
@@ -111,6 +116,7 @@
   Time started_at_;
   Time hung_since_ = Time::max();
   bool rejects_starts_ = false;
+  Duration stop_time_{};
   std::int64_t token_ = 0;
   std::map<TaskRef, ActiveRun> running_;
   std::map<TaskRef, std::int64_t> highest_ended_;  // Highest run number that was stopped or ended.
