--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -222,7 +222,8 @@
   // True if the worker, which accepts orders of this owner only, is draining. What runs there ends
   // within its last lease.
   static bool IsLeaving(const WorkerState& worker);
-  // As IsLost, for an unreported worker.
+  // As IsLost, for an unreported worker. Includes workers of which the earlier owner has stored
+  // when the leases end, until they are reached and stay.
   bool IsUnreportedLost(const std::string& id, const Now& now) const;
   // True if the last roster that was handed over says when the leases on the worker end.
   bool IsLimitedByLastRoster(const std::string& id) const;
--- a/packages/jobs/src/scheduler_roster.cc
+++ b/packages/jobs/src/scheduler_roster.cc
@@ -32,9 +32,11 @@
 }
 
 bool Scheduler::IsUnreportedLost(const std::string& id, const Now& now) const {
-  // Before the quorum an earlier owner may renew its leases.
+  // Before the quorum an earlier owner may renew its leases, unless it has stored when they end.
   if (AwaitedUntil(id) == Time::max()) return false;
   const auto it = workers_.find(id);
+  const bool stays = it != workers_.end() && it->second.reachable && !it->second.entry().draining;
+  if (!stays && IsLimitedByLastRoster(id)) return true;
   const bool listed = it != workers_.end() && it->second.listed;
   if (listed) return it->second.last_hold_failed;
   return !workers_.empty() && now.monotonic - gained_at_ >= kMaxWorkerListTime;
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -147,6 +147,10 @@
   const auto it = awaited_tasks_.find(worker.entry().id);
   worker.in_stored_roster = it == awaited_tasks_.end();
   worker.roster_entry = worker.in_stored_roster ? RosterEntry::kAnyTask : RosterEntry::kWithTasks;
+  // This owner grants no lease there while that of the earlier one is limited.
+  const auto limit = awaited_until_.find(worker.entry().id);
+  if (limit != awaited_until_.end() && worker.lease_sent_at() == Time{})
+    worker.LimitLeaseExpiry(limit->second);
   awaited_until_.erase(worker.entry().id);
   exclusive_workers_.erase(worker.entry().id);
   if (worker.in_stored_roster) return;
--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
 #define CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -187,6 +188,8 @@
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
+  // Records that no owner has granted a lease that ends after `end`.
+  void LimitLeaseExpiry(Time end) { lease_expiry_ = std::min(lease_expiry_, end); }
   // After this time nothing runs there unless another lease is granted.
   Time LastRunEnd() const;
 
--- a/packages/jobs/tests/leaving_worker_test.cc
+++ b/packages/jobs/tests/leaving_worker_test.cc
@@ -13,6 +13,10 @@
 constexpr int kTasks = 8;
 // The longest time that a worker takes to stop a run.
 constexpr Duration kStopTime = milliseconds(900);
+// The longest time that a lease lasts by a slow clock.
+constexpr Duration kLeaseTime = milliseconds(4100);
+// A takeover that waits for no lease takes up to this long.
+constexpr Duration kMaxTakeoverTime = milliseconds(1300);
 // A task that has ended before its owner is lost runs again within this time of the next owner.
 constexpr Duration kMaxWaitForNextOwner = milliseconds(2300);
 
@@ -76,6 +80,52 @@
   }
 }
 
+TEST_CASE("a task that had stopped on a leaving worker waits again at each change of owner") {
+  // Guards against a wait that each change of owner adds to: the second owner was lost before it
+  // had stored until when something may run on a worker that the first one knew to be leaving.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    // How long the second owner lasts.
+    const Duration reign = milliseconds(static_cast<int>(50 + 100 * (seed % 10)));
+    CAPTURE(seed, reign.count());
+    const auto simulation = BusySimulation(seed);
+    LoseWithOwner(*simulation, simulation->BusyWorker(0));
+    AwaitOwner(*simulation);
+    simulation->RunFor(reign);
+    simulation->LoseNode(simulation->OwnerIndex());
+    AwaitOwner(*simulation);
+    CHECK(TimeUntilAllRun(*simulation) < kMaxWaitForNextOwner);
+    CheckNoViolations(*simulation);
+  }
+}
+
+TEST_CASE("a second owner counts a lease of its own for a draining worker that it reaches") {
+  // Guards against a wait for a lease that nobody has granted: the second owner took over that the
+  // worker gets no more leases, but not when the last one ends, and was lost with the worker.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    const auto simulation = BusySimulation(seed);
+    const int draining = simulation->BusyWorker(0);
+    // The runs there do not end before the last lease.
+    simulation->worker(draining).SetStopTime(seconds(600));
+    DrainUntilNoticed(*simulation, draining);
+    const Time drained_at = simulation->now();
+    simulation->RunFor(milliseconds(800));
+    simulation->LoseNode(simulation->OwnerIndex());
+    AwaitOwner(*simulation);
+    // The second owner stores a roster after it has reached the worker.
+    int idle = 0;
+    while (!simulation->worker(idle).running().empty()) ++idle;
+    simulation->DrainWorker(idle);
+    simulation->RunFor(milliseconds(900));
+    simulation->LoseNode(simulation->OwnerIndex());
+    simulation->LoseWorker(draining, milliseconds(0));
+    AwaitOwner(*simulation);
+    simulation->RunFor(std::max(drained_at + kLeaseTime - simulation->now(), Duration::zero()));
+    CHECK(TimeUntilAllRun(*simulation) < kMaxTakeoverTime);
+    CheckNoViolations(*simulation);
+  }
+}
+
 TEST_CASE("a lease is renewed on a draining worker whose lease end is stored") {
   // Guards against tasks that run twice: the next owner takes what runs there for ended at the time
   // that the stored roster says. The worker does not carry out stops.
