--- a/packages/jobs/src/worker_state.h
+++ b/packages/jobs/src/worker_state.h
@@ -1,6 +1,7 @@
 #ifndef CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
 #define CACTUSSHELF_JOBS_SRC_WORKER_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -187,6 +188,8 @@
   // True once every granted lease has expired, so that no earlier run can still be running.
   bool AllLeasesExpired(Time now) const { return now >= lease_expiry_; }
   Time lease_expiry() const { return lease_expiry_; }
+  // Records that no owner has granted a lease that ends after `end`.
+  void LimitLeaseExpiry(Time end) { lease_expiry_ = std::min(lease_expiry_, end); }
   // After this time nothing runs there unless another lease is granted.
   Time LastRunEnd() const;
 
@@ -214,6 +217,7 @@
   Time unreachable_since;         // Valid while the worker is not reachable.
   RosterEntry roster_entry = RosterEntry::kAbsent;  // In the last roster handed over to be stored.
   std::vector<TaskRef> roster_tasks;       // In the same roster, if roster_entry is kWithTasks.
+  bool lost_in_roster = false;             // It was unreachable for long when that was made.
   bool in_stored_roster = false;           // The stored roster lists the worker for any task.
   std::int64_t last_processed_end = 0;     // Number of the last end that was processed.
   std::int64_t last_stored_end = 0;        // Number of the last end whose effect is stored.
