--- a/packages/jobs/src/placer.cc
+++ b/packages/jobs/src/placer.cc
@@ -213,6 +213,8 @@
 
 bool Placer::LeavesClaimedRoom(const WorkerState& worker, const PlacementRequest& request) const {
   if (claims_.empty()) return true;
+  // The worker is expected to have room for all that is claimed there, in whatever order it starts.
+  if (claims_.WorkerOf(request.ref()) == &worker) return true;
   const Resources claimed = claims_.ClaimedByOthers(worker, request.ref());
   return Fits(CapacityNeed(request.step()) + claimed, worker.Free());
 }
--- a/packages/jobs/src/placer.h
+++ b/packages/jobs/src/placer.h
@@ -157,7 +157,7 @@
   bool IsReserved(const WorkerState& worker) const;
   // True if other tasks go before this one on the worker.
   bool IsKeptForOthers(const WorkerState& worker, const PlacementRequest& request) const;
-  // True if the task fits beside what other tasks claim on the worker.
+  // True if the task fits beside what other tasks claim on the worker, or claims room there itself.
   bool LeavesClaimedRoom(const WorkerState& worker, const PlacementRequest& request) const;
   // True if the task, which never ran, would take room that restarts claim or await, or if room on
   // the worker may be owed to restarts that have not had their turn.
--- a/packages/jobs/tests/room_claims_test.cc
+++ b/packages/jobs/tests/room_claims_test.cc
@@ -226,4 +226,31 @@
   }
 }
 
+TEST_CASE("two restarts that claim room on a worker wait until it has room for both") {
+  // Guards against free room that stands idle while a short task ends, though each of the restarts
+  // would fit alone and the other has to wait for that end in any case.
+  Pool pool(1);
+  pool.AddRun(0, {9000, 0, 0}, {}, true);
+  pool.AddRun(0, {2200, 0, 0}, seconds(3), false);
+  const SubmittedJob first = LongRunningJob(1, 2950);
+  const SubmittedJob second = LongRunningJob(2, 2500);
+  const std::set<TaskRef> tasks{RestartOf(first).ref(), RestartOf(second).ref()};
+  pool.placer.BeginPass(pool.workers, tasks);
+  pool.placer.ClaimRoom(RestartOf(first), kStart);
+  pool.placer.ClaimRoom(RestartOf(second), kStart);
+  REQUIRE(pool.ClaimOf(RestartOf(first).ref()) == "w0");
+  REQUIRE(pool.ClaimOf(RestartOf(second).ref()) == "w0");
+  CHECK(pool.placer.ChooseClaimed(RestartOf(first), kStart) == pool.workers[0]);
+  pool.AddRun(0, {2950, 0, 0}, {}, true);
+  pool.placer.OnPlaced(*pool.workers[0], RestartOf(first).ref(), first.spec.steps.front());
+  // The other one keeps its claim, and nobody else takes the rest.
+  CHECK(pool.placer.ChooseClaimed(RestartOf(second), kStart) == nullptr);
+  CHECK(pool.ClaimOf(RestartOf(second).ref()) == "w0");
+  SubmittedJob short_job = LongRunningJob(3, 1000);
+  short_job.spec.steps.front().long_running = false;
+  CHECK(pool.placer.Choose(FirstStartOf(short_job), kStart) == nullptr);
+  const SubmittedJob third = LongRunningJob(4, 1000);
+  CHECK(pool.placer.Choose(RestartOf(third), kStart) == nullptr);
+}
+
 }  // namespace cactusshelf::jobs
