--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -226,6 +226,8 @@
   void NoteStoredRecord(int cell, const KeyedRecord& record);
   void RecordViolation(const std::string& text);
   bool IsCompletionProcessed(const StartOrder& order);
+  // True if a run of the task ended as done, and the lease of its worker expired after that.
+  bool HasExpiredLeaseSinceDone(const TaskRef& task) const;
   // True if the records of the job were dropped, however long ago.
   bool WasDropped(const JobKey& job);
   job_event::AppendDone AppendNow(const job_effect::Append& append);
