--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -17,9 +17,19 @@
 constexpr Duration kVotingHostsCheckPeriod = std::chrono::seconds(1);
 // A host that has not answered for this long does not vote from the next record on.
 constexpr Duration kMaxHostSilence = std::chrono::seconds(3);
+// Most of the voting hosts are replaced only after this long, since they may be starting again, or
+// be cut off from an owner that is about to be lost.
+constexpr Duration kMaxMassSilence = std::chrono::seconds(15);
 // Time between two comparisons of the stored lease with the longest one that any worker holds.
 constexpr Duration kLeaseCheckPeriod = std::chrono::seconds(1);
 
+// True if more than half of the hosts of `all` are among `some`, or there are none.
+bool HasMajorityOf(const HostVotes::Voters& all, const HostVotes::Voters& some) {
+  const auto n = std::count_if(all.begin(), all.end(),
+                               [&](const auto& voter) { return some.contains(voter.first); });
+  return all.empty() || 2 * static_cast<std::size_t>(n) > all.size();
+}
+
 }  // namespace
 
 Time Scheduler::MajorityConfirmedAt(const std::vector<std::string>& voters) const {
@@ -190,6 +200,10 @@
   if (!may_store) return;
   VotingHostsRecord present{generation_,
                             host_votes_->AnsweredSince(now.monotonic - kMaxHostSilence)};
+  if (!HasMajorityOf(voting_hosts_.members, present.members)) {
+    if (now.monotonic - gained_at_ < kMaxMassSilence) return;
+    present.members = host_votes_->AnsweredSince(now.monotonic - kMaxMassSilence);
+  }
   const bool stored = voting_hosts_.generation == generation_;
   if (stored && voting_hosts_.members == present.members) return;
   voting_hosts_batch_ = std::move(present);
