--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -149,7 +149,9 @@
     if (dropped != nullptr) ForgetDroppedJob(dropped->key);
     const bool of_host = std::holds_alternative<HostRecord>(decoded);
     const auto* claim = std::get_if<OwnerRecord>(&decoded);
-    const bool own = claim != nullptr && claim->member == options_.member;
+    // An owner's own record has its epoch.
+    const bool claimant_or_self =
+        claim != nullptr && (claim->epoch == 0 || claim->member == options_.member);
     const JobKey submitted_key = submitted != nullptr ? submitted->key : JobKey();
     const JobKey cancelled_key = cancelled != nullptr ? cancelled->key : JobKey();
     log_view_.Apply(std::move(decoded), record.offset);
@@ -161,7 +163,7 @@
     }
     if (scheduler_ && !cancelled_key.empty()) scheduler_->OnCancel(cancelled_key, now);
     if (!submitted_key.empty() || !cancelled_key.empty() || of_host) return RecordWriter::kHost;
-    return own ? RecordWriter::kThisProcess : RecordWriter::kOwner;
+    return claimant_or_self ? RecordWriter::kClaimantOrSelf : RecordWriter::kOwner;
   } catch (const DecodeError& error) {
     counters_.Add("cactusshelf_unreadable_records_total", "jobs");
     Log(LogEvent(LogLevel::kWarning, "record_skipped")
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -83,9 +83,9 @@
   // append, after which all records of earlier owners are known.
   enum class Candidacy : std::uint8_t { kNone, kClaiming, kClaimStored, kFencing, kReading };
 
-  enum class RecordWriter : std::uint8_t { kHost, kThisProcess, kOwner };
-  // Applies `record` to the view and the scheduler. Returns who may have written it: any host for a
-  // caller, this process as owner or claimant, or any owner.
+  // Who may have written a record: any host for a caller, a claimant or this process, any owner.
+  enum class RecordWriter : std::uint8_t { kHost, kClaimantOrSelf, kOwner };
+  // Applies `record` to the view and the scheduler.
   RecordWriter ApplyRecord(const KeyedRecord& record, const Now& now);
   // Drops the jobs that were dropped from the log while this process did not read it.
   void DropJobsMissingFromListing();
