--- a/packages/jobs/tests/job_simulation_test.cc
+++ b/packages/jobs/tests/job_simulation_test.cc
@@ -144,6 +144,8 @@
   JobSimulation simulation(12, 2, 2, {});
   simulation.RunFor(seconds(3));
   JobSpec spec = SimpleJob(1, 1000);
+  // The first run ends before the worker is reached again, the second one after that.
+  spec.payload = "duration=3000";
   spec.steps.push_back(LongRunningJob(1).steps.front());  // Keeps the job from ending.
   const JobKey key = simulation.Submit(spec);
   const TaskRef task{key, {0, 0, 0}};
