--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -112,10 +112,7 @@
   if (!read.has_more) refresh_requested_ = false;
   // The rest of the log may hold records of the owner.
   if (owner_active || !read.has_more) election_.OnRead(owner_active, now.monotonic);
-  // The claim of an epoch is in the log before its owner tells of it.
-  const bool would_be_read = follower_.fresh_at() > noticed_at_;
-  if (would_be_read && noticed_epoch_ > follower_.next_offset())
-    noticed_epoch_ = log_view_.owner().epoch;
+  voter_.OnLogRead(follower_.fresh_at(), follower_.next_offset(), log_view_.owner().epoch);
   if (scheduler_ && log_view_.owner().epoch > ownership_.epoch) StepDown("replaced", now);
   if (scheduler_) scheduler_->ConfirmOwnership(follower_.fresh_at());
   AdvanceCandidacy(state, now);
@@ -332,7 +329,7 @@
   if (scheduler_ || state.draining) return;
   const OwnerRecord& owner = log_view_.owner();
   const bool is_owner =
-      owner.member == options_.member && !owner.released && owner.epoch >= noticed_epoch_;
+      owner.member == options_.member && !owner.released && owner.epoch >= voter_.epoch();
   const bool caught_up = follower_.next_offset() > awaited_offset_;
   switch (candidacy_) {
     case Candidacy::kNone:
@@ -372,7 +369,7 @@
 void JobCell::BeginVoting(const Now& now) {
   OnEpochNoticed(claim_.epoch, now);
   host_votes_ = std::make_unique<HostVotes>(options_.host, options_.member, claim_.epoch,
-                                            last_earlier_vote_at_, now.monotonic);
+                                            voter_.last_earlier_vote_at(), now.monotonic);
   last_notice_at_.reset();
 }
 
@@ -418,8 +415,7 @@
   scheduler_.reset();
   owner_writer_.reset();
   host_votes_.reset();
-  // Until now it has voted for itself.
-  last_vote_at_ = now.monotonic;
+  voter_.Vote(ownership_.epoch, now.monotonic);
   batch_in_flight_ = 0;
   queued_submissions_.clear();
   submissions_in_flight_.clear();
@@ -497,20 +493,17 @@
 }
 
 void JobCell::OnEpochNoticed(std::int64_t epoch, const Now& now) {
-  if (epoch <= noticed_epoch_) return;
-  noticed_epoch_ = epoch;
-  noticed_at_ = now.monotonic;
-  if (scheduler_) StepDown("told_by_successor", now);
-  last_earlier_vote_at_ = last_vote_at_;
+  const bool is_owner = scheduler_ != nullptr;
+  const bool is_later = voter_.OnEpochNoticed(epoch, is_owner, now.monotonic);
+  if (is_owner && is_later) StepDown("told_by_successor", now);
 }
 
 OwnershipAnswer JobCell::AnswerNotice(const OwnershipNotice& notice, const Now& now) {
   OnEpochNoticed(notice.epoch, now);
-  const bool votes = notice.epoch == noticed_epoch_;
-  if (votes) last_vote_at_ = now.monotonic;
-  OwnershipAnswer answer{options_.host, options_.member, index_, noticed_epoch_};
+  voter_.Vote(notice.epoch, now.monotonic);
+  OwnershipAnswer answer{options_.host, options_.member, index_, voter_.epoch()};
   answer.notice_sent_at = notice.sent_at;
-  answer.since_earlier_vote = now.monotonic - last_earlier_vote_at_;
+  answer.since_earlier_vote = now.monotonic - voter_.last_earlier_vote_at();
   return answer;
 }
 
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cactusshelf/jobs/job_node.h"
+#include "epoch_voter.h"
 #include "host_votes.h"
 #include "job_request_handler.h"
 #include "owner_election.h"
@@ -151,11 +152,7 @@
   std::unique_ptr<BatchWriter> owner_writer_;
   std::unique_ptr<HostVotes> host_votes_;  // Set while scheduler_ is.
   std::optional<Time> last_notice_at_;
-  std::int64_t noticed_epoch_ = 0;  // The highest one that this process was told, or owned.
-  Time noticed_at_;
-  // When this process last voted for an owner, and for one before noticed_epoch_; zero if never.
-  Time last_vote_at_;
-  Time last_earlier_vote_at_;
+  EpochVoter voter_;
   // Set while this process is the owner.
   std::unique_ptr<Scheduler> scheduler_;
   OwnerRecord ownership_;
