--- a/packages/jobs/src/host_votes.cc
+++ b/packages/jobs/src/host_votes.cc
@@ -1,9 +1,11 @@
 #include "host_votes.h"
 
 #include <algorithm>
-#include <functional>
+#include <utility>
 #include <vector>
 
+#include "majority.h"
+
 namespace cactusshelf::jobs {
 
 void HostVotes::OnAnswer(const OwnershipAnswer& answer, Time now) {
@@ -24,7 +26,6 @@
 }
 
 Time HostVotes::MajorityConfirmedAt(const Voters& voters, Time now) const {
-  if (voters.empty()) return {};
   std::vector<Time> times;
   times.reserve(voters.size());
   for (const auto& [host, member] : voters) {
@@ -36,9 +37,7 @@
     const bool answered = it != processes_.end() && it->second.contains(member);
     times.push_back(answered ? it->second.at(member).confirmed_at : Time{});
   }
-  const auto least = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), least, times.end(), std::greater<>());
-  return *least;
+  return MajorityTime(std::move(times));
 }
 
 std::optional<Time> HostVotes::LastEarlierVote(const std::string& host,
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -36,6 +36,16 @@
          owner.bound_since <= leases.generation + 1;
 }
 
+// `now` if the last owner has ended and those before it have stopped, or nothing if that is not
+// known.
+std::optional<Time> EndOfEarlierOwners(const EarlierOwners& earlier_owners,
+                                       const JobLogView& log_view, std::int64_t generation,
+                                       const Now& now) {
+  const bool last_stored_leases = log_view.leases().generation + 1 == generation;
+  if (!earlier_owners.last_has_ended || !last_stored_leases) return std::nullopt;
+  return now.monotonic;
+}
+
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
@@ -53,23 +63,19 @@
       next_takeover_report_(now.monotonic + kFirstTakeoverReportDelay),
       generation_(generation),
       stored_leases_(log_view.leases()),
-      quorum_(log_view.roster(),
-              generation > 1 &&
-                  !(earlier_owners.last_has_ended && stored_leases_.generation + 1 == generation),
-              now.monotonic),
+      last_earlier_vote_at_(now.monotonic),
+      earlier_owners_ended_at_(EndOfEarlierOwners(earlier_owners, log_view, generation, now)),
+      quorum_(log_view.roster(), generation > 1 && !earlier_owners_ended_at_, now.monotonic),
       voters_(log_view.roster()),
       host_votes_(earlier_owners.votes),
       voting_hosts_(log_view.VotingHosts()),
       next_voting_hosts_check_(now.monotonic + kFirstVotingHostsDelay),
       earlier_leases_bound_(generation <= 1 || EarlierLeasesBound(log_view, generation)) {
-  if (earlier_owners.last_has_ended && stored_leases_.generation + 1 == generation)
-    earlier_owners_ended_at_ = now.monotonic;
   // Owners before the one that stored the lease record had stopped when it was stored.
   earlier_claims_ = log_view.ClaimsOf(stored_leases_.generation, generation);
   std::erase_if(earlier_claims_,
                 [&](const OwnerRecord& claim) { return claim.host == log_view.owner().host; });
   if (!HasOwnerOfEachGeneration()) followed_owners_ended_at_ = now.monotonic;
-  last_earlier_vote_at_ = now.monotonic;
   if (quorum_.reached()) SetEndOfEarlierLeases();
   for (const auto& [key, entry] : log_view.entries()) {
     if (entry.job == nullptr) continue;
@@ -254,10 +260,9 @@
     batch.records.push_back(Encode(stored_leases_));
     leases_changed_ = false;
   }
-  if (voting_hosts_changed_) {
+  if (voting_hosts_changed()) {
     voting_hosts_batch_id_ = batch.id;
     batch.records.push_back(Encode(*voting_hosts_batch_));
-    voting_hosts_changed_ = false;
   }
   if (roster_changed_) {
     AddRosterRecords(batch, now);
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -89,7 +89,7 @@
   // confirmed with OnStored.
   std::optional<ChangeBatch> TakeChanges(const Now& now);
   bool has_changes() const {
-    return tracker_.has_changes() || roster_changed_ || leases_changed_ || voting_hosts_changed_;
+    return tracker_.has_changes() || roster_changed_ || leases_changed_ || voting_hosts_changed();
   }
   void OnStored(std::uint64_t batch, const Now& now);
 
@@ -218,8 +218,9 @@
   void CheckQuorum(const Now& now);
   // Finds out whether all earlier owners that may still grant leases have answered.
   void CheckEarlierOwners();
-  // `reason` tells what has shown it, as a text for the log.
-  void OnQuorumReached(std::string_view reason, const Now& now);
+  // `reason` tells what has shown it, as a text for the log. Earlier owners have got no evidence
+  // after `last_vote_at`.
+  void OnQuorumReached(std::string_view reason, Time last_vote_at, const Now& now);
   // True if the owner of each generation that may still grant leases is among earlier_claims_, so
   // that its host has claimed no other since.
   bool HasOwnerOfEachGeneration() const;
@@ -227,6 +228,7 @@
   void CheckHostVotesNeeded(const Now& now);
   // Hands over the hosts that answer, if they have changed.
   void CheckVotingHosts(const Now& now);
+  bool voting_hosts_changed() const { return voting_hosts_batch_ && voting_hosts_batch_id_ == 0; }
   // True if the worker, which accepts orders of this owner only, has been unreachable for so long
   // that the roster should say when the leases there end.
   static bool IsLost(const WorkerState& worker, const Now& now);
@@ -396,9 +398,8 @@
   std::vector<std::string> voters_;  // Workers of the stored roster.
   const HostVotes* host_votes_;
   VotingHostsRecord voting_hosts_;                       // In force.
-  std::optional<VotingHostsRecord> voting_hosts_batch_;  // Handed over, not known to be stored.
-  std::uint64_t voting_hosts_batch_id_ = 0;
-  bool voting_hosts_changed_ = false;
+  std::optional<VotingHostsRecord> voting_hosts_batch_;  // To be stored, or not known to be.
+  std::uint64_t voting_hosts_batch_id_ = 0;              // 0: not handed over.
   Time next_voting_hosts_check_;
   bool needs_host_votes_ = false;
   // Whole leases may be granted until then, and later ones may not last longer than they.
--- a/packages/jobs/src/scheduler_leases.cc
+++ b/packages/jobs/src/scheduler_leases.cc
@@ -1,7 +1,8 @@
 #include <algorithm>
-#include <functional>
 #include <set>
+#include <utility>
 
+#include "majority.h"
 #include "scheduler.h"
 
 // For how long this owner may grant leases, and until when those of earlier owners last.
@@ -33,7 +34,6 @@
 }  // namespace
 
 Time Scheduler::MajorityConfirmedAt(const std::vector<std::string>& voters) const {
-  if (voters.empty()) return {};
   std::vector<Time> times;
   times.reserve(voters.size());
   for (const std::string& id : voters) {
@@ -43,9 +43,7 @@
         it != workers_.end() && it->second.incarnation_seen_at <= ownership_confirmed_at_;
     times.push_back(known ? it->second.token_confirmed_at : Time{});
   }
-  const auto least = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), least, times.end(), std::greater<>());
-  return *least;
+  return MajorityTime(std::move(times));
 }
 
 Time Scheduler::HostsConfirmedAt(const Now& now) const {
@@ -175,11 +173,14 @@
   const bool by_time = now.monotonic >= gained_at_ + options_.max_time_without_store;
   if (!by_hosts && !by_time && !earlier_owners_ended_at_) return;
   quorum_.Waive(now.monotonic);
-  last_earlier_vote_at_ = hosts_voted_at.value_or(now.monotonic);
-  OnQuorumReached(by_hosts ? "hosts" : earlier_owners_ended_at_ ? "earlier_owners" : "time", now);
+  OnQuorumReached(by_hosts                   ? "hosts"
+                  : earlier_owners_ended_at_ ? "earlier_owners"
+                                             : "time",
+                  hosts_voted_at.value_or(now.monotonic), now);
 }
 
-void Scheduler::OnQuorumReached(std::string_view reason, const Now& now) {
+void Scheduler::OnQuorumReached(std::string_view reason, Time last_vote_at, const Now& now) {
+  last_earlier_vote_at_ = last_vote_at;
   SetEndOfEarlierLeases();
   // The roster may list further workers from now on, and the next owner learns of the quorum.
   roster_changed_ = true;
@@ -207,7 +208,6 @@
   const bool stored = voting_hosts_.generation == generation_;
   if (stored && voting_hosts_.members == present.members) return;
   voting_hosts_batch_ = std::move(present);
-  voting_hosts_changed_ = true;
 }
 
 void Scheduler::CheckStoredLeases(const Now& now) {
--- a/packages/jobs/src/scheduler_reports.cc
+++ b/packages/jobs/src/scheduler_reports.cc
@@ -105,10 +105,8 @@
     OnAwaitedWorkerReported(worker);
   if (worker.token_accepted) return;
   worker.token_accepted = true;
-  if (quorum_.OnTokenAccepted(worker.entry().id, now.monotonic)) {
-    last_earlier_vote_at_ = now.monotonic;
-    OnQuorumReached("workers", now);
-  }
+  if (quorum_.OnTokenAccepted(worker.entry().id, now.monotonic))
+    OnQuorumReached("workers", now.monotonic, now);
   placement_needed_ = true;
 }
 
