--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -110,6 +110,32 @@
   return spec;
 }
 
+void StartLongRunningTasks(JobSimulation& simulation, int count, std::int64_t milliprocessors) {
+  simulation.RunFor(seconds(3));
+  simulation.Submit(LongRunningJob(count, milliprocessors));
+  simulation.RunFor(seconds(12));
+  REQUIRE(simulation.running_tasks() == count);
+}
+
+void AwaitOwner(JobSimulation& simulation) {
+  for (int n = 0; n < 600 && simulation.OwnerIndex() < 0; ++n) simulation.RunFor(milliseconds(10));
+  REQUIRE(simulation.OwnerIndex() >= 0);
+}
+
+void DrainUntilIdle(JobSimulation& simulation, int worker) {
+  simulation.DrainWorker(worker);
+  for (int n = 0; n < 300 && !simulation.worker(worker).running().empty(); ++n)
+    simulation.RunFor(milliseconds(10));
+  REQUIRE(simulation.worker(worker).running().empty());
+}
+
+Duration TimeUntilRunning(JobSimulation& simulation, int count) {
+  const Time begin = simulation.now();
+  while (simulation.running_tasks() < count && simulation.now() < begin + seconds(20))
+    simulation.RunFor(milliseconds(10));
+  return simulation.now() - begin;
+}
+
 std::unique_ptr<JobSimulation> FilledSimulation() {
   auto simulation = std::make_unique<JobSimulation>(21, 2, 2, SimulationFaults{});
   simulation->RunFor(seconds(3));
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -315,6 +315,20 @@
 // As SimpleJob, with tasks that run until the job is cancelled.
 JobSpec LongRunningJob(int count, std::int64_t milliprocessors = 1500);
 
+// Submits a job with long-running tasks and waits until all of them run. Precondition: the
+// simulation has just begun.
+void StartLongRunningTasks(JobSimulation& simulation, int count,
+                           std::int64_t milliprocessors = 1500);
+
+// Waits until a node owns a cell, at most 6 s.
+void AwaitOwner(JobSimulation& simulation);
+
+// Drains a worker until nothing runs there, at most 3 s.
+void DrainUntilIdle(JobSimulation& simulation, int worker);
+
+// Time until `count` tasks run, at most 20 s.
+Duration TimeUntilRunning(JobSimulation& simulation, int count);
+
 // A simulation of two workers that are filled by the long-running tasks of 16 jobs.
 std::unique_ptr<JobSimulation> FilledSimulation();
 
--- a/packages/jobs/tests/leaving_worker_test.cc
+++ b/packages/jobs/tests/leaving_worker_test.cc
@@ -27,10 +27,7 @@
   options.relays = relays;
   auto simulation = std::make_unique<JobSimulation>(seed, 4, 6, SimulationFaults{}, options);
   for (int i = 0; i < 6; ++i) simulation->worker(i).SetStopTime(kStopTime);
-  simulation->RunFor(seconds(3));
-  simulation->Submit(LongRunningJob(kTasks));
-  simulation->RunFor(seconds(12));
-  REQUIRE(simulation->running_tasks() == kTasks);
+  StartLongRunningTasks(*simulation, kTasks);
   return simulation;
 }
 
@@ -44,27 +41,11 @@
 
 // Drains the worker, and loses it together with the owner just as the last run there has ended.
 void LoseWithOwner(JobSimulation& simulation, int worker) {
-  simulation.DrainWorker(worker);
-  for (int n = 0; n < 300 && !simulation.worker(worker).running().empty(); ++n)
-    simulation.RunFor(milliseconds(10));
-  REQUIRE(simulation.worker(worker).running().empty());
+  DrainUntilIdle(simulation, worker);
   simulation.LoseNode(simulation.OwnerIndex());
   simulation.LoseWorker(worker, milliseconds(0));
 }
 
-void AwaitOwner(JobSimulation& simulation) {
-  for (int n = 0; n < 600 && simulation.OwnerIndex() < 0; ++n) simulation.RunFor(milliseconds(10));
-  REQUIRE(simulation.OwnerIndex() >= 0);
-}
-
-// Time until all tasks run, at most 20 s.
-Duration TimeUntilAllRun(JobSimulation& simulation) {
-  const Time begin = simulation.now();
-  while (simulation.running_tasks() < kTasks && simulation.now() < begin + seconds(20))
-    simulation.RunFor(milliseconds(10));
-  return simulation.now() - begin;
-}
-
 }  // namespace
 
 TEST_CASE("a task that had stopped on a leaving worker waits for a lease of the next owner") {
@@ -75,7 +56,7 @@
     const auto simulation = BusySimulation(seed);
     LoseWithOwner(*simulation, simulation->BusyWorker(0));
     AwaitOwner(*simulation);
-    CHECK(TimeUntilAllRun(*simulation) < kMaxWaitForNextOwner);
+    CHECK(TimeUntilRunning(*simulation, kTasks) < kMaxWaitForNextOwner);
     CheckNoViolations(*simulation);
   }
 }
@@ -93,7 +74,7 @@
     simulation->RunFor(reign);
     simulation->LoseNode(simulation->OwnerIndex());
     AwaitOwner(*simulation);
-    CHECK(TimeUntilAllRun(*simulation) < kMaxWaitForNextOwner);
+    CHECK(TimeUntilRunning(*simulation, kTasks) < kMaxWaitForNextOwner);
     CheckNoViolations(*simulation);
   }
 }
@@ -121,7 +102,7 @@
     simulation->LoseWorker(draining, milliseconds(0));
     AwaitOwner(*simulation);
     simulation->RunFor(std::max(drained_at + kLeaseTime - simulation->now(), Duration::zero()));
-    CHECK(TimeUntilAllRun(*simulation) < kMaxTakeoverTime);
+    CHECK(TimeUntilRunning(*simulation, kTasks) < kMaxTakeoverTime);
     CheckNoViolations(*simulation);
   }
 }
@@ -142,7 +123,7 @@
     simulation->RunFor(milliseconds(4000));
     CHECK(simulation->worker(draining).running().empty());
     for (int i = 0; i < 4; ++i) simulation->PartitionNodeFromStore(i, seconds(0));
-    TimeUntilAllRun(*simulation);
+    TimeUntilRunning(*simulation, kTasks);
     CHECK(simulation->running_tasks() == kTasks);
     CheckNoViolations(*simulation);
   }
--- a/packages/jobs/tests/partition_test.cc
+++ b/packages/jobs/tests/partition_test.cc
@@ -19,10 +19,7 @@
 std::unique_ptr<JobSimulation> StartTasks(std::uint64_t seed, const SimulationOptions& options) {
   auto simulation =
       std::make_unique<JobSimulation>(seed, kNodes, kWorkers, SimulationFaults{}, options);
-  simulation->RunFor(seconds(3));
-  simulation->Submit(LongRunningJob(kTasks));
-  simulation->RunFor(seconds(12));
-  REQUIRE(simulation->running_tasks() == kTasks);
+  StartLongRunningTasks(*simulation, kTasks);
   return simulation;
 }
 
--- a/packages/jobs/tests/restart_schedule_test.cc
+++ b/packages/jobs/tests/restart_schedule_test.cc
@@ -170,10 +170,7 @@
   SimulationOptions options;
   options.long_polls = true;
   auto simulation = std::make_unique<JobSimulation>(seed, 4, 6, SimulationFaults{}, options);
-  simulation->RunFor(seconds(3));
-  simulation->Submit(LongRunningJob(kSpreadTasks, 1000));
-  simulation->RunFor(seconds(12));
-  REQUIRE(simulation->running_tasks() == kSpreadTasks);
+  StartLongRunningTasks(*simulation, kSpreadTasks, 1000);
   return simulation;
 }
 
--- a/packages/jobs/tests/takeover_test.cc
+++ b/packages/jobs/tests/takeover_test.cc
@@ -19,32 +19,16 @@
 // Four nodes and six workers, of which three are enough for all tasks.
 std::unique_ptr<JobSimulation> BusySimulation(std::uint64_t seed) {
   auto simulation = std::make_unique<JobSimulation>(seed, 4, 6, SimulationFaults{});
-  simulation->RunFor(seconds(3));
-  simulation->Submit(LongRunningJob(kTasks));
-  simulation->RunFor(seconds(12));
-  REQUIRE(simulation->running_tasks() == kTasks);
+  StartLongRunningTasks(*simulation, kTasks);
   return simulation;
 }
 
-// Drains a worker until nothing runs there.
-void DrainUntilIdle(JobSimulation& simulation, int i) {
-  simulation.DrainWorker(i);
-  for (int n = 0; n < 300 && !simulation.worker(i).running().empty(); ++n)
-    simulation.RunFor(milliseconds(10));
-  REQUIRE(simulation.worker(i).running().empty());
-}
-
 // The worker ends and is taken off the list.
 void RemoveWorker(JobSimulation& simulation, int i) {
   simulation.PartitionWorker(i, seconds(600));
   simulation.store().UnlistWorker(simulation.worker(i).entry().id);
 }
 
-void AwaitOwner(JobSimulation& simulation) {
-  for (int n = 0; n < 600 && simulation.OwnerIndex() < 0; ++n) simulation.RunFor(milliseconds(10));
-  REQUIRE(simulation.OwnerIndex() >= 0);
-}
-
 // Workers of the stored roster.
 std::vector<std::string> StoredRoster(JobSimulation& simulation) {
   JobLogView log_view;
@@ -59,14 +43,6 @@
   return std::find(roster.begin(), roster.end(), simulation.worker(i).entry().id) != roster.end();
 }
 
-// Time until all tasks run, at most 20 s.
-Duration TimeUntilAllRun(JobSimulation& simulation) {
-  const Time begin = simulation.now();
-  while (simulation.running_tasks() < kTasks && simulation.now() < begin + seconds(20))
-    simulation.RunFor(milliseconds(10));
-  return simulation.now() - begin;
-}
-
 }  // namespace
 
 TEST_CASE("a takeover waits for workers that were drained and have left") {
@@ -83,7 +59,7 @@
     const int leaving = simulation->BusyWorker(left + 1);
     DrainUntilIdle(*simulation, leaving);
     simulation->KillNode(simulation->OwnerIndex());
-    const Duration waited = TimeUntilAllRun(*simulation);
+    const Duration waited = TimeUntilRunning(*simulation, kTasks);
     CHECK(waited < seconds(5));
     CHECK_FALSE(simulation->LogLines("event=takeover_complete").empty());
     // The log names the workers that are awaited.
@@ -125,7 +101,7 @@
     AwaitOwner(*simulation);
     simulation->RunFor(reign);
     simulation->KillNode(simulation->OwnerIndex());
-    TimeUntilAllRun(*simulation);
+    TimeUntilRunning(*simulation, kTasks);
     CHECK(simulation->now() - stopped_at < kMaxRestartTime);
     CheckNoViolations(*simulation);
   }
@@ -249,7 +225,7 @@
     REQUIRE_FALSE(simulation->LogLines(reached).empty());
     CHECK(simulation->worker(lost).running().empty());
     for (int i = 0; i < 4; ++i) simulation->PartitionNodeFromStore(i, seconds(0));
-    TimeUntilAllRun(*simulation);
+    TimeUntilRunning(*simulation, kTasks);
     CHECK(simulation->running_tasks() == kTasks);
     CheckNoViolations(*simulation);
   }
