--- a/packages/jobs/tests/host_votes_fault_test.cc
+++ b/packages/jobs/tests/host_votes_fault_test.cc
@@ -17,10 +17,7 @@
 
 std::unique_ptr<JobSimulation> BusySimulation(std::uint64_t seed, int nodes) {
   auto simulation = std::make_unique<JobSimulation>(seed, nodes, 5, SimulationFaults{});
-  simulation->RunFor(seconds(3));
-  simulation->Submit(LongRunningJob(kTasks));
-  simulation->RunFor(seconds(12));
-  REQUIRE(simulation->running_tasks() == kTasks);
+  StartLongRunningTasks(*simulation, kTasks);
   return simulation;
 }
 
@@ -33,7 +30,8 @@
 TEST_CASE("an owner stops for a claim that never reaches the store's fence") {
   // Guards against work that stands still: the store fails for the owner, then, right after another
   // process has claimed the cell, for everybody. Nobody can own the cell in its place.
-  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+  const std::uint64_t seeds = SeedCount(30);
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     CAPTURE(seed);
     const auto simulation = BusySimulation(seed, 3);
     const int owner = simulation->OwnerIndex();
