--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -623,15 +623,23 @@
   }
 }
 
-JobKey JobSimulation::NewJob(JobSpec spec) {
+JobKey JobSimulation::NewKey() {
   std::string digits = "0000000000000000";
   for (char& c : digits) c = "0123456789abcdef"[random_.Below(16)];
-  JobKey key(digits);
+  return JobKey(digits);
+}
+
+JobKey JobSimulation::NewJob(JobSpec spec) {
+  JobKey key = NewKey();
+  AddJob(key, std::move(spec));
+  return key;
+}
+
+void JobSimulation::AddJob(const JobKey& key, JobSpec spec) {
   const bool long_running = std::any_of(spec.steps.begin(), spec.steps.end(),
                                         [](const StepSpec& it) { return it.long_running; });
   if (long_running) long_running_jobs_.push_back(key);
   jobs_[key].spec = std::move(spec);
-  return key;
 }
 
 JobKey JobSimulation::Submit(JobSpec spec) {
@@ -640,6 +648,31 @@
   return key;
 }
 
+JobKey JobSimulation::SubmitInCell(int cell, JobSpec spec) {
+  JobKey key = NewKey();
+  while (CellIndexOf(key.str(), CellCount()) != cell) key = NewKey();
+  AddJob(key, std::move(spec));
+  SendRequest(key, Verb::kSubmit, 1);
+  return key;
+}
+
+int JobSimulation::WorkersOfCell(int cell) {
+  const int cells = CellCount();
+  return static_cast<int>(std::count_if(workers_.begin(), workers_.end(), [&](const auto& it) {
+    const std::string& id = it->entry().id;
+    return store_.IsListed(id) && CellIndexOf(id, cells) == cell;
+  }));
+}
+
+int JobSimulation::RunningTasksOfCell(int cell) {
+  const int cells = CellCount();
+  int n = 0;
+  for (const auto& it : workers_) {
+    if (CellIndexOf(it->entry().id, cells) == cell) n += static_cast<int>(it->running().size());
+  }
+  return n;
+}
+
 JobKey JobSimulation::SubmitTo(int i, JobSpec spec) {
   JobKey key = NewJob(std::move(spec));
   SendRequestTo(i, key, Verb::kSubmit, kMaxTries);
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -108,6 +108,12 @@
   void PartitionNodeFromStore(int i, Duration duration);
   // Submits a job to one node, without repeats.
   JobKey SubmitTo(int i, JobSpec spec);
+  // As Submit, under a name that belongs to the given cell.
+  JobKey SubmitInCell(int cell, JobSpec spec);
+  // Number of listed workers that belong to the given cell.
+  int WorkersOfCell(int cell);
+  // Number of tasks that run on the workers of the given cell.
+  int RunningTasksOfCell(int cell);
   // Index of the first node that owns a cell, or -1.
   int OwnerIndex() const;
   void PartitionWorker(int i, Duration duration);
@@ -206,6 +212,8 @@
   template <typename Order, typename Call, typename Done>
   void PerformOrder(int i, const Order& order, Call call, Done done);
   JobKey NewJob(JobSpec spec);
+  JobKey NewKey();
+  void AddJob(const JobKey& key, JobSpec spec);
   void SendRequest(const JobKey& key, Verb verb, int tries);
   void SendRequestTo(int i, const JobKey& key, Verb verb, int tries);
   void ScheduleFaults();
