--- a/packages/jobs/include/cactusshelf/jobs/job.h
+++ b/packages/jobs/include/cactusshelf/jobs/job.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
   QueuePolicy queue;  // The policy in force when the job was accepted.
   JobSpec spec;
   WallTime accepted{};
+  // In a copy that the cell stores to which the job was handed over: the cell of the job's name.
+  std::optional<int> home_cell{};
 };
 
 struct TaskId {
--- a/packages/jobs/include/cactusshelf/jobs/job_log_view.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_log_view.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +22,7 @@
   struct Entry {
     std::shared_ptr<const SubmittedJob> job;  // Null until the submission has been read.
     bool cancelled = false;
+    std::optional<int> handed_over_to;  // The cell that runs the job, if it is another one.
     JobProgress progress;
     std::uint64_t listing = 0;  // Listing in force when a record of the job was last applied.
   };
@@ -41,11 +44,13 @@
   // Null if the job was not accepted or has been dropped.
   const Entry* Find(const JobKey& key) const;
 
-  // State to report to callers.
+  // State to report to callers of a job that was not handed over.
   static JobState StateOf(const Entry& entry);
 
-  // Number of accepted jobs of `queue` that have neither started nor been cancelled.
-  int PendingJobCount(const std::string& queue) const;
+  // Jobs that were handed over to another cell, and may lack a submission so far.
+  const std::set<JobKey>& JobsHandedOverTo(int cell) const;
+  // Number of records applied to such jobs, other than of their end.
+  std::uint64_t hand_over_changes() const { return hand_over_changes_; }
 
   const std::unordered_map<JobKey, Entry>& entries() const { return entries_; }
   // The current owner with its epoch. Generation 0 means that there was no owner yet.
@@ -89,12 +94,16 @@
   void ApplyRecord(HostRecord record, std::int64_t offset);
   void ApplyRecord(SubmittedJob record, std::int64_t offset);
   void ApplyRecord(const CancelRecord& record, std::int64_t offset);
+  void ApplyRecord(const HandOverRecord& record, std::int64_t offset);
   void ApplyRecord(ProgressRecord record, std::int64_t offset);
   void ApplyRecord(const DropRecord& record, std::int64_t offset);
 
   Entry& EntryOf(const JobKey& key);
+  void Erase(const JobKey& key);
 
   std::unordered_map<JobKey, Entry> entries_;
+  std::map<int, std::set<JobKey>> handed_over_;  // By the cell that runs them.
+  std::uint64_t hand_over_changes_ = 0;
   std::uint64_t listing_ = 0;
   struct Claim {
     OwnerRecord record;
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -95,6 +95,8 @@
   int milliprocessors = 0;
   // The host sends orders only to the incarnation that they name. Hosts of earlier versions do not.
   bool binds_orders = true;
+  // The host understands HandOverRecord. Hosts of earlier versions do not.
+  bool hands_over_jobs = true;
   friend bool operator==(const HostRecord&, const HostRecord&) = default;
 };
 
@@ -116,6 +118,14 @@
   JobKey key;
 };
 
+// Another cell runs the job, of which nothing was ever started here. Stored once, by the owner of
+// the cell to which the job's name belongs; that cell's log keeps the submission and the
+// cancellation, the other one gets a copy of the submission and the progress.
+struct HandOverRecord {
+  JobKey key;
+  int cell = 0;
+};
+
 struct ProgressRecord {
   JobKey key;
   JobProgress progress;
@@ -129,7 +139,7 @@
 using JobLogRecord =
     std::variant<OwnerRecord, RosterRecord, RosterTasksRecord, RosterLeasesRecord, LeaseRecord,
                  CellCountRecord, HostRecord, InterferenceRecord, VotingHostsRecord, SubmittedJob,
-                 CancelRecord, ProgressRecord, DropRecord>;
+                 CancelRecord, HandOverRecord, ProgressRecord, DropRecord>;
 
 // Thread-safe.
 KeyedRecord Encode(const OwnerRecord& record);
@@ -143,6 +153,7 @@
 KeyedRecord Encode(const VotingHostsRecord& record);
 KeyedRecord Encode(const SubmittedJob& record);
 KeyedRecord Encode(const CancelRecord& record);
+KeyedRecord Encode(const HandOverRecord& record);
 KeyedRecord Encode(const ProgressRecord& record);
 
 // Returns records that remove all keys of a job. Thread-safe.
--- a/packages/jobs/include/cactusshelf/jobs/peer_messages.h
+++ b/packages/jobs/include/cactusshelf/jobs/peer_messages.h
@@ -8,11 +8,12 @@
 #include <variant>
 #include <vector>
 
+#include "cactusshelf/jobs/cell_room.h"
 #include "cactusshelf/jobs/job_event.h"
 
 // Messages between an owner and the other entry hosts: orders that those hosts relay to workers,
-// records of callers' requests that they submit to the owner for storage, and the owner's notices
-// of its ownership.
+// records of callers' requests that they submit to the owner for storage, the owner's notices of
+// its ownership, and what owners of several cells tell each other.
 namespace cactusshelf::jobs {
 
 // Readings of a relay's clocks. Both are needed because the steady clock does not count a
@@ -79,8 +80,14 @@
   Duration notice_sent_at{};  // OwnershipNotice::sent_at.
 };
 
+// Sent to the owner of a cell to which jobs were handed over, or of which such jobs were cancelled:
+// the log of `home_cell` has new records of them. A lost notice only delays the reading of them.
+struct HandOverNotice {
+  int home_cell = 0;
+};
+
 using PeerMessageBody = std::variant<OrderBatch, AnswerBatch, Submission, SubmissionStored,
-                                     OwnershipNotice, OwnershipAnswer>;
+                                     OwnershipNotice, OwnershipAnswer, CellRoom, HandOverNotice>;
 
 // Thread-safe.
 std::string Encode(const OrderBatch& batch);
@@ -89,6 +96,8 @@
 std::string Encode(const SubmissionStored& stored);
 std::string Encode(const OwnershipNotice& notice);
 std::string Encode(const OwnershipAnswer& answer);
+std::string Encode(const CellRoom& room);
+std::string Encode(const HandOverNotice& notice);
 
 // Throws DecodeError for anything that Encode does not produce. Thread-safe.
 PeerMessageBody DecodePeerMessage(std::string_view bytes);
--- /dev/null
+++ b/packages/jobs/src/cell_choice.cc
@@ -0,0 +1,80 @@
+#include "cell_choice.h"
+
+#include <utility>
+
+namespace cactusshelf::jobs {
+namespace {
+
+// A report that is older says nothing of the cell; its owner may be gone.
+constexpr Duration kMaxReportAge = std::chrono::milliseconds(500);
+// Until a job that was handed over is in the reports of the other cell: one append, a read, another
+// append and the time between two reports.
+constexpr Duration kHandOverTime = std::chrono::milliseconds(300);
+// A cell that has room keeps its jobs unless another one is freer by this part of the workers: each
+// job that is handed over costs two records, and some time before its first start.
+constexpr double kMinShareDifference = 0.05;
+// Other owners may hand over jobs to the same cell at the same time.
+constexpr int kMinRoomFactor = 2;
+
+}  // namespace
+
+std::string_view ToString(CellChoice::Reason reason) {
+  switch (reason) {
+    case CellChoice::Reason::kNoRoom:
+      return "no_room";
+    case CellChoice::Reason::kUneven:
+      return "uneven";
+  }
+  return "unknown";
+}
+
+void CellChoice::OnReport(CellRoom room, Time now) {
+  const int cell = room.cell;
+  reports_[cell] = {std::move(room), now};
+}
+
+void CellChoice::OnHandedOver(int cell, const RoomDemand& demand, Time now) {
+  while (!handed_over_.empty() && now - handed_over_.front().at > kHandOverTime)
+    handed_over_.pop_front();
+  handed_over_.push_back({cell, demand.pool, demand.total_parts(), now});
+}
+
+PoolRoom CellChoice::ExpectedRoom(int cell, const std::string& pool, const PoolRoom& reported,
+                                  Time now) const {
+  PoolRoom room = reported;
+  for (const HandedOver& it : handed_over_) {
+    if (it.cell == cell && it.pool == pool && now - it.at <= kHandOverTime)
+      room.waiting_parts += it.parts;
+  }
+  return room;
+}
+
+std::optional<CellChoice::Choice> CellChoice::Choose(const RoomDemand& demand, const CellRoom& own,
+                                                     Time now) const {
+  if (demand.parts <= 0 || demand.parts > PoolRoom::kPartsPerWorker) return std::nullopt;
+  const auto own_pool = own.pools.find(demand.pool);
+  const PoolRoom own_room = own_pool == own.pools.end() ? PoolRoom{} : own_pool->second;
+  Choice best;
+  double best_share = 0;
+  for (const auto& [cell, report] : reports_) {
+    const auto pool = report.room.pools.find(demand.pool);
+    if (cell == own.cell || pool == report.room.pools.end()) continue;
+    if (now - report.received_at > kMaxReportAge) continue;
+    const PoolRoom room = ExpectedRoom(cell, demand.pool, pool->second, now);
+    const double share = room.FreeShareFor(demand.parts);
+    const std::int64_t fitting = room.RoomFor(demand.parts);
+    if (fitting < std::int64_t{demand.tasks} * kMinRoomFactor || share <= best_share) continue;
+    best = {cell, Reason::kUneven, own_room.RoomFor(demand.parts), fitting,
+            now - report.received_at};
+    best_share = share;
+  }
+  if (best_share == 0) return std::nullopt;
+  if (best.own_room < demand.tasks) {
+    best.reason = Reason::kNoRoom;
+    return best;
+  }
+  const double difference = best_share - own_room.FreeShareFor(demand.parts);
+  return difference > kMinShareDifference ? std::optional(best) : std::nullopt;
+}
+
+}  // namespace cactusshelf::jobs
--- /dev/null
+++ b/packages/jobs/src/cell_choice.h
@@ -0,0 +1,70 @@
+#ifndef CACTUSSHELF_JOBS_SRC_CELL_CHOICE_H_
+#define CACTUSSHELF_JOBS_SRC_CELL_CHOICE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cactusshelf/base/time.h"
+#include "cactusshelf/jobs/cell_room.h"
+
+namespace cactusshelf::jobs {
+
+// The step of a job that takes most of a pool.
+struct RoomDemand {
+  std::string pool;
+  int tasks = 0;
+  int parts = 0;  // Of a worker, for each task.
+
+  std::int64_t total_parts() const { return std::int64_t{tasks} * parts; }
+};
+
+// Chooses which cell runs a job, by what the owners of the other cells have last reported. Not
+// thread-safe.
+class CellChoice {
+ public:
+  enum class Reason { kNoRoom, kUneven };
+
+  struct Choice {
+    int cell = 0;
+    Reason reason{};
+    std::int64_t own_room = 0;    // Tasks of this size that fit in the own cell,
+    std::int64_t other_room = 0;  // and in the chosen one.
+    Duration report_age{};
+  };
+
+  void OnReport(CellRoom room, Time now);
+
+  // Returns the cell that should run the job instead of the cell whose room is `own`, or nothing if
+  // that should keep it: it has room and is about as free as the others, or no other has room.
+  std::optional<Choice> Choose(const RoomDemand& demand, const CellRoom& own, Time now) const;
+
+  // Records that the job will need room there, which the next reports do not show yet.
+  void OnHandedOver(int cell, const RoomDemand& demand, Time now);
+
+ private:
+  struct Report {
+    CellRoom room;
+    Time received_at;
+  };
+  struct HandedOver {
+    int cell = 0;
+    std::string pool;
+    std::int64_t parts = 0;
+    Time at;
+  };
+
+  // The last report of a pool, less what was handed over there recently.
+  PoolRoom ExpectedRoom(int cell, const std::string& pool, const PoolRoom& reported,
+                        Time now) const;
+
+  std::map<int, Report> reports_;       // By cell.
+  std::deque<HandedOver> handed_over_;  // Recently, oldest first.
+};
+
+std::string_view ToString(CellChoice::Reason reason);
+
+}  // namespace cactusshelf::jobs
+
+#endif  // CACTUSSHELF_JOBS_SRC_CELL_CHOICE_H_
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -54,14 +54,20 @@
   return static_cast<int>(RendezvousWeight("cell", name) % static_cast<std::uint64_t>(cells));
 }
 
-JobCell::JobCell(int index, const JobNodeOptions& options, std::uint64_t seed)
+JobCell::JobCell(int index, const JobNodeOptions& options, std::uint64_t seed, CellViews& cells,
+                 CellChoice& cell_choice)
     : index_(index),
       options_(options),
+      cells_(cells),
+      cell_choice_(cell_choice),
       first_append_id_(FirstAppendId(index)),
       follower_(Stream::kJobs),
       election_(ElectionOptionsOf(options, index), options.member, options.host, seed),
-      request_handler_(JobRequestHandlerOptions{}, options.member, first_append_id_, log_view_),
-      next_claim_append_id_(first_append_id_ + kFirstClaimAppendId) {}
+      request_handler_(JobRequestHandlerOptions{}, options.member, first_append_id_, log_view_,
+                       cells),
+      next_claim_append_id_(first_append_id_ + kFirstClaimAppendId) {
+  cells_.Add(log_view_, follower_);
+}
 
 void JobCell::Log(LogEvent event) {
   event.With("cell", index_);
@@ -110,6 +116,7 @@
   if (!follower_.loaded()) return;
   if (read.newest) DropJobsMissingFromListing();
   if (!read.has_more) refresh_requested_ = false;
+  if (needed_at_ && follower_.fresh_at() >= *needed_at_) needed_at_.reset();
   // The rest of the log may hold records of the owner.
   if (owner_active || !read.has_more) election_.OnRead(owner_active, now.monotonic);
   voter_.OnLogRead(follower_.fresh_at(), follower_.next_offset(), log_view_.owner().epoch);
@@ -154,11 +161,10 @@
     log_view_.Apply(std::move(decoded), record.offset);
     if (scheduler_ && !submitted_key.empty()) {
       const JobLogView::Entry* entry = log_view_.Find(submitted_key);
-      if (entry != nullptr && !IsFinal(JobLogView::StateOf(*entry))) {
-        scheduler_->OnJob(entry->job, now);
-      }
+      const bool runs_here = entry != nullptr && !entry->handed_over_to;
+      if (runs_here && !IsFinal(JobLogView::StateOf(*entry))) scheduler_->OnJob(entry->job, now);
     }
-    if (scheduler_ && !cancelled_key.empty()) scheduler_->OnCancel(cancelled_key, now);
+    if (scheduler_ && !cancelled_key.empty()) OnCancelStored(cancelled_key, now);
     if (!submitted_key.empty() || !cancelled_key.empty() || of_host) return RecordWriter::kHost;
     return claimant_or_self ? RecordWriter::kClaimantOrSelf : RecordWriter::kOwner;
   } catch (const DecodeError& error) {
@@ -177,7 +183,7 @@
     // The owner applies a cancellation that it has stored without reading it back from the log,
     // because it may lose the store before that read.
     for (const JobKey& key : request_handler_.TakeCancelledJobs()) {
-      if (scheduler_) scheduler_->OnCancel(key, now);
+      if (scheduler_) OnCancelStored(key, now);
     }
   } else if (done.append_id == claim_append_id_) {
     OnClaimDone(done, state, now);
@@ -200,6 +206,8 @@
       } else {
         ConfirmStoredBatch();
         if (batch_in_flight_ != 0) scheduler_->OnStored(std::exchange(batch_in_flight_, 0), now);
+        cells_to_notify_.merge(targets_of_batch_);
+        targets_of_batch_.clear();
       }
       return;
     case BatchWriter::Result::kFenced:
@@ -242,6 +250,9 @@
   AdvanceElection(state, now);
   SendOwnershipNotices(state, now);
   if (scheduler_) {
+    const bool may_hand_over = multiple_cells_ && state.hosts_hand_over_jobs;
+    scheduler_->SetCells(index_, may_hand_over ? &cell_choice_ : nullptr);
+    TakeOverJobs(now);
     if (!releasing_) scheduler_->Decide(now);
     for (WorkerOrder& order : scheduler_->TakeOrders()) Emit(job_effect::Order{std::move(order)});
     for (LogEvent& event : scheduler_->TakeLog()) Log(std::move(event));
@@ -257,7 +268,7 @@
 }
 
 void JobCell::IssueReads(const Now& now) {
-  if (request_handler_.needs_fresh_log_view() || refresh_requested_) {
+  if (request_handler_.needs_fresh_log_view() || refresh_requested_ || needed_at_) {
     follower_.SetReadTiming(Duration::zero(), Duration::zero());
     if (follower_.loaded()) follower_.ScheduleReadNow(now.monotonic);
   } else if (scheduler_) {
@@ -388,6 +399,8 @@
   candidacy_ = Candidacy::kNone;
   releasing_ = false;
   ownership_gained_ = true;
+  ownership_gained_at_ = now.monotonic;
+  next_hand_over_check_ = {};
   BeginVoting(now);
   scheduler_ = std::make_unique<Scheduler>(
       options_.scheduler, ownership_.epoch, ownership_.generation,
@@ -419,6 +432,8 @@
   batch_in_flight_ = 0;
   queued_submissions_.clear();
   submissions_in_flight_.clear();
+  copies_in_flight_.clear();
+  targets_of_batch_.clear();
   releasing_ = false;
   cell_count_to_store_ = 0;
   election_.Reset();
@@ -447,6 +462,7 @@
     if (auto batch = scheduler_->TakeChanges(now)) {
       batch_in_flight_ = batch->id;
       records = std::move(batch->records);
+      targets_of_batch_ = scheduler_->TakeHandOverTargets();
     }
     // Callers' requests alone are no sign of this owner.
     const bool heartbeat_due = now.monotonic - last_heartbeat_at_ >= options_.heartbeat_period;
@@ -509,21 +525,28 @@
 
 // Passes the submissions of this host to the owner, which is this or another process.
 void JobCell::RouteSubmissions(const NodeState& state) {
-  const OwnerRecord& owner = log_view_.owner();
-  const auto host = state.hosts->find(owner.host);
-  const bool known = owner.epoch != 0 && !owner.released && host != state.hosts->end();
-  request_handler_.SetOwner(known && !options_.peer_address.empty() ? owner.member : "");
+  const std::string owner_address = OwnerAddress(state);
+  const bool known = !owner_address.empty();
+  request_handler_.SetOwner(known && !options_.peer_address.empty() ? log_view_.owner().member
+                                                                    : "");
   for (Submission& submission : request_handler_.TakeSubmissions()) {
     submission.cell = index_;
     if (scheduler_) {
       OnSubmission(std::move(submission));
     } else if (known) {
       submission.reply_address = options_.peer_address;
-      Emit(job_effect::SendToPeer{host->second.peer_address, Encode(submission)});
+      Emit(job_effect::SendToPeer{owner_address, Encode(submission)});
     }
   }
 }
 
+std::string JobCell::OwnerAddress(const NodeState& state) const {
+  const OwnerRecord& owner = log_view_.owner();
+  const auto host = state.hosts->find(owner.host);
+  const bool known = owner.epoch != 0 && !owner.released && host != state.hosts->end();
+  return known ? host->second.peer_address : "";
+}
+
 void JobCell::AddQueuedSubmissions(std::vector<KeyedRecord>& records) {
   records_before_submissions_ = records.size();
   std::size_t bytes = 0;
@@ -560,7 +583,7 @@
 std::vector<KeyedRecord> JobCell::DropRecordsOfExpiredJobs(const Now& now) {
   std::vector<KeyedRecord> records;
   for (const auto& [key, finished_at] : finished_at_) {
-    if (now.monotonic - finished_at < options_.status_retention) continue;
+    if (now.monotonic - finished_at < options_.status_retention || !MayDrop(key)) continue;
     for (KeyedRecord& record : EncodeDrop(key)) records.push_back(std::move(record));
     if (records.size() >= kMaxDropRecordsPerAppend) break;
   }
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -4,10 +4,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cactusshelf/jobs/job_node.h"
+#include "cell_choice.h"
+#include "cell_views.h"
 #include "epoch_voter.h"
 #include "host_votes.h"
 #include "job_request_handler.h"
@@ -26,6 +29,8 @@
   int cell_count = 1;
   // Entry hosts by name, as announced.
   const std::map<std::string, HostRecord>* hosts = nullptr;
+  // All of them understand HandOverRecord.
+  bool hosts_hand_over_jobs = false;
 };
 
 // One process's view of one cell. A cell is a partition of the jobs and workers with its own job
@@ -33,7 +38,10 @@
 // process owns the cell, schedules the jobs. Not thread-safe.
 class JobCell {
  public:
-  JobCell(int index, const JobNodeOptions& options, std::uint64_t seed);
+  // Adds itself to `cells`, which has to hold the cells before it and must outlive this object.
+  // `cell_choice` serves all cells of the process, and must outlive it too.
+  JobCell(int index, const JobNodeOptions& options, std::uint64_t seed, CellViews& cells,
+          CellChoice& cell_choice);
 
   // Performs all work that is due; call after each event. The resulting effects are returned by
   // TakeEffects.
@@ -61,6 +69,8 @@
   const StreamFollower& follower() const { return follower_; }
   // Requests a read of the log without waiting for the next regular one.
   void RequestRefresh(Time now);
+  // As RequestRefresh, but a read that was sent before `now` is not enough.
+  void RequestReadAfter(Time now) { needed_at_ = now; }
 
   // Null unless this process is the owner.
   Scheduler* scheduler() { return scheduler_.get(); }
@@ -70,9 +80,18 @@
   // True if this process became the owner of the cell since the last call.
   bool TakeOwnershipGained() { return std::exchange(ownership_gained_, false); }
 
+  // Address of the owner's host, or nothing if none is known.
+  std::string OwnerAddress(const NodeState& state) const;
+
   // True while reads of the log succeed or have failed only briefly.
   bool StoreUsable(Time now) const;
 
+  // Returns the cells to whose owners a HandOverNotice is due.
+  std::set<int> TakeCellsToNotify() { return std::exchange(cells_to_notify_, {}); }
+  // Returns the room of the cell if a report of it is due. Nothing unless this process is the owner
+  // and there are several cells.
+  std::optional<CellRoom> TakeRoomReport(const Now& now);
+
   // Stores the number of cells. Precondition: this is the first cell, and this process owns it.
   void StoreLayout(int cells) { cell_count_to_store_ = cells; }
 
@@ -93,6 +112,21 @@
   void ForgetDroppedJob(const JobKey& key);
   void AdvanceElection(const NodeState& state, const Now& now);
   void AdvanceOwnerWrites(const NodeState& state, const Now& now);
+  // A cancellation is stored. Precondition: this process is the owner.
+  void OnCancelStored(const JobKey& key, const Now& now);
+  // Stores copies of the jobs that other cells have handed over to this one, and applies their
+  // cancellations.
+  void TakeOverJobs(const Now& now);
+  // Changes with each record that may concern jobs for this cell.
+  std::uint64_t CountHandOverChanges() const;
+  void TakeOverJob(int home_cell, const JobKey& key, const Now& now);
+  // Notes the ends of jobs that this cell has handed over, so that their records are dropped.
+  void NoteFinishedElsewhere(const Now& now);
+  // True if all that earlier owners of this cell knew of the other cell's log has been read.
+  bool KnowsLogOf(int cell) const { return cells_.FreshAt(cell) > ownership_gained_at_; }
+  // True if the records of a finished job can be dropped. A copy stays until the job is dropped
+  // from the log of the cell of its name: it would be taken over once more.
+  bool MayDrop(const JobKey& key) const;
   void RouteSubmissions(const NodeState& state);
   // Tells the other hosts that this process is the owner, and asks for their votes.
   void SendOwnershipNotices(const NodeState& state, const Now& now);
@@ -127,6 +161,8 @@
 
   int index_;
   const JobNodeOptions& options_;
+  CellViews& cells_;
+  CellChoice& cell_choice_;
   std::uint64_t first_append_id_;  // Each cell has its own range of append IDs.
   JobLogView log_view_;
   StreamFollower follower_;
@@ -135,6 +171,7 @@
   Counters counters_;
   std::vector<JobEffect> effects_;
   bool refresh_requested_ = false;
+  std::optional<Time> needed_at_;  // As given to RequestReadAfter, until such a read has ended.
   bool multiple_cells_ = false;
 
   Candidacy candidacy_ = Candidacy::kNone;
@@ -162,6 +199,14 @@
   std::size_t records_before_submissions_ = 0;     // In the append in flight, from the scheduler.
   bool releasing_ = false;
   bool ownership_gained_ = false;
+  Time ownership_gained_at_;
+  // Copies of jobs of other cells that are being stored.
+  std::set<JobKey> copies_in_flight_;
+  Time next_hand_over_check_;
+  std::uint64_t hand_over_changes_applied_ = 0;  // As counted by CountHandOverChanges.
+  std::set<int> targets_of_batch_;               // Of the jobs that the batch in flight hands over.
+  std::set<int> cells_to_notify_;
+  Time next_room_report_;
   int cell_count_to_store_ = 0;
   Time last_owner_append_at_;
   // When the last append began that holds a record of this owner, which others take as a heartbeat.
--- a/packages/jobs/src/job_log_view.cc
+++ b/packages/jobs/src/job_log_view.cc
@@ -101,11 +101,20 @@
   Entry& entry = EntryOf(record.key);
   // A submission may be stored more than once; only the first counts.
   if (entry.job != nullptr) return;
+  if (entry.handed_over_to) ++hand_over_changes_;
   entry.job = std::make_shared<const SubmittedJob>(std::move(record));
 }
 
 void JobLogView::ApplyRecord(const CancelRecord& record, std::int64_t /*offset*/) {
-  EntryOf(record.key).cancelled = true;
+  Entry& entry = EntryOf(record.key);
+  if (entry.handed_over_to) ++hand_over_changes_;
+  entry.cancelled = true;
+}
+
+void JobLogView::ApplyRecord(const HandOverRecord& record, std::int64_t /*offset*/) {
+  EntryOf(record.key).handed_over_to = record.cell;
+  handed_over_[record.cell].insert(record.key);
+  ++hand_over_changes_;
 }
 
 void JobLogView::ApplyRecord(ProgressRecord record, std::int64_t /*offset*/) {
@@ -113,7 +122,14 @@
 }
 
 void JobLogView::ApplyRecord(const DropRecord& record, std::int64_t /*offset*/) {
-  entries_.erase(record.key);
+  Erase(record.key);
+}
+
+void JobLogView::Erase(const JobKey& key) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) return;
+  if (it->second.handed_over_to) handed_over_[*it->second.handed_over_to].erase(key);
+  entries_.erase(it);
 }
 
 JobLogView::Entry& JobLogView::EntryOf(const JobKey& key) {
@@ -127,7 +143,7 @@
   for (const auto& [key, entry] : entries_) {
     if (entry.listing != listing_) missing.push_back(key);
   }
-  for (const JobKey& key : missing) entries_.erase(key);
+  for (const JobKey& key : missing) Erase(key);
   return missing;
 }
 
@@ -142,13 +158,10 @@
   return entry.cancelled ? JobState::kCancelled : entry.progress.state;
 }
 
-int JobLogView::PendingJobCount(const std::string& queue) const {
-  int n = 0;
-  for (const auto& [key, entry] : entries_) {
-    const bool of_queue = entry.job != nullptr && entry.job->queue.name == queue;
-    if (of_queue && StateOf(entry) == JobState::kQueued) ++n;
-  }
-  return n;
+const std::set<JobKey>& JobLogView::JobsHandedOverTo(int cell) const {
+  static const std::set<JobKey> none;
+  const auto it = handed_over_.find(cell);
+  return it == handed_over_.end() ? none : it->second;
 }
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -46,7 +46,8 @@
       random_(seed),
       relay_pool_(RelayPoolOptions{}, LocalHostRecord(options)),
       order_relay_(OrderRelayOptions{}, options.host) {
-  cells_.push_back(std::make_unique<JobCell>(0, options_, random_.Next()));
+  cells_.push_back(
+      std::make_unique<JobCell>(0, options_, random_.Next(), cell_views_, cell_choice_));
 }
 
 void JobNode::Impl::Start(const Now& now) {
@@ -183,8 +184,7 @@
   }
   std::erase_if(pending_count_reads_, [&](const PendingCountRead& read) {
     if (!fresh && now.monotonic - read.arrived < kPendingCountTimeout) return false;
-    int n = 0;
-    for (const auto& cell : cells_) n += cell->log_view().PendingJobCount(read.queue);
+    const int n = cell_views_.PendingJobCount(read.queue);
     counters_.Add("cactusshelf_replies_total", ToString(ReplyKind::kPending));
     Log(LogEvent(LogLevel::kInfo, "reply")
             .With("queue", read.queue)
@@ -357,6 +357,10 @@
       OnOwnershipNotice(*notice, now);
     } else if (const auto* answer = std::get_if<OwnershipAnswer>(&decoded)) {
       CellAt(answer->cell).OnOwnershipAnswer(*answer, now);
+    } else if (auto* room = std::get_if<CellRoom>(&decoded)) {
+      OnCellRoom(std::move(*room), now);
+    } else if (const auto* handed_over = std::get_if<HandOverNotice>(&decoded)) {
+      CellAt(handed_over->home_cell).RequestReadAfter(now.monotonic);
     }
   } catch (const DecodeError& error) {
     counters_.Add("cactusshelf_unreadable_peer_messages_total", "malformed");
@@ -364,6 +368,12 @@
   }
 }
 
+void JobNode::Impl::OnCellRoom(CellRoom room, const Now& now) {
+  if (room.cell < 0 || room.cell >= kMaxCells)
+    throw DecodeError("cell room: no cell " + std::to_string(room.cell));
+  cell_choice_.OnReport(std::move(room), now.monotonic);
+}
+
 void JobNode::Impl::OnOwnershipNotice(const OwnershipNotice& notice, const Now& now) {
   if (notice.cell < 0 || notice.cell >= kMaxCells)
     throw DecodeError("ownership notice: no cell " + std::to_string(notice.cell));
@@ -387,6 +397,7 @@
   CreateCells();
   node_state_.cell_count = static_cast<int>(cells_.size());
   node_state_.hosts = &cells_.front()->log_view().hosts();
+  CheckHostsHandOverJobs();
   ChooseCellCount(now);
   node_state_.claimed_cells = static_cast<int>(std::count_if(
       cells_.begin(), cells_.end(), [](const auto& it) { return it->owned_or_claimed(); }));
@@ -397,6 +408,7 @@
     if (cell->owned_or_claimed() != was_claimed) node_state_.claimed_cells += was_claimed ? -1 : 1;
     CollectEffects(*cell, now);
   }
+  ConnectCells(now);
   const bool was_owner = is_owner();
   node_state_.owned_cells = static_cast<int>(std::count_if(
       cells_.begin(), cells_.end(), [](const auto& it) { return it->scheduler() != nullptr; }));
@@ -408,6 +420,44 @@
   StopIfDrained(now);
 }
 
+void JobNode::Impl::CheckHostsHandOverJobs() {
+  const std::uint64_t announcements = cells_.front()->log_view().host_announcement_count();
+  if (std::exchange(announcements_checked_, announcements) == announcements) return;
+  const auto& hosts = *node_state_.hosts;
+  node_state_.hosts_hand_over_jobs = std::all_of(
+      hosts.begin(), hosts.end(), [](const auto& it) { return it.second.hands_over_jobs; });
+}
+
+void JobNode::Impl::ConnectCells(const Now& now) {
+  if (cells_.size() == 1) return;
+  for (std::size_t i = 0; i < cells_.size(); ++i) {
+    JobCell& cell = *cells_[i];
+    for (const int awaited : cell.request_handler().AwaitedCells())
+      CellAt(awaited).RequestRefresh(now.monotonic);
+    for (const int target : cell.TakeCellsToNotify()) NotifyOwner(target, static_cast<int>(i), now);
+    if (const auto room = cell.TakeRoomReport(now)) ReportRoom(*room, now);
+  }
+}
+
+void JobNode::Impl::ReportRoom(const CellRoom& room, const Now& now) {
+  cell_choice_.OnReport(room, now.monotonic);
+  std::set<std::string> addresses;
+  for (const auto& cell : cells_) addresses.insert(cell->OwnerAddress(node_state_));
+  for (const std::string& address : addresses) {
+    if (!address.empty() && address != options_.peer_address)
+      Emit(job_effect::SendToPeer{address, Encode(room)});
+  }
+}
+
+void JobNode::Impl::NotifyOwner(int cell, int home_cell, const Now& now) {
+  const std::string address = CellAt(cell).OwnerAddress(node_state_);
+  if (address == options_.peer_address) {
+    CellAt(home_cell).RequestReadAfter(now.monotonic);
+  } else if (!address.empty()) {
+    Emit(job_effect::SendToPeer{address, Encode(HandOverNotice{home_cell})});
+  }
+}
+
 void JobNode::Impl::CollectEffects(JobCell& cell, const Now& now) {
   for (JobEffect& effect : cell.TakeEffects()) {
     if (auto* order = std::get_if<job_effect::Order>(&effect)) {
@@ -469,8 +519,8 @@
 void JobNode::Impl::CreateCells() {
   const int n = cells_.front()->log_view().cell_count();
   while (static_cast<int>(cells_.size()) < n) {
-    cells_.push_back(
-        std::make_unique<JobCell>(static_cast<int>(cells_.size()), options_, random_.Next()));
+    cells_.push_back(std::make_unique<JobCell>(static_cast<int>(cells_.size()), options_,
+                                               random_.Next(), cell_views_, cell_choice_));
   }
 }
 
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -52,6 +52,7 @@
   // relay.
   void OnLocalAnswer(WorkerAnswer answer, const Now& now);
 
+  void OnCellRoom(CellRoom room, const Now& now);
   void OnOwnershipNotice(const OwnershipNotice& notice, const Now& now);
 
   void OnConfigurationRead(job_event::StreamRead& read);
@@ -75,6 +76,7 @@
   void DetectPause(const Now& now);
   void Advance(const Now& now);
   void CreateCells();
+  void CheckHostsHandOverJobs();
   void ChooseCellCount(const Now& now);
   void IssueReads(const Now& now);
   void AdvanceRelaying(const Now& now);
@@ -84,6 +86,10 @@
   void SendOrder(WorkerOrder order, const Now& now);
   void EmitRead(const std::optional<StreamFollower::Request>& request);
   void StopIfDrained(const Now& now);
+  // What the cells have for each other and for the owners of other cells.
+  void ConnectCells(const Now& now);
+  void ReportRoom(const CellRoom& room, const Now& now);
+  void NotifyOwner(int cell, int home_cell, const Now& now);
   void CollectEffects(JobCell& cell, const Now& now);
   template <typename Effect>
   void Emit(Effect effect) {
@@ -94,6 +100,8 @@
   JobNodeOptions options_;
   Random random_;
   NodeState node_state_;
+  CellViews cell_views_;
+  CellChoice cell_choice_;
   // The first cell always exists; its log holds the number of cells.
   std::vector<std::unique_ptr<JobCell>> cells_;
   StreamFollower configuration_follower_{Stream::kConfiguration};
@@ -116,6 +124,7 @@
   Announcement announcement_ = Announcement::kWanted;
   Time next_announcement_at_;
   std::uint64_t announcements_applied_ = 0;  // Announcements that the pool has been given.
+  std::uint64_t announcements_checked_ = 0;  // As above, for NodeState::hosts_hand_over_jobs.
   bool uses_relays_ = false;                 // This process owns or claims a cell.
 
   Time started_at_;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -26,6 +26,7 @@
 constexpr char kHostPrefix = 'h';
 constexpr char kSubmitPrefix = 'j';
 constexpr char kCancelPrefix = 'c';
+constexpr char kHandOverPrefix = 'm';
 constexpr char kProgressPrefix = 'p';
 constexpr char kSeparator = '/';
 constexpr int kMaxDepth = 8;
@@ -113,6 +114,7 @@
   job.spec.period = Duration(value.at(4).get<std::int64_t>());
   job.accepted = WallTime(std::chrono::milliseconds(value.at(5).get<std::int64_t>()));
   for (const json& step : value.at(6)) job.spec.steps.push_back(StepFromJson(step));
+  if (value.size() > 7) job.home_cell = value.at(7).get<int>();
   return job;
 }
 
@@ -189,6 +191,7 @@
 HostRecord DecodeHost(const std::string& host, const json& value) {
   HostRecord record{host, value.at(0), value.at(1), value.at(2)};
   record.binds_orders = value.size() > 3 && value.at(3).get<bool>();
+  record.hands_over_jobs = value.size() > 4 && value.at(4).get<bool>();
   return record;
 }
 
@@ -228,6 +231,12 @@
   return {value.at(0), value.at(1).get<std::map<std::string, std::string>>()};
 }
 
+HandOverRecord DecodeHandOver(const JobKey& key, const json& value) {
+  HandOverRecord record{key, value.get<int>()};
+  if (record.cell < 0) throw DecodeError("hand-over record without a cell");
+  return record;
+}
+
 JobLogRecord DecodeValue(const std::string& record_key, const json& value) {
   if (record_key == kRosterKey) return RosterRecord{value.get<std::vector<std::string>>()};
   if (record_key == kRosterTasksKey) return DecodeRosterTasks(value);
@@ -246,6 +255,8 @@
       return DecodeSubmitted(key, value);
     case kCancelPrefix:
       return CancelRecord{key};
+    case kHandOverPrefix:
+      return DecodeHandOver(key, value);
     case kProgressPrefix:
       return DecodeProgress(key, value);
     default:
@@ -306,24 +317,29 @@
 
 KeyedRecord Encode(const HostRecord& record) {
   return {KeyOf(kHostPrefix, record.host),
-          ToBytes(json::array(
-              {record.peer_address, record.domain, record.milliprocessors, record.binds_orders}))};
+          ToBytes(json::array({record.peer_address, record.domain, record.milliprocessors,
+                               record.binds_orders, record.hands_over_jobs}))};
 }
 
 KeyedRecord Encode(const SubmittedJob& record) {
   json steps = json::array();
   for (const StepSpec& step : record.spec.steps) steps.push_back(ToJson(step));
-  return {KeyOf(kSubmitPrefix, record.key.str()),
-          ToBytes(json::array({ToJson(record.queue), record.spec.payload, record.spec.occurrences,
-                               record.spec.first_due.time_since_epoch().count(),
-                               record.spec.period.count(),
-                               record.accepted.time_since_epoch().count(), steps}))};
+  json value =
+      json::array({ToJson(record.queue), record.spec.payload, record.spec.occurrences,
+                   record.spec.first_due.time_since_epoch().count(), record.spec.period.count(),
+                   record.accepted.time_since_epoch().count(), steps});
+  if (record.home_cell) value.push_back(*record.home_cell);
+  return {KeyOf(kSubmitPrefix, record.key.str()), ToBytes(value)};
 }
 
 KeyedRecord Encode(const CancelRecord& record) {
   return {KeyOf(kCancelPrefix, record.key.str()), ToBytes(json::array())};
 }
 
+KeyedRecord Encode(const HandOverRecord& record) {
+  return {KeyOf(kHandOverPrefix, record.key.str()), ToBytes(record.cell)};
+}
+
 KeyedRecord Encode(const ProgressRecord& record) {
   json rows = json::array();
   DoneTasks done;
@@ -346,6 +362,7 @@
   // The submission is removed last, since a reader may stop between two records.
   return {{KeyOf(kProgressPrefix, key.str()), ""},
           {KeyOf(kCancelPrefix, key.str()), ""},
+          {KeyOf(kHandOverPrefix, key.str()), ""},
           {KeyOf(kSubmitPrefix, key.str()), ""}};
 }
 
--- a/packages/jobs/src/job_request_handler.cc
+++ b/packages/jobs/src/job_request_handler.cc
@@ -71,7 +71,7 @@
   const PendingRead read{request.caller, key, request.verb, now.monotonic,
                          now.monotonic + request.timeout - options_.reply_margin};
   const JobLogView::Entry* entry = log_view_.Find(key);
-  const bool is_final = entry != nullptr && IsFinal(JobLogView::StateOf(*entry));
+  const bool is_final = entry != nullptr && IsFinal(cells_.StateOf(key, *entry));
   const bool known = entry != nullptr && (request.verb == Verb::kCancel || is_final);
   if (known || !store_usable_) {
     ReplyToRead(read, now);
@@ -89,7 +89,7 @@
           now.monotonic, fresh ? "" : "store_unreachable");
     return;
   }
-  const JobState state = JobLogView::StateOf(*entry);
+  const JobState state = cells_.StateOf(read.key, *entry);
   if (read.verb == Verb::kRead) {
     Reply(read.caller, read.key, ReplyKind::kState, read.arrived, now.monotonic, "", state);
     return;
@@ -205,13 +205,40 @@
 
 void JobRequestHandler::OnLogViewFresh(Time fresh_at, Time now) {
   store_usable_ = true;
+  log_view_fresh_at_ = fresh_at;
+  ReplyToFreshReads({now, {}});
+}
+
+void JobRequestHandler::ReplyToFreshReads(const Now& now) {
   std::vector<PendingRead> ready;
   std::erase_if(pending_reads_, [&](const PendingRead& read) {
-    if (read.arrived > fresh_at) return false;
+    if (read.arrived > log_view_fresh_at_ || AwaitedCell(read)) return false;
     ready.push_back(read);
     return true;
   });
-  for (const PendingRead& read : ready) ReplyToRead(read, {now, {}});
+  for (const PendingRead& read : ready) ReplyToRead(read, now);
+}
+
+bool JobRequestHandler::needs_fresh_log_view() const {
+  return std::any_of(pending_reads_.begin(), pending_reads_.end(),
+                     [this](const PendingRead& it) { return it.arrived > log_view_fresh_at_; });
+}
+
+std::optional<int> JobRequestHandler::AwaitedCell(const PendingRead& read) const {
+  const JobLogView::Entry* entry = log_view_.Find(read.key);
+  if (entry == nullptr || !entry->handed_over_to) return std::nullopt;
+  const int cell = *entry->handed_over_to;
+  const bool known =
+      cells_.FreshAt(cell) >= read.arrived || IsFinal(cells_.StateOf(read.key, *entry));
+  return known ? std::nullopt : std::optional(cell);
+}
+
+std::set<int> JobRequestHandler::AwaitedCells() const {
+  std::set<int> cells;
+  for (const PendingRead& read : pending_reads_) {
+    if (const auto cell = AwaitedCell(read)) cells.insert(*cell);
+  }
+  return cells;
 }
 
 void JobRequestHandler::OnLogViewStale(Time now) {
@@ -278,6 +305,7 @@
 
 void JobRequestHandler::Advance(const Now& now) {
   const Time time = now.monotonic;
+  if (!pending_reads_.empty()) ReplyToFreshReads(now);
   ReplyToExpired(time);
   RequeueUnconfirmed(time);
   if (OwnerAvailable(time)) {
--- a/packages/jobs/src/job_request_handler.h
+++ b/packages/jobs/src/job_request_handler.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "cactusshelf/base/distribution.h"
 #include "cactusshelf/jobs/job_log_view.h"
 #include "cactusshelf/jobs/peer_messages.h"
+#include "cell_views.h"
 #include "stream_follower.h"
 
 namespace cactusshelf::jobs {
@@ -50,11 +52,14 @@
 // store, or if the store is known not to have stored it. Not thread-safe.
 class JobRequestHandler {
  public:
-  // Append IDs start at `first_append_id`. `log_view` must outlive the handler.
+  // Append IDs start at `first_append_id`. `log_view` is that of the cell. It and `cells` must
+  // outlive the handler.
   JobRequestHandler(const JobRequestHandlerOptions& options, const std::string& member,
-                    std::uint64_t first_append_id, const JobLogView& log_view)
+                    std::uint64_t first_append_id, const JobLogView& log_view,
+                    const CellViews& cells)
       : options_(options),
         log_view_(log_view),
+        cells_(cells),
         writer_(member, 1, 0, first_append_id, BatchWriter::RetryPolicy::kDropRefused) {}
 
   // Handles a request for job `key` in the queue of `route`. `store_usable` is false while reads of
@@ -63,7 +68,8 @@
                  bool store_usable, const Now& now);
   void OnCallerDisconnected(CallerId caller);
 
-  // The job log was read: the view contains all records stored before `fresh_at`.
+  // The job log was read: the view contains all records stored before `fresh_at`. Callers that ask
+  // for a job that was handed over are answered by Advance, once the other cell's view is fresh.
   void OnLogViewFresh(Time fresh_at, Time now);
   // The job log has become unreadable. Pending reads are answered without a fresh view.
   void OnLogViewStale(Time now);
@@ -90,7 +96,9 @@
   std::vector<JobEffect> TakeEffects();
 
   // True if a caller is waiting for the next read of the job log.
-  bool needs_fresh_log_view() const { return !pending_reads_.empty(); }
+  bool needs_fresh_log_view() const;
+  // Other cells whose logs callers are waiting to be read.
+  std::set<int> AwaitedCells() const;
   bool idle() const {
     return pending_reads_.empty() && queued_writes_.empty() && appending_writes_.empty() &&
            submitted_batches_.empty();
@@ -128,6 +136,9 @@
                     const JobKey& key, const Now& now);
   void HandleRead(const job_event::CallerRequest& request, const JobKey& key, const Now& now);
   void HandleCancel(const PendingRead& read, const Now& now);
+  // The other cell whose log has to be read before the request is answered, if there is one.
+  std::optional<int> AwaitedCell(const PendingRead& read) const;
+  void ReplyToFreshReads(const Now& now);
   void EnqueueWrite(PendingWrite write, const Now& now);
   bool AppendStalled(Time now) const;
   bool OwnerAvailable(Time now) const { return !owner_.empty() && now >= owner_backoff_until_; }
@@ -144,6 +155,7 @@
 
   JobRequestHandlerOptions options_;
   const JobLogView& log_view_;
+  const CellViews& cells_;
   BatchWriter writer_;
   std::vector<PendingWrite>
       queued_writes_;  // Neither submitted to the owner nor in an append in flight.
@@ -155,6 +167,7 @@
   Time owner_backoff_until_;
   Time next_append_at_;
   std::vector<PendingRead> pending_reads_;
+  Time log_view_fresh_at_;
   std::vector<JobKey> cancelled_jobs_;
   bool store_usable_ = true;
   std::vector<JobEffect> effects_;
--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -68,9 +68,10 @@
 
 }  // namespace
 
-void JobTracker::Add(const std::shared_ptr<const SubmittedJob>& job, const JobProgress& progress,
+bool JobTracker::Add(const std::shared_ptr<const SubmittedJob>& job, const JobProgress& progress,
                      bool may_run_unreported, Time now) {
-  if (IsFinal(progress.state) || jobs_.contains(job->key) || ended_jobs_.contains(job->key)) return;
+  if (IsFinal(progress.state) || jobs_.contains(job->key) || ended_jobs_.contains(job->key))
+    return false;
   TrackedJob tracked;
   tracked.job = job;
   tracked.tracked_since = now;
@@ -84,6 +85,7 @@
   for (int i = 0; i < n; ++i) tracked.occurrences.push_back(MakeOccurrence(job->spec, now));
   Restore(tracked, progress);
   jobs_.emplace(job->key, std::move(tracked));
+  return true;
 }
 
 void JobTracker::Restore(TrackedJob& job, const JobProgress& progress) {
@@ -115,6 +117,24 @@
   if (job != nullptr) EndJob(*job, JobState::kCancelled);
 }
 
+bool JobTracker::IsUntouched(const TrackedJob& job) {
+  if (job.state != JobState::kQueued) return false;
+  const auto untouched = [](const TaskStatus& it) {
+    return it.phase == TaskPhase::kWaiting && it.last_run == 0 && it.present_runs == 0;
+  };
+  return std::all_of(job.occurrences.begin(), job.occurrences.end(), [&](const auto& occurrence) {
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [&](const auto& step) {
+      return std::all_of(step.tasks.begin(), step.tasks.end(), untouched);
+    });
+  });
+}
+
+void JobTracker::HandOver(const JobKey& key, int cell) {
+  hand_overs_.push_back({key, cell});
+  ended_jobs_.insert(key);
+  jobs_.erase(key);
+}
+
 TrackedJob* JobTracker::Find(const JobKey& key) {
   const auto it = jobs_.find(key);
   return it == jobs_.end() ? nullptr : &it->second;
--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "cactusshelf/jobs/job_log_view.h"
@@ -92,13 +93,21 @@
   // earlier owner.
   explicit JobTracker(std::int64_t run_base) : run_base_(run_base) {}
 
-  // Adds a job, unless it is already tracked or has ended.
-  void Add(const std::shared_ptr<const SubmittedJob>& job, const JobProgress& progress,
+  // Adds a job, unless it is already tracked, has ended or was handed over. Returns true if it was
+  // added.
+  bool Add(const std::shared_ptr<const SubmittedJob>& job, const JobProgress& progress,
            bool may_run_unreported, Time now);
 
   // Ends a job as cancelled. Does nothing for a job that is not tracked.
   void Cancel(const JobKey& key);
 
+  // True if this owner has decided on no run of the job, and has heard of none.
+  static bool IsUntouched(const TrackedJob& job);
+
+  // Leaves a job to another cell and forgets it. Precondition: the job is tracked and untouched,
+  // and nothing of it runs on orders of an earlier owner.
+  void HandOver(const JobKey& key, int cell);
+
   // Null for a job that is not tracked.
   TrackedJob* Find(const JobKey& key);
   // Null if no tracked job has such a task.
@@ -130,9 +139,13 @@
 
   // Returns and clears the progress to be stored.
   std::vector<ProgressRecord> TakeChanges();
-  bool has_changes() const { return !changed_jobs_.empty() || !final_changes_.empty(); }
+  // Returns and clears the hand-overs to be stored.
+  std::vector<HandOverRecord> TakeHandOvers() { return std::exchange(hand_overs_, {}); }
+  bool has_changes() const {
+    return !changed_jobs_.empty() || !final_changes_.empty() || !hand_overs_.empty();
+  }
 
-  // Forgets an ended job, after its records were dropped from the log.
+  // Forgets an ended or handed over job, after its records were dropped from the log.
   void Forget(const JobKey& key) { ended_jobs_.erase(key); }
 
   // Clears TrackedJob::may_run_unreported for all jobs.
@@ -153,7 +166,8 @@
   std::unordered_map<JobKey, TrackedJob> jobs_;
   std::set<JobKey> changed_jobs_;
   std::vector<ProgressRecord> final_changes_;
-  // Ended jobs, since a submission may arrive again after its job has ended.
+  std::vector<HandOverRecord> hand_overs_;
+  // Ended and handed over jobs, since a submission may arrive again after that.
   std::unordered_set<JobKey> ended_jobs_;
 };
 
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -1,5 +1,6 @@
 #include "cactusshelf/jobs/peer_messages.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "cactusshelf/base/cbor.h"
@@ -15,12 +16,16 @@
 using nlohmann::json;
 
 constexpr int kMaxDepth = 10;
+// Bound on the numbers of workers and the amounts in a cell's room.
+constexpr std::int64_t kMaxAmount = 1'000'000'000;
 constexpr int kOrderBatch = 1;
 constexpr int kAnswerBatch = 2;
 constexpr int kSubmission = 3;
 constexpr int kSubmissionStored = 4;
 constexpr int kOwnershipNotice = 5;
 constexpr int kOwnershipAnswer = 6;
+constexpr int kCellRoom = 7;
+constexpr int kHandOverNotice = 8;
 
 // First element of an order or an answer.
 enum Kind : std::uint8_t { kHold, kStart, kStop, kPace };
@@ -268,6 +273,23 @@
   return submission;
 }
 
+// Sums of such amounts do not overflow.
+bool IsPossibleAmount(std::int64_t n) { return n >= 0 && n <= kMaxAmount; }
+
+CellRoom DecodeCellRoom(const json& value) {
+  CellRoom room{value.at(1), {}};
+  for (const json& row : value.at(2)) {
+    PoolRoom& pool = room.pools[row.at(0).get<std::string>()];
+    pool.waiting_parts = row.at(1);
+    pool.workers_by_free_parts = row.at(2);
+    const bool possible = IsPossibleAmount(pool.waiting_parts) &&
+                          std::all_of(pool.workers_by_free_parts.begin(),
+                                      pool.workers_by_free_parts.end(), IsPossibleAmount);
+    if (!possible) throw DecodeError("cell room with an impossible amount");
+  }
+  return room;
+}
+
 Duration DurationFromJson(const json& value) { return Duration(value.get<std::int64_t>()); }
 
 PeerMessageBody DecodeMessage(const json& value) {
@@ -282,6 +304,8 @@
                            DurationFromJson(value.at(5)),
                            DurationFromJson(value.at(6)),
                            DurationFromJson(value.at(7))};
+  if (type == kCellRoom) return DecodeCellRoom(value);
+  if (type == kHandOverNotice) return HandOverNotice{value.at(1)};
   if (type == kSubmission) return DecodeSubmission(value);
   if (type == kSubmissionStored) return SubmissionStored{value.at(1), value.at(2), value.at(3)};
   if (type == kOrderBatch) {
@@ -353,6 +377,17 @@
                               answer.since_earlier_vote.count(), answer.notice_sent_at.count()}));
 }
 
+std::string Encode(const CellRoom& room) {
+  json pools = json::array();
+  for (const auto& [name, pool] : room.pools)
+    pools.push_back(json::array({name, pool.waiting_parts, pool.workers_by_free_parts}));
+  return ToBytes(json::array({kCellRoom, room.cell, std::move(pools)}));
+}
+
+std::string Encode(const HandOverNotice& notice) {
+  return ToBytes(json::array({kHandOverNotice, notice.home_cell}));
+}
+
 PeerMessageBody DecodePeerMessage(std::string_view bytes) {
   try {
     return DecodeMessage(DecodeCbor(bytes, kMaxDepth));
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -78,7 +78,7 @@
   if (!HasOwnerOfEachGeneration()) followed_owners_ended_at_ = now.monotonic;
   if (quorum_.reached()) SetEndOfEarlierLeases();
   for (const auto& [key, entry] : log_view.entries()) {
-    if (entry.job == nullptr) continue;
+    if (entry.job == nullptr || entry.handed_over_to) continue;
     tracker_.Add(entry.job, entry.progress, taking_over_, now.monotonic);
     // The cancellation may be stored while its effect on the job's progress is not.
     if (entry.cancelled) tracker_.Cancel(key);
@@ -106,7 +106,7 @@
 }
 
 void Scheduler::OnJob(const std::shared_ptr<const SubmittedJob>& job, const Now& now) {
-  tracker_.Add(job, {}, false, now.monotonic);
+  if (tracker_.Add(job, {}, false, now.monotonic)) AddUnstartedJob(*job);
   placement_needed_ = true;
 }
 
@@ -256,6 +256,9 @@
     const InterferenceRecord learned = interference_.Export();
     if (!learned.effects.empty()) batch.records.push_back(Encode(learned));
   }
+  for (const HandOverRecord& record : tracker_.TakeHandOvers()) {
+    batch.records.push_back(Encode(record));
+  }
   if (leases_changed_) {
     batch.records.push_back(Encode(stored_leases_));
     leases_changed_ = false;
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -12,6 +12,7 @@
 #include "best_effort_throttle.h"
 #include "cactusshelf/base/counters.h"
 #include "cactusshelf/base/log_event.h"
+#include "cell_choice.h"
 #include "host_votes.h"
 #include "job_tracker.h"
 #include "placer.h"
@@ -55,6 +56,12 @@
 
   void OnJob(const std::shared_ptr<const SubmittedJob>& job, const Now& now);
   void OnJobDropped(const JobKey& key) { tracker_.Forget(key); }
+  // Sets the index of this cell, and where jobs of which nothing was started may be handed over;
+  // null for nowhere.
+  void SetCells(int own_cell, CellChoice* other_cells) {
+    own_cell_ = own_cell;
+    other_cells_ = other_cells;
+  }
   void OnCancel(const JobKey& key, const Now& now);
   void OnWorkerListed(WorkerEntry entry, const Now& now);
   void OnWorkerUnlisted(const std::string& id, const Now& now);
@@ -92,6 +99,12 @@
     return tracker_.has_changes() || roster_changed_ || leases_changed_ || voting_hosts_changed();
   }
   void OnStored(std::uint64_t batch, const Now& now);
+  // Returns the cells to which jobs were handed over since the last call. Their owners have to know
+  // of it once the changes are stored.
+  std::set<int> TakeHandOverTargets() { return std::exchange(hand_over_targets_, {}); }
+
+  // What the workers have free and the waiting tasks need, by pool.
+  CellRoom MeasureRoom(const Now& now);
 
   // True while the votes of hosts decide what this owner may do next.
   bool needs_host_votes() const { return needs_host_votes_; }
@@ -278,6 +291,18 @@
   void ReportWaitingTasks(const Now& now);
   LogEvent ExplainWait(const ReadyStep& ready, int index, const Now& now);
 
+  // Notes that another cell may run the job while nothing of it is started.
+  void AddUnstartedJob(const SubmittedJob& job);
+  // True if nothing of the job runs, or has run, on orders of this or an earlier owner. An earlier
+  // run that was lost with its worker, and whose lease has ended, does not count.
+  bool IsUnstarted(const JobKey& key);
+  // Hands jobs of which nothing was started over to cells that have more room for them.
+  void HandOverJobs(const Now& now);
+  // As MeasureRoom, without what the jobs need that may be handed over.
+  CellRoom MeasureRoomForUnstartedJobs(const Now& now);
+  // The step of the job that takes most of its pool.
+  RoomDemand DemandOf(const TrackedJob& job);
+
   // Starts of one placement pass, not counting the rest of a gang. What is left is placed in the
   // next pass; holds, reports and the owner's appends come between.
   static constexpr int kMaxStartsPerPass = 128;
@@ -352,6 +377,11 @@
   BestEffortThrottle throttle_;
   std::map<std::string, WorkerState> workers_;
   std::map<std::string, std::string> queue_services_;
+  int own_cell_ = 0;
+  CellChoice* other_cells_ = nullptr;
+  // Jobs that may be handed over and had no start by the last pass.
+  std::set<JobKey> unstarted_jobs_;
+  std::set<int> hand_over_targets_;
   std::unordered_map<std::uint64_t, PendingOrder> pending_;
   std::uint64_t next_call_ = 1;
   std::vector<WorkerOrder> orders_;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -77,6 +77,7 @@
   placement_needed_ = false;
   placement_deadline_ = now.monotonic + kMaxPlacementInterval;
   const std::vector<WorkerState*> workers = PlaceableWorkers();
+  HandOverJobs(now);
   if (workers.empty()) return;
   std::vector<ReadyStep> ready;
   tracker_.CollectReady(now, ready);
--- a/packages/jobs/src/scheduler_takeover.cc
+++ b/packages/jobs/src/scheduler_takeover.cc
@@ -73,6 +73,7 @@
   taking_over_ = false;
   released_tasks_.clear();
   tracker_.OnAllRunsReported();
+  for (const auto& [key, job] : tracker_.jobs()) AddUnstartedJob(*job.job);
   LogEvent event(LogLevel::kInfo, "takeover_complete");
   event.With("workers", workers_.size())
       .With("unreported", unreported_workers_.size())
--- /dev/null
+++ b/packages/jobs/tests/cell_choice_test.cc
@@ -0,0 +1,95 @@
+#include "cell_choice.h"
+
+#include <catch2/catch.hpp>
+
+#include "cactusshelf/base/errors.h"
+#include "cactusshelf/jobs/peer_messages.h"
+
+// Which cell runs a job, by the room that the owners report to each other.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Time kNow{std::chrono::seconds(100)};
+constexpr Resources kCapacity{16000, 1 << 30, 0};
+constexpr char kPool[] = "pool";
+
+// `free` of the workers are idle, all others are full.
+CellRoom Room(int cell, int workers, int free) {
+  CellRoom room;
+  room.cell = cell;
+  for (int i = 0; i < workers; ++i)
+    room.pools[kPool].AddWorker(i < free ? kCapacity : Resources{}, kCapacity);
+  return room;
+}
+
+// Tasks of which one fits on a worker.
+RoomDemand WholeWorkers(int tasks) { return {kPool, tasks, PoolRoom::kPartsPerWorker}; }
+
+}  // namespace
+
+TEST_CASE("a job goes to the cell with room if its own cell is full") {
+  CellChoice choice;
+  choice.OnReport(Room(1, 100, 10), kNow);
+  choice.OnReport(Room(2, 100, 20), kNow);
+  const auto chosen = choice.Choose(WholeWorkers(5), Room(0, 100, 3), kNow);
+  REQUIRE(chosen);
+  CHECK(chosen->cell == 2);
+  CHECK(chosen->reason == CellChoice::Reason::kNoRoom);
+  CHECK(chosen->own_room == 3);
+  CHECK(chosen->other_room == 20);
+}
+
+TEST_CASE("a job stays in a cell that is about as free as the others") {
+  CellChoice choice;
+  choice.OnReport(Room(1, 100, 24), kNow);
+  CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 100, 20), kNow));
+  const auto chosen = choice.Choose(WholeWorkers(5), Room(0, 100, 10), kNow);
+  REQUIRE(chosen);
+  CHECK(chosen->reason == CellChoice::Reason::kUneven);
+}
+
+TEST_CASE("a job stays if all cells are full, or if a report is old") {
+  CellChoice choice;
+  choice.OnReport(Room(1, 100, 4), kNow);
+  CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow));
+  choice.OnReport(Room(1, 100, 50), kNow);
+  CHECK(choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow));
+  CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow + milliseconds(600)));
+}
+
+TEST_CASE("jobs that were handed over count against the room until a report shows them") {
+  // Guards against a burst of jobs that all go to the cell that had room before the first of them.
+  CellChoice choice;
+  choice.OnReport(Room(1, 100, 30), kNow);
+  int handed_over = 0;
+  while (choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow) && handed_over < 100) {
+    choice.OnHandedOver(1, WholeWorkers(5), kNow);
+    ++handed_over;
+  }
+  CHECK(handed_over == 5);
+  CHECK(choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow + milliseconds(400)));
+}
+
+TEST_CASE("the room of a worker is that of the resource of which least is free") {
+  PoolRoom room;
+  room.AddWorker({8000, kCapacity.memory_bytes, 0}, kCapacity);
+  room.AddWorker({16000, kCapacity.memory_bytes / 4, 0}, kCapacity);
+  CHECK(room.workers() == 2);
+  CHECK(room.RoomFor(PartsOf({4000, 0, 0}, kCapacity)) == 3);
+  CHECK(room.RoomFor(PartsOf({8000, 0, 0}, kCapacity)) == 1);
+  CHECK(PartsOf({16001, 0, 0}, kCapacity) > PoolRoom::kPartsPerWorker);
+  room.waiting_parts = PoolRoom::kPartsPerWorker / 2;
+  CHECK(room.RoomFor(PartsOf({8000, 0, 0}, kCapacity)) == 0);
+}
+
+TEST_CASE("the room of a cell is decoded as it was encoded") {
+  CellRoom room = Room(3, 7, 2);
+  room.pools[kPool].waiting_parts = 12;
+  CHECK(std::get<CellRoom>(DecodePeerMessage(Encode(room))) == room);
+  room.pools[kPool].waiting_parts = -1;
+  CHECK_THROWS_AS(DecodePeerMessage(Encode(room)), DecodeError);
+}
+
+}  // namespace cactusshelf::jobs
--- a/packages/jobs/tests/job_cell_test.cc
+++ b/packages/jobs/tests/job_cell_test.cc
@@ -86,7 +86,9 @@
   std::map<std::string, HostRecord> hosts;
   NodeState state;
   JobNodeOptions options = Options();
-  JobCell cell{0, options, 1};
+  CellViews cells;
+  CellChoice cell_choice;
+  JobCell cell{0, options, 1, cells, cell_choice};
   Time now{seconds(100)};
   bool appends_held = false;
   bool reads_cut_short = false;  // The store returns a part of the new records each time.
--- a/packages/jobs/tests/job_simulation.cc
+++ b/packages/jobs/tests/job_simulation.cc
@@ -1040,7 +1040,14 @@
 // An end is processed once it is stored, unless the lease of its worker had expired before; then a
 // start that was sent just before the end was stored may still arrive.
 bool JobSimulation::IsCompletionProcessed(const StartOrder& order) {
-  const int cell = CellIndexOf(order.task.job.str(), CellCount());
+  const int cells = std::max(CellCount(), 1);
+  for (int cell = 0; cell < cells; ++cell) {
+    if (IsCompletionProcessed(order, cell)) return true;
+  }
+  return false;
+}
+
+bool JobSimulation::IsCompletionProcessed(const StartOrder& order, int cell) {
   for (const KeyedRecord& record : store_.log(cell)) {
     if (record.key != "p/" + order.task.job.str()) continue;
     const auto progress = std::get<ProgressRecord>(DecodeJobLogRecord(record)).progress;
@@ -1108,21 +1115,26 @@
                       it->entry().id);
     }
   }
-  // The stored progress shows which ends were processed.
+  // The stored progress shows which ends were processed. The log of the cell of the job's name says
+  // which cell runs it, and that cell's log has the progress.
   JobLogView log_view;
-  const int cells = nodes_.empty() ? 1 : CellCount();
-  const int cell = CellIndexOf(order.task.job.str(), cells);
+  const int cells = nodes_.empty() ? 1 : std::max(CellCount(), 1);
   Time last_stored_at;  // When the newest record of the job was stored.
-  for (std::size_t offset : record_offsets_[{cell, order.task.job.str()}]) {
-    const KeyedRecord& record = store_.log(cell)[offset];
-    log_view.Apply(DecodeJobLogRecord(record), record.offset);
-    last_stored_at = stored_at_[{cell, record.offset}];
+  for (int cell = 0; cell < cells; ++cell) {
+    for (std::size_t offset : record_offsets_[{cell, order.task.job.str()}]) {
+      const KeyedRecord& record = store_.log(cell)[offset];
+      log_view.Apply(DecodeJobLogRecord(record), record.offset);
+      last_stored_at = std::max(last_stored_at, stored_at_[{cell, record.offset}]);
+    }
   }
   const JobLogView::Entry* entry = log_view.Find(order.task.job);
   if (entry == nullptr) {
     RecordViolation(name + ": started, but its submission is not stored");
     return;
   }
+  const int home_cell = CellIndexOf(order.task.job.str(), cells);
+  if (CellIndexOf(worker.entry().id, cells) != entry->handed_over_to.value_or(home_cell))
+    RecordViolation(name + ": started in a cell that does not run the job");
   // A start that was sent before the job ended may arrive late. An end that was noted after the
   // lease of its worker had expired binds only owners that can reach the store.
   const bool over = IsFinal(entry->progress.state);
--- a/packages/jobs/tests/job_simulation.h
+++ b/packages/jobs/tests/job_simulation.h
@@ -236,6 +236,8 @@
   void NoteStoredRecord(int cell, const KeyedRecord& record);
   void RecordViolation(const std::string& text);
   bool IsCompletionProcessed(const StartOrder& order);
+  // As above, by the log of one cell.
+  bool IsCompletionProcessed(const StartOrder& order, int cell);
   // True if a run of the task ended as done, and the lease of its worker expired after that.
   bool HasExpiredLeaseSinceDone(const TaskRef& task) const;
   // True if the records of the job were dropped, however long ago.
--- a/packages/jobs/tests/malformed_input_test.cc
+++ b/packages/jobs/tests/malformed_input_test.cc
@@ -99,6 +99,7 @@
           Encode(RosterRecord{{"w0", "w1"}}),
           Encode(RosterTasksRecord{{{"w0", {{JobKey(kJob), {0, 0, 1}}}}}}),
           Encode(CellCountRecord{2}),
+          Encode(HandOverRecord{JobKey(kJob), 1}),
           Encode(LeaseRecord{std::chrono::seconds(4), {{"w0", 7}}}),
           Encode(VotingHostsRecord{3, {{"h0", "h0/1"}}})};
 }
--- a/packages/jobs/tests/submission_test.cc
+++ b/packages/jobs/tests/submission_test.cc
@@ -15,7 +15,7 @@
 // A request handler to which one caller has submitted a job.
 struct Fixture {
   explicit Fixture(const std::string& owner = "owner/1", bool store_usable = true)
-      : request_handler({}, "host/1", 1, log_view) {
+      : request_handler({}, "host/1", 1, log_view, cells) {
     request_handler.SetOwner(owner);
     job_event::CallerRequest request;
     request.caller = CallerId{1};
@@ -51,6 +51,7 @@
   }
 
   JobLogView log_view;
+  CellViews cells;
   JobRequestHandler request_handler;
   Time now = kStart;
   std::vector<job_effect::Reply> replies;
