--- a/packages/jobs/include/cactusshelf/jobs/cell_room.h
+++ b/packages/jobs/include/cactusshelf/jobs/cell_room.h
@@ -26,6 +26,8 @@
   // Number of tasks that need `parts` each for which there is room beside the waiting tasks.
   // Precondition: parts > 0.
   std::int64_t RoomFor(int parts) const;
+  // Free parts of all workers less those that waiting tasks need; may be negative.
+  std::int64_t FreeParts() const;
   // As a fraction of the tasks of this size that fit on the workers when they are idle; 0 if none.
   double FreeShareFor(int parts) const;
 
@@ -39,6 +41,9 @@
 struct CellRoom {
   int cell = 0;
   std::map<std::string, PoolRoom> pools;
+
+  // True if the free parts of a pool differ by a significant part of its workers.
+  bool DiffersMuchFrom(const CellRoom& other) const;
   friend bool operator==(const CellRoom&, const CellRoom&) = default;
 };
 
--- a/packages/jobs/src/cell_choice.cc
+++ b/packages/jobs/src/cell_choice.cc
@@ -9,7 +9,7 @@
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(500);
 // Until a job that was handed over is in the reports of the other cell: one append, a read, another
 // append and the time between two reports.
-constexpr Duration kHandOverTime = std::chrono::milliseconds(300);
+constexpr Duration kHandOverTime = std::chrono::milliseconds(200);
 // A cell that has room keeps its jobs unless another one is freer by this part of the workers: each
 // job that is handed over costs two records, and some time before its first start.
 constexpr double kMinShareDifference = 0.05;
@@ -33,18 +33,28 @@
   reports_[cell] = {std::move(room), now};
 }
 
-void CellChoice::OnHandedOver(int cell, const RoomDemand& demand, Time now) {
+void CellChoice::OnHandedOver(int from, int to, const RoomDemand& demand, Time now) {
   while (!handed_over_.empty() && now - handed_over_.front().at > kHandOverTime)
     handed_over_.pop_front();
-  handed_over_.push_back({cell, demand.pool, demand.total_parts(), now});
+  handed_over_.push_back({from, to, demand.pool, demand.total_parts(), now});
+}
+
+const PoolRoom* CellChoice::ReportedRoom(int cell, const std::string& pool, Time now) const {
+  const auto report = reports_.find(cell);
+  if (report == reports_.end() || now - report->second.received_at > kMaxReportAge) return nullptr;
+  const auto it = report->second.room.pools.find(pool);
+  return it == report->second.room.pools.end() ? nullptr : &it->second;
 }
 
 PoolRoom CellChoice::ExpectedRoom(int cell, const std::string& pool, const PoolRoom& reported,
                                   Time now) const {
   PoolRoom room = reported;
+  const Time reported_at = reports_.at(cell).received_at;
   for (const HandedOver& it : handed_over_) {
-    if (it.cell == cell && it.pool == pool && now - it.at <= kHandOverTime)
-      room.waiting_parts += it.parts;
+    if (it.pool != pool || now - it.at > kHandOverTime) continue;
+    if (it.to == cell) room.waiting_parts += it.parts;
+    // The next report of the own process no longer shows it.
+    if (it.from == cell && it.at >= reported_at) room.waiting_parts -= it.parts;
   }
   return room;
 }
@@ -57,10 +67,9 @@
   Choice best;
   double best_share = 0;
   for (const auto& [cell, report] : reports_) {
-    const auto pool = report.room.pools.find(demand.pool);
-    if (cell == own.cell || pool == report.room.pools.end()) continue;
-    if (now - report.received_at > kMaxReportAge) continue;
-    const PoolRoom room = ExpectedRoom(cell, demand.pool, pool->second, now);
+    const PoolRoom* reported = ReportedRoom(cell, demand.pool, now);
+    if (cell == own.cell || reported == nullptr) continue;
+    const PoolRoom room = ExpectedRoom(cell, demand.pool, *reported, now);
     const double share = room.FreeShareFor(demand.parts);
     const std::int64_t fitting = room.RoomFor(demand.parts);
     if (fitting < std::int64_t{demand.tasks} * kMinRoomFactor || share <= best_share) continue;
@@ -73,7 +82,10 @@
     best.reason = Reason::kNoRoom;
     return best;
   }
-  const double difference = best_share - own_room.FreeShareFor(demand.parts);
+  const PoolRoom* own_report = ReportedRoom(own.cell, demand.pool, now);
+  if (own_report == nullptr) return std::nullopt;
+  const PoolRoom own_then = ExpectedRoom(own.cell, demand.pool, *own_report, now);
+  const double difference = best_share - own_then.FreeShareFor(demand.parts);
   return difference > kMinShareDifference ? std::optional(best) : std::nullopt;
 }
 
--- a/packages/jobs/src/cell_choice.h
+++ b/packages/jobs/src/cell_choice.h
@@ -36,12 +36,15 @@
 
   void OnReport(CellRoom room, Time now);
 
-  // Returns the cell that should run the job instead of the cell whose room is `own`, or nothing if
-  // that should keep it: it has room and is about as free as the others, or no other has room.
+  // Returns the cell that should run the job instead of the cell whose room is `own` now, or
+  // nothing if that should keep it: it has room and is about as free as the others, or no other has
+  // room. How free the cells are is compared by their reports, the own one's included: what has
+  // come since then has come to all of them.
   std::optional<Choice> Choose(const RoomDemand& demand, const CellRoom& own, Time now) const;
 
-  // Records that the job will need room there, which the next reports do not show yet.
-  void OnHandedOver(int cell, const RoomDemand& demand, Time now);
+  // Records that the job needs room in the cell `to` in place of the cell `from`, which the next
+  // reports do not show yet.
+  void OnHandedOver(int from, int to, const RoomDemand& demand, Time now);
 
  private:
   struct Report {
@@ -49,13 +52,16 @@
     Time received_at;
   };
   struct HandedOver {
-    int cell = 0;
+    int from = 0;
+    int to = 0;
     std::string pool;
     std::int64_t parts = 0;
     Time at;
   };
 
-  // The last report of a pool, less what was handed over there recently.
+  // Null without a recent report of the pool.
+  const PoolRoom* ReportedRoom(int cell, const std::string& pool, Time now) const;
+  // The last report of a pool, with what was handed over recently from or to the cell.
   PoolRoom ExpectedRoom(int cell, const std::string& pool, const PoolRoom& reported,
                         Time now) const;
 
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -206,7 +206,9 @@
   std::uint64_t hand_over_changes_applied_ = 0;  // As counted by CountHandOverChanges.
   std::set<int> targets_of_batch_;               // Of the jobs that the batch in flight hands over.
   std::set<int> cells_to_notify_;
-  Time next_room_report_;
+  Time next_room_check_;
+  Time room_reported_at_;
+  CellRoom reported_room_;
   int cell_count_to_store_ = 0;
   Time last_owner_append_at_;
   // When the last append began that holds a record of this owner, which others take as a heartbeat.
--- a/packages/jobs/src/job_cell_hand_over.cc
+++ b/packages/jobs/src/job_cell_hand_over.cc
@@ -6,18 +6,25 @@
 namespace cactusshelf::jobs {
 namespace {
 
-// Time between two reports of the cell's room to the owners of other cells.
+// Time between two reports of the cell's room to the owners of other cells, and the least time if
+// it has changed much.
 constexpr Duration kRoomReportPeriod = std::chrono::milliseconds(100);
+constexpr Duration kMinRoomReportPeriod = std::chrono::milliseconds(20);
 // Greatest time between two comparisons with the jobs of other cells.
 constexpr Duration kHandOverCheckPeriod = std::chrono::milliseconds(1000);
 
 }  // namespace
 
 std::optional<CellRoom> JobCell::TakeRoomReport(const Now& now) {
-  const bool due = scheduler_ != nullptr && multiple_cells_ && now.monotonic >= next_room_report_;
+  const bool due = scheduler_ != nullptr && multiple_cells_ && now.monotonic >= next_room_check_;
   if (!due || releasing_) return std::nullopt;
-  next_room_report_ = now.monotonic + kRoomReportPeriod;
-  return scheduler_->MeasureRoom(now);
+  next_room_check_ = now.monotonic + kMinRoomReportPeriod;
+  CellRoom room = scheduler_->MeasureRoom(now);
+  const bool is_old = now.monotonic >= room_reported_at_ + kRoomReportPeriod;
+  if (!is_old && !room.DiffersMuchFrom(reported_room_)) return std::nullopt;
+  room_reported_at_ = now.monotonic;
+  reported_room_ = room;
+  return room;
 }
 
 void JobCell::OnCancelStored(const JobKey& key, const Now& now) {
--- a/packages/jobs/src/scheduler_hand_over.cc
+++ b/packages/jobs/src/scheduler_hand_over.cc
@@ -101,7 +101,7 @@
       return false;
     }
     tracker_.HandOver(key, choice->cell);
-    other_cells_->OnHandedOver(choice->cell, demand, now.monotonic);
+    other_cells_->OnHandedOver(own_cell_, choice->cell, demand, now.monotonic);
     hand_over_targets_.insert(choice->cell);
     const std::string reason(ToString(choice->reason));
     counters_.Add("cactusshelf_jobs_handed_over_total", reason);
--- a/packages/jobs/tests/cell_choice_test.cc
+++ b/packages/jobs/tests/cell_choice_test.cc
@@ -44,7 +44,9 @@
 TEST_CASE("a job stays in a cell that is about as free as the others") {
   CellChoice choice;
   choice.OnReport(Room(1, 100, 24), kNow);
+  choice.OnReport(Room(0, 100, 20), kNow);
   CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 100, 20), kNow));
+  choice.OnReport(Room(0, 100, 10), kNow);
   const auto chosen = choice.Choose(WholeWorkers(5), Room(0, 100, 10), kNow);
   REQUIRE(chosen);
   CHECK(chosen->reason == CellChoice::Reason::kUneven);
@@ -65,13 +67,31 @@
   choice.OnReport(Room(1, 100, 30), kNow);
   int handed_over = 0;
   while (choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow) && handed_over < 100) {
-    choice.OnHandedOver(1, WholeWorkers(5), kNow);
+    choice.OnHandedOver(0, 1, WholeWorkers(5), kNow);
     ++handed_over;
   }
   CHECK(handed_over == 5);
   CHECK(choice.Choose(WholeWorkers(5), Room(0, 100, 0), kNow + milliseconds(400)));
 }
 
+TEST_CASE("cells that get jobs at the same time keep them until a report shows a difference") {
+  // Guards against a burst of which each owner hands over what it has got, because it knows what
+  // has come to its own cell and not what has come to the others.
+  CellChoice choice;
+  for (int cell = 0; cell < 3; ++cell) choice.OnReport(Room(cell, 100, 100), kNow);
+  CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 100, 70), kNow));
+  choice.OnReport(Room(0, 100, 70), kNow);
+  choice.OnReport(Room(1, 100, 84), kNow);
+  choice.OnReport(Room(2, 100, 70), kNow);
+  int handed_over = 0;
+  while (choice.Choose(WholeWorkers(1), Room(0, 100, 70), kNow) && handed_over < 100) {
+    choice.OnHandedOver(0, 1, WholeWorkers(1), kNow);
+    ++handed_over;
+  }
+  // Until the difference is less than 5% of the workers.
+  CHECK(handed_over == 5);
+}
+
 TEST_CASE("the room of a worker is that of the resource of which least is free") {
   PoolRoom room;
   room.AddWorker({8000, kCapacity.memory_bytes, 0}, kCapacity);
