--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -162,7 +162,10 @@
     if (scheduler_ && !submitted_key.empty()) {
       const JobLogView::Entry* entry = log_view_.Find(submitted_key);
       const bool runs_here = entry != nullptr && !entry->handed_over_to;
-      if (runs_here && !IsFinal(JobLogView::StateOf(*entry))) scheduler_->OnJob(entry->job, now);
+      if (runs_here && !IsFinal(JobLogView::StateOf(*entry))) {
+        scheduler_->OnJob(entry->job, now);
+        if (IsCancelledAtHome(*entry)) scheduler_->OnCancel(submitted_key, now);
+      }
     }
     if (scheduler_ && !cancelled_key.empty()) OnCancelStored(cancelled_key, now);
     if (!submitted_key.empty() || !cancelled_key.empty() || of_host) return RecordWriter::kHost;
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -120,6 +120,8 @@
   // Changes with each record that may concern jobs for this cell.
   std::uint64_t CountHandOverChanges() const;
   void TakeOverJob(int home_cell, const JobKey& key, const Now& now);
+  // True if the entry is a copy of a job whose cancellation has been read in the log of its cell.
+  bool IsCancelledAtHome(const JobLogView::Entry& entry) const;
   // Notes the ends of jobs that this cell has handed over, so that their records are dropped.
   void NoteFinishedElsewhere(const Now& now);
   // True if all that earlier owners of this cell knew of the other cell's log has been read.
--- a/packages/jobs/src/job_cell_hand_over.cc
+++ b/packages/jobs/src/job_cell_hand_over.cc
@@ -50,10 +50,18 @@
   for (int cell = 0; const JobLogView* view = cells_.ViewOf(cell); ++cell) {
     if (cell == index_ || !KnowsLogOf(cell)) continue;
     for (const JobKey& key : view->JobsHandedOverTo(index_)) TakeOverJob(cell, key, now);
+    scheduler_->OnHomeLogRead(cell);
   }
   NoteFinishedElsewhere(now);
 }
 
+bool JobCell::IsCancelledAtHome(const JobLogView::Entry& entry) const {
+  if (!entry.job->home_cell) return false;
+  const JobLogView* view = cells_.ViewOf(*entry.job->home_cell);
+  const JobLogView::Entry* home = view == nullptr ? nullptr : view->Find(entry.job->key);
+  return home != nullptr && home->cancelled;
+}
+
 void JobCell::TakeOverJob(int home_cell, const JobKey& key, const Now& now) {
   const JobLogView::Entry* home = cells_.ViewOf(home_cell)->Find(key);
   if (home == nullptr) return;
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -103,6 +103,13 @@
   // of it once the changes are stored.
   std::set<int> TakeHandOverTargets() { return std::exchange(hand_over_targets_, {}); }
 
+  // The log of another cell has been read since this process became the owner, and the
+  // cancellations of the jobs that it has handed over have been applied. Until then none of these
+  // is started.
+  void OnHomeLogRead(int cell) {
+    placement_needed_ = read_home_logs_.insert(cell).second || placement_needed_;
+  }
+
   // What the workers have free and the waiting tasks need, by pool.
   CellRoom MeasureRoom(const Now& now);
 
@@ -332,6 +339,10 @@
                      const std::vector<WaitingRestart>& expected, const Now& now);
   // True if the task has no run and may start: no earlier run of it may be at work anywhere.
   bool WaitsForWorker(TrackedJob& job, const TaskId& id) const;
+  // True if the job was handed over to this cell, and may have been cancelled since.
+  bool AwaitsHomeLog(const SubmittedJob& job) const {
+    return job.home_cell && !read_home_logs_.contains(*job.home_cell);
+  }
   void PlaceStep(const ReadyStep& ready, const Now& now);
   void PlaceGang(const ReadyStep& ready, const std::vector<WorkerState*>& workers, const Now& now);
   PlacementRequest MakePlacementRequest(TrackedJob& job, const TaskId& task, Time now);
@@ -382,6 +393,7 @@
   // Jobs that may be handed over and had no start by the last pass.
   std::set<JobKey> unstarted_jobs_;
   std::set<int> hand_over_targets_;
+  std::set<int> read_home_logs_;  // Other cells of which OnHomeLogRead was called.
   std::unordered_map<std::uint64_t, PendingOrder> pending_;
   std::uint64_t next_call_ = 1;
   std::vector<WorkerOrder> orders_;
--- a/packages/jobs/src/scheduler_placement.cc
+++ b/packages/jobs/src/scheduler_placement.cc
@@ -131,6 +131,7 @@
 
 bool Scheduler::WaitsForWorker(TrackedJob& job, const TaskId& id) const {
   const TaskStatus& task = job.StepOf(id).tasks[static_cast<std::size_t>(id.index)];
+  if (AwaitsHomeLog(*job.job)) return false;
   // The task cannot start while an earlier run of it is still being stopped.
   if (task.phase != TaskPhase::kWaiting || task.present_runs > 0) return false;
   if (awaited_task_set_.empty() && limited_tasks_.empty()) return true;
--- a/packages/jobs/src/scheduler_waiting.cc
+++ b/packages/jobs/src/scheduler_waiting.cc
@@ -113,6 +113,8 @@
           .With("lease_ms", ToMilliseconds(worker.lease_expiry() - now.monotonic));
       break;
     }
+  } else if (AwaitsHomeLog(*job.job)) {
+    with_reason("home_log_not_read").With("home_cell", *job.job->home_cell);
   } else if (ownership_unconfirmed_) {
     with_reason("ownership_unconfirmed");
   } else if (limited_tasks_.contains(ref)) {
