--- a/packages/jobs/src/cell_choice.cc
+++ b/packages/jobs/src/cell_choice.cc
@@ -65,6 +65,7 @@
   const auto own_pool = own.pools.find(demand.pool);
   const PoolRoom own_room = own_pool == own.pools.end() ? PoolRoom{} : own_pool->second;
   Choice best;
+  bool found = false;
   double best_share = 0;
   for (const auto& [cell, report] : reports_) {
     const PoolRoom* reported = ReportedRoom(cell, demand.pool, now);
@@ -72,12 +73,17 @@
     const PoolRoom room = ExpectedRoom(cell, demand.pool, *reported, now);
     const double share = room.FreeShareFor(demand.parts);
     const std::int64_t fitting = room.RoomFor(demand.parts);
-    if (fitting < std::int64_t{demand.tasks} * kMinRoomFactor || share <= best_share) continue;
+    // Where no worker of the pool is usable the job can't even wait for room.
+    const bool is_enough = own_room.workers() == 0
+                               ? room.workers() > 0
+                               : fitting >= std::int64_t{demand.tasks} * kMinRoomFactor;
+    if (!is_enough || (found && share <= best_share)) continue;
+    found = true;
     best = {cell, Reason::kUneven, own_room.RoomFor(demand.parts), fitting,
             now - report.received_at};
     best_share = share;
   }
-  if (best_share == 0) return std::nullopt;
+  if (!found) return std::nullopt;
   if (best.own_room < demand.tasks) {
     best.reason = Reason::kNoRoom;
     return best;
--- a/packages/jobs/src/cell_views.cc
+++ b/packages/jobs/src/cell_views.cc
@@ -17,6 +17,11 @@
   return found == nullptr ? Time{} : found->follower->fresh_at();
 }
 
+bool CellViews::IsUnreadableFor(int cell, Duration duration, Time now) const {
+  const Cell* found = Find(cell);
+  return found == nullptr || found->follower->UnansweredFor(now) >= duration;
+}
+
 const JobLogView::Entry* CellViews::RunningEntry(const JobKey& key,
                                                  const JobLogView::Entry& home) const {
   if (!home.handed_over_to) return &home;
--- a/packages/jobs/src/cell_views.h
+++ b/packages/jobs/src/cell_views.h
@@ -24,6 +24,10 @@
   // All records that were stored in the cell's log before this time have been read. Zero if none.
   Time FreshAt(int cell) const;
 
+  // True if reads of the cell's log have failed, or have not been answered, for at least
+  // `duration`.
+  bool IsUnreadableFor(int cell, Duration duration, Time now) const;
+
   // The entry of the cell that runs the job: `home`, or the copy in the log of the cell to which
   // the job was handed over. Null while that copy has not been read. `home` is the entry in the log
   // of the cell of the job's name.
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -112,6 +112,7 @@
   void ForgetDroppedJob(const JobKey& key);
   void AdvanceElection(const NodeState& state, const Now& now);
   void AdvanceOwnerWrites(const NodeState& state, const Now& now);
+  void LogRoom(const CellRoom& room, const Now& now);
   // A cancellation is stored. Precondition: this process is the owner.
   void OnCancelStored(const JobKey& key, const Now& now);
   // Stores copies of the jobs that other cells have handed over to this one, and applies their
@@ -209,6 +210,7 @@
   std::set<int> targets_of_batch_;               // Of the jobs that the batch in flight hands over.
   std::set<int> cells_to_notify_;
   Time next_room_check_;
+  Time next_room_log_;
   Time room_reported_at_;
   CellRoom reported_room_;
   int cell_count_to_store_ = 0;
--- a/packages/jobs/src/job_cell_hand_over.cc
+++ b/packages/jobs/src/job_cell_hand_over.cc
@@ -10,6 +10,7 @@
 // it has changed much.
 constexpr Duration kRoomReportPeriod = std::chrono::milliseconds(100);
 constexpr Duration kMinRoomReportPeriod = std::chrono::milliseconds(20);
+constexpr Duration kRoomLogPeriod = std::chrono::seconds(5);
 // Greatest time between two comparisons with the jobs of other cells.
 constexpr Duration kHandOverCheckPeriod = std::chrono::milliseconds(1000);
 
@@ -24,9 +25,23 @@
   if (!is_old && !room.DiffersMuchFrom(reported_room_)) return std::nullopt;
   room_reported_at_ = now.monotonic;
   reported_room_ = room;
+  LogRoom(room, now);
   return room;
 }
 
+void JobCell::LogRoom(const CellRoom& room, const Now& now) {
+  if (now.monotonic < next_room_log_) return;
+  next_room_log_ = now.monotonic + kRoomLogPeriod;
+  for (const auto& [name, pool] : room.pools) {
+    Log(LogEvent(LogLevel::kInfo, "cell_room")
+            .With("pool", name)
+            .With("workers", pool.workers())
+            .With("free_parts", pool.FreeParts())
+            .With("waiting_parts", pool.waiting_parts)
+            .With("parts_per_worker", PoolRoom::kPartsPerWorker));
+  }
+}
+
 void JobCell::OnCancelStored(const JobKey& key, const Now& now) {
   scheduler_->OnCancel(key, now);
   const JobLogView::Entry* entry = log_view_.Find(key);
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -434,7 +434,7 @@
   if (cells_.size() == 1) return;
   for (std::size_t i = 0; i < cells_.size(); ++i) {
     JobCell& cell = *cells_[i];
-    for (const int awaited : cell.request_handler().AwaitedCells())
+    for (const int awaited : cell.request_handler().AwaitedCells(now.monotonic))
       CellAt(awaited).RequestRefresh(now.monotonic);
     for (const int target : cell.TakeCellsToNotify()) NotifyOwner(target, static_cast<int>(i), now);
     if (const auto room = cell.TakeRoomReport(now)) ReportRoom(*room, now);
--- a/packages/jobs/src/job_request_handler.cc
+++ b/packages/jobs/src/job_request_handler.cc
@@ -212,7 +212,7 @@
 void JobRequestHandler::ReplyToFreshReads(const Now& now) {
   std::vector<PendingRead> ready;
   std::erase_if(pending_reads_, [&](const PendingRead& read) {
-    if (read.arrived > log_view_fresh_at_ || AwaitedCell(read)) return false;
+    if (read.arrived > log_view_fresh_at_ || AwaitedCell(read, now.monotonic)) return false;
     ready.push_back(read);
     return true;
   });
@@ -224,19 +224,20 @@
                      [this](const PendingRead& it) { return it.arrived > log_view_fresh_at_; });
 }
 
-std::optional<int> JobRequestHandler::AwaitedCell(const PendingRead& read) const {
+std::optional<int> JobRequestHandler::AwaitedCell(const PendingRead& read, Time now) const {
   const JobLogView::Entry* entry = log_view_.Find(read.key);
   if (entry == nullptr || !entry->handed_over_to) return std::nullopt;
   const int cell = *entry->handed_over_to;
-  const bool known =
-      cells_.FreshAt(cell) >= read.arrived || IsFinal(cells_.StateOf(read.key, *entry));
+  const bool known = cells_.FreshAt(cell) >= read.arrived ||
+                     IsFinal(cells_.StateOf(read.key, *entry)) ||
+                     cells_.IsUnreadableFor(cell, options_.other_log_timeout, now);
   return known ? std::nullopt : std::optional(cell);
 }
 
-std::set<int> JobRequestHandler::AwaitedCells() const {
+std::set<int> JobRequestHandler::AwaitedCells(Time now) const {
   std::set<int> cells;
   for (const PendingRead& read : pending_reads_) {
-    if (const auto cell = AwaitedCell(read)) cells.insert(*cell);
+    if (const auto cell = AwaitedCell(read, now)) cells.insert(*cell);
   }
   return cells;
 }
--- a/packages/jobs/src/job_request_handler.h
+++ b/packages/jobs/src/job_request_handler.h
@@ -31,6 +31,9 @@
   // After a submission was not confirmed, no further submissions are sent to the owner for this
   // time.
   Duration owner_backoff = std::chrono::seconds(3);
+  // The state of a job that another cell runs is answered from what is known once that cell's log
+  // has been unreadable for this time.
+  Duration other_log_timeout = std::chrono::milliseconds(1500);
   // Delay between an append that the store refused and the next one.
   Duration append_retry_delay = std::chrono::milliseconds(150);
   // Value of Retry-After in the reply to a refused request.
@@ -98,7 +101,7 @@
   // True if a caller is waiting for the next read of the job log.
   bool needs_fresh_log_view() const;
   // Other cells whose logs callers are waiting to be read.
-  std::set<int> AwaitedCells() const;
+  std::set<int> AwaitedCells(Time now) const;
   bool idle() const {
     return pending_reads_.empty() && queued_writes_.empty() && appending_writes_.empty() &&
            submitted_batches_.empty();
@@ -137,7 +140,7 @@
   void HandleRead(const job_event::CallerRequest& request, const JobKey& key, const Now& now);
   void HandleCancel(const PendingRead& read, const Now& now);
   // The other cell whose log has to be read before the request is answered, if there is one.
-  std::optional<int> AwaitedCell(const PendingRead& read) const;
+  std::optional<int> AwaitedCell(const PendingRead& read, Time now) const;
   void ReplyToFreshReads(const Now& now);
   void EnqueueWrite(PendingWrite write, const Now& now);
   bool AppendStalled(Time now) const;
--- a/packages/jobs/tests/cell_choice_test.cc
+++ b/packages/jobs/tests/cell_choice_test.cc
@@ -41,6 +41,14 @@
   CHECK(chosen->other_room == 20);
 }
 
+TEST_CASE("a job goes to a cell with workers of its pool if its own cell has none") {
+  // Guards against a small pool of which a cell has no worker: its jobs would wait for ever.
+  CellChoice choice;
+  choice.OnReport(Room(1, 3, 0), kNow);
+  CHECK(choice.Choose(WholeWorkers(5), CellRoom{}, kNow));
+  CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 1, 0), kNow));
+}
+
 TEST_CASE("a job stays in a cell that is about as free as the others") {
   CellChoice choice;
   choice.OnReport(Room(1, 100, 24), kNow);
--- a/packages/jobs/tests/submission_test.cc
+++ b/packages/jobs/tests/submission_test.cc
@@ -59,6 +59,62 @@
 
 }  // namespace
 
+TEST_CASE("a job that was handed over is shown as the log of the other cell says") {
+  // Guards against an answer that is older than the request, and against one that waits for a log
+  // that cannot be read.
+  JobLogView home;
+  JobLogView other;
+  StreamFollower home_log(Stream::kJobs);
+  StreamFollower other_log(Stream::kJobs);
+  CellViews cells;
+  cells.Add(home, home_log);
+  cells.Add(other, other_log);
+  JobRequestHandler handler({}, "host/1", 1, home, cells);
+  const JobKey key("00000000000000aa");
+  SubmittedJob job;
+  job.key = key;
+  home.Apply(job, 1);
+  home.Apply(HandOverRecord{key, 1}, 2);
+  other_log.NextRequest(kStart);
+  job_event::StreamRead read;
+  read.outcome = ReadOutcome::kDone;
+  read.newest = true;
+  other_log.OnRead(read, kStart);
+
+  std::vector<JobState> states;
+  const auto advance = [&](Duration after) {
+    handler.Advance(NowAt(kStart + after));
+    for (const JobEffect& effect : handler.TakeEffects()) {
+      if (const auto* reply = std::get_if<job_effect::Reply>(&effect))
+        states.push_back(reply->state);
+    }
+  };
+  const auto ask = [&](Duration after) {
+    job_event::CallerRequest request;
+    request.verb = Verb::kRead;
+    request.timeout = seconds(5);
+    handler.OnRequest(request, {}, key, true, NowAt(kStart + after));
+    handler.OnLogViewFresh(kStart + after, kStart + after);
+    advance(after);
+  };
+  ask(seconds(1));
+  CHECK(states.empty());
+  CHECK(handler.AwaitedCells(kStart + seconds(1)) == std::set<int>{1});
+  other_log.NextRequest(kStart + seconds(2));
+  other.Apply(job, 1);
+  other.Apply(ProgressRecord{key, {JobState::kRunning, {}}}, 2);
+  read.newest = false;
+  other_log.OnRead(read, kStart + seconds(2));
+  advance(seconds(2));
+  CHECK(states == std::vector{JobState::kRunning});
+  other_log.NextRequest(kStart + seconds(3));
+  ask(milliseconds(3200));
+  advance(seconds(4));
+  CHECK(states.size() == 1);
+  advance(milliseconds(4600));
+  CHECK(states.size() == 2);
+}
+
 TEST_CASE("a job is accepted once the owner has stored it, without an append of this host") {
   // Guards against: each entry host stored its own requests, which took more appends per second
   // than a slow store handles. In a benchmark, 667 tries were refused.
