--- a/packages/jobs/src/cell_choice.cc
+++ b/packages/jobs/src/cell_choice.cc
@@ -1,5 +1,6 @@
 #include "cell_choice.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactusshelf::jobs {
@@ -13,8 +14,9 @@
 // A cell that has room keeps its jobs unless another one is freer by this part of the workers: each
 // job that is handed over costs two records, and some time before its first start.
 constexpr double kMinShareDifference = 0.05;
-// Other owners may hand over jobs to the same cell at the same time.
-constexpr int kMinRoomFactor = 2;
+// If no cell has room for all tasks of a step, one with room for more of them by this part is still
+// better than the own one.
+constexpr int kMinMoreTasksDivisor = 2;
 
 }  // namespace
 
@@ -59,40 +61,48 @@
   return room;
 }
 
+std::vector<CellChoice::Candidate> CellChoice::FindCandidates(const RoomDemand& demand,
+                                                              int own_cell, Time now) const {
+  std::vector<Candidate> candidates;
+  for (const auto& [cell, report] : reports_) {
+    const PoolRoom* reported = ReportedRoom(cell, demand.pool, now);
+    if (cell == own_cell || reported == nullptr || reported->workers() == 0) continue;
+    const PoolRoom room = ExpectedRoom(cell, demand.pool, *reported, now);
+    candidates.push_back({cell, room.RoomFor(demand.parts), room.FreeShareFor(demand.parts),
+                          now - report.received_at});
+  }
+  return candidates;
+}
+
 std::optional<CellChoice::Choice> CellChoice::Choose(const RoomDemand& demand, const CellRoom& own,
                                                      Time now) const {
   if (demand.parts <= 0 || demand.parts > PoolRoom::kPartsPerWorker) return std::nullopt;
+  const std::vector<Candidate> candidates = FindCandidates(demand, own.cell, now);
+  if (candidates.empty()) return std::nullopt;
   const auto own_pool = own.pools.find(demand.pool);
   const PoolRoom own_room = own_pool == own.pools.end() ? PoolRoom{} : own_pool->second;
-  Choice best;
-  bool found = false;
-  double best_share = 0;
-  for (const auto& [cell, report] : reports_) {
-    const PoolRoom* reported = ReportedRoom(cell, demand.pool, now);
-    if (cell == own.cell || reported == nullptr) continue;
-    const PoolRoom room = ExpectedRoom(cell, demand.pool, *reported, now);
-    const double share = room.FreeShareFor(demand.parts);
-    const std::int64_t fitting = room.RoomFor(demand.parts);
+  const std::int64_t own_tasks = own_room.RoomFor(demand.parts);
+  if (own_tasks < demand.tasks) {
+    const Candidate& best =
+        *std::max_element(candidates.begin(), candidates.end(),
+                          [](const auto& a, const auto& b) { return a.tasks < b.tasks; });
     // Where no worker of the pool is usable the job can't even wait for room.
-    const bool is_enough = own_room.workers() == 0
-                               ? room.workers() > 0
-                               : fitting >= std::int64_t{demand.tasks} * kMinRoomFactor;
-    if (!is_enough || (found && share <= best_share)) continue;
-    found = true;
-    best = {cell, Reason::kUneven, own_room.RoomFor(demand.parts), fitting,
-            now - report.received_at};
-    best_share = share;
-  }
-  if (!found) return std::nullopt;
-  if (best.own_room < demand.tasks) {
-    best.reason = Reason::kNoRoom;
-    return best;
+    const bool is_better = best.tasks >= demand.tasks || own_room.workers() == 0 ||
+                           best.tasks - own_tasks > demand.tasks / kMinMoreTasksDivisor;
+    if (!is_better) return std::nullopt;
+    return Choice{best.cell, Reason::kNoRoom, own_tasks, best.tasks, best.report_age};
   }
   const PoolRoom* own_report = ReportedRoom(own.cell, demand.pool, now);
   if (own_report == nullptr) return std::nullopt;
-  const PoolRoom own_then = ExpectedRoom(own.cell, demand.pool, *own_report, now);
-  const double difference = best_share - own_then.FreeShareFor(demand.parts);
-  return difference > kMinShareDifference ? std::optional(best) : std::nullopt;
+  const Candidate& freest =
+      *std::max_element(candidates.begin(), candidates.end(),
+                        [](const auto& a, const auto& b) { return a.share < b.share; });
+  PoolRoom own_then = ExpectedRoom(own.cell, demand.pool, *own_report, now);
+  // The report may count the job itself.
+  own_then.waiting_parts -= demand.total_parts();
+  const double difference = freest.share - own_then.FreeShareFor(demand.parts);
+  if (difference <= kMinShareDifference || freest.tasks < demand.tasks) return std::nullopt;
+  return Choice{freest.cell, Reason::kUneven, own_tasks, freest.tasks, freest.report_age};
 }
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/src/cell_choice.h
+++ b/packages/jobs/src/cell_choice.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "cactusshelf/base/time.h"
 #include "cactusshelf/jobs/cell_room.h"
@@ -59,6 +61,15 @@
     Time at;
   };
 
+  // What another cell is expected to have for a job.
+  struct Candidate {
+    int cell = 0;
+    std::int64_t tasks = 0;  // That fit there.
+    double share = 0;        // PoolRoom::FreeShareFor.
+    Duration report_age{};
+  };
+
+  std::vector<Candidate> FindCandidates(const RoomDemand& demand, int own_cell, Time now) const;
   // Null without a recent report of the pool.
   const PoolRoom* ReportedRoom(int cell, const std::string& pool, Time now) const;
   // The last report of a pool, with what was handed over recently from or to the cell.
