--- a/packages/jobs/src/cell_choice.cc
+++ b/packages/jobs/src/cell_choice.cc
@@ -14,9 +14,9 @@
 // A cell that has room keeps its jobs unless another one is freer by this part of the workers: each
 // job that is handed over costs two records, and some time before its first start.
 constexpr double kMinShareDifference = 0.05;
-// If no cell has room for all tasks of a step, one with room for more of them by this part is still
-// better than the own one.
-constexpr int kMinMoreTasksDivisor = 2;
+// If no cell has room for all tasks of a step, one with room for more than this part of them, and
+// for so many more than the own one, is still better. A job stays where it was handed over.
+constexpr int kMostTasksDivisor = 2;
 
 }  // namespace
 
@@ -87,8 +87,9 @@
         *std::max_element(candidates.begin(), candidates.end(),
                           [](const auto& a, const auto& b) { return a.tasks < b.tasks; });
     // Where no worker of the pool is usable the job can't even wait for room.
+    const std::int64_t most = demand.tasks / kMostTasksDivisor;
     const bool is_better = best.tasks >= demand.tasks || own_room.workers() == 0 ||
-                           best.tasks - own_tasks > demand.tasks / kMinMoreTasksDivisor;
+                           (best.tasks > most && best.tasks - own_tasks > most);
     if (!is_better) return std::nullopt;
     return Choice{best.cell, Reason::kNoRoom, own_tasks, best.tasks, best.report_age};
   }
--- a/packages/jobs/src/job_cell_hand_over.cc
+++ b/packages/jobs/src/job_cell_hand_over.cc
@@ -60,13 +60,15 @@
   if (!multiple_cells_ || releasing_) return;
   const std::uint64_t changes = CountHandOverChanges();
   const bool changed = std::exchange(hand_over_changes_applied_, changes) != changes;
-  if (!changed && now.monotonic < next_hand_over_check_) return;
-  next_hand_over_check_ = now.monotonic + kHandOverCheckPeriod;
+  const bool due = now.monotonic >= next_hand_over_check_;
+  if (!changed && !due) return;
   for (int cell = 0; const JobLogView* view = cells_.ViewOf(cell); ++cell) {
     if (cell == index_ || !KnowsLogOf(cell)) continue;
     for (const JobKey& key : view->JobsHandedOverTo(index_)) TakeOverJob(cell, key, now);
     scheduler_->OnHomeLogRead(cell);
   }
+  if (!due) return;
+  next_hand_over_check_ = now.monotonic + kHandOverCheckPeriod;
   NoteFinishedElsewhere(now);
 }
 
--- a/packages/jobs/tests/cell_choice_test.cc
+++ b/packages/jobs/tests/cell_choice_test.cc
@@ -80,6 +80,15 @@
   CHECK_FALSE(choice.Choose(WholeWorkers(5), Room(0, 100, 2), kNow));
 }
 
+TEST_CASE("a job does not leave a full cell for another full one") {
+  // Guards against a job that is handed over to a full cell and can't leave it any more.
+  CellChoice choice;
+  choice.OnReport(Room(1, 100, 1), kNow);
+  CellRoom own = Room(0, 100, 0);
+  own.pools[kPool].waiting_parts = 50 * PoolRoom::kPartsPerWorker;
+  CHECK_FALSE(choice.Choose(WholeWorkers(5), own, kNow));
+}
+
 TEST_CASE("jobs that were handed over count against the room until a report shows them") {
   // Guards against a burst of jobs that all go to the cell that had room before the first of them.
   CellChoice choice;
