--- a/packages/jobs/tests/uneven_cells_test.cc
+++ b/packages/jobs/tests/uneven_cells_test.cc
@@ -73,6 +73,24 @@
   CheckNoViolations(*simulation);
 }
 
+TEST_CASE("the rest of a job that has started runs in another cell that has room",
+          "[!shouldfail]") {
+  // Guards against tasks that wait in a full cell because others of their job run there.
+  const auto simulation = StartTwoCells(1);
+  const int workers = simulation->WorkersOfCell(0);
+  const JobKey filling = simulation->SubmitInCell(
+      1, LongRunningJob(simulation->WorkersOfCell(1), kMoreThanHalfWorker));
+  simulation->SubmitInCell(0, LongRunningJob(workers - 1, kMoreThanHalfWorker));
+  simulation->RunFor(seconds(5));
+  simulation->SubmitInCell(0, LongRunningJob(3, kMoreThanHalfWorker));
+  simulation->RunFor(seconds(3));
+  REQUIRE(simulation->RunningTasksOfCell(0) == workers);
+  simulation->Cancel(filling);
+  // Callers are owed a start within 9 s.
+  simulation->RunFor(seconds(9));
+  CHECK(simulation->running_tasks() == workers + 2);
+}
+
 TEST_CASE("a job that was handed over is cancelled by any host") {
   // Guards against a cancellation that only reaches the cell of the job's name.
   const auto simulation = StartTwoCells(3);
