--- a/packages/jobs/include/cactusshelf/jobs/cell_room.h
+++ b/packages/jobs/include/cactusshelf/jobs/cell_room.h
@@ -12,7 +12,7 @@
 
 // What the workers of one pool in one cell have free. Amounts are parts of a worker, by the
 // resource of which a worker has the smallest or a task needs the largest part, so that workers of
-// different size count alike.
+// different size count alike. Not thread-safe.
 struct PoolRoom {
   static constexpr int kPartsPerWorker = 32;
 
--- a/packages/jobs/src/scheduler_hand_over.cc
+++ b/packages/jobs/src/scheduler_hand_over.cc
@@ -6,11 +6,14 @@
 namespace cactusshelf::jobs {
 namespace {
 
-Resources CapacityOfPool(const std::map<std::string, WorkerState>& workers,
-                         const std::string& pool) {
-  const auto it = std::find_if(workers.begin(), workers.end(),
-                               [&](const auto& it) { return it.second.entry().pool == pool; });
-  return it == workers.end() ? Resources{} : it->second.entry().capacity;
+// The parts of a worker of the pool that a task of the step needs; a whole one if the cell has no
+// such worker.
+int PartsOfStep(const StepSpec& step, const std::string& pool,
+                const std::map<std::string, WorkerState>& workers) {
+  const auto of_pool = std::find_if(workers.begin(), workers.end(),
+                                    [&](const auto& it) { return it.second.entry().pool == pool; });
+  if (of_pool == workers.end()) return PoolRoom::kPartsPerWorker;
+  return PartsOf(CapacityNeed(step), of_pool->second.entry().capacity);
 }
 
 int CountWaiting(const StepStatus& step) {
@@ -50,9 +53,8 @@
 RoomDemand Scheduler::DemandOf(const TrackedJob& job) {
   RoomDemand demand;
   demand.pool = ServiceOf(*job.job);
-  const Resources capacity = CapacityOfPool(workers_, demand.pool);
   for (const StepSpec& step : job.job->spec.steps) {
-    const RoomDemand of_step{demand.pool, step.count, PartsOf(CapacityNeed(step), capacity)};
+    const RoomDemand of_step{demand.pool, step.count, PartsOfStep(step, demand.pool, workers_)};
     if (of_step.total_parts() > demand.total_parts()) demand = of_step;
   }
   return demand;
@@ -73,8 +75,7 @@
     if (n == 0) continue;
     const std::string& pool = ServiceOf(*it.job->job);
     const StepSpec& step = it.job->SpecOf({it.occurrence, it.step, 0});
-    const int parts = PartsOf(CapacityNeed(step), CapacityOfPool(workers_, pool));
-    room.pools[pool].waiting_parts += std::int64_t{n} * parts;
+    room.pools[pool].waiting_parts += std::int64_t{n} * PartsOfStep(step, pool, workers_);
   }
   return room;
 }
--- a/packages/jobs/tests/uneven_cells_test.cc
+++ b/packages/jobs/tests/uneven_cells_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "job_cell.h"
 #include "job_simulation.h"
 
 // Jobs and workers whose names deal them unevenly to the cells.
@@ -56,6 +57,21 @@
   }
 }
 
+TEST_CASE("a job of a cell without workers runs in another cell") {
+  // Guards against jobs that wait for ever because the hashes dealt no worker of their pool to the
+  // cell of their name.
+  const auto simulation = StartTwoCells(2);
+  for (int i = 0; i < 20; ++i) {
+    const bool in_first_cell = CellIndexOf(simulation->worker(i).entry().id, kCells) == 0;
+    if (in_first_cell) simulation->LoseWorker(i, milliseconds(0));
+  }
+  simulation->RunFor(seconds(10));
+  const JobKey job = simulation->SubmitInCell(0, SimpleJob(2, kMoreThanHalfWorker));
+  simulation->RunFor(seconds(4));
+  CHECK(simulation->StateOf(job) == JobState::kCompleted);
+  CheckNoViolations(*simulation);
+}
+
 TEST_CASE("long-running jobs with names of one cell are spread over all cells") {
   // Guards against a cell that fills up with long-running tasks while another stays empty.
   const auto simulation = StartTwoCells(1);
