--- a/packages/jobs/tests/cell_choice_test.cc
+++ b/packages/jobs/tests/cell_choice_test.cc
@@ -85,7 +85,7 @@
   CellChoice choice;
   choice.OnReport(Room(1, 100, 1), kNow);
   CellRoom own = Room(0, 100, 0);
-  own.pools[kPool].waiting_parts = 50 * PoolRoom::kPartsPerWorker;
+  own.pools[kPool].waiting_parts = std::int64_t{50} * PoolRoom::kPartsPerWorker;
   CHECK_FALSE(choice.Choose(WholeWorkers(5), own, kNow));
 }
 
