--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/time.h>
 #include <sys/wait.h>
 
@@ -101,6 +102,8 @@
     const std::string log = folder_ + "/host-" + std::to_string(n) + ".log";
     const pid_t pid = fork();
     if (pid == 0) {
+      // The program ends with this one, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, STDOUT_FILENO);
       dup2(fd, STDERR_FILENO);
@@ -124,7 +127,6 @@
     Record("host " + std::to_string(n) + " killed");
   }
 
-  std::size_t host_count() const { return hosts_.size(); }
   pid_t Pid(int host) const { return hosts_.at(host); }
 
   // True if the process of a host has ended by itself.
