--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -82,6 +82,7 @@
   std::string body;
   std::string type = "application/json";
   bool silent = false;  // No answer, and nothing more on this connection.
+  bool reset = false;   // The connection is closed without an answer.
 };
 
 inline std::string Lower(std::string text) {
@@ -185,6 +186,7 @@
     std::string buffer, head, body;
     while (ReadMessage(fd, buffer, head, body)) {
       const Response response = handler_(Parse(head, std::move(body)));
+      if (response.reset) break;
       if (response.silent) {
         char chunk[4096];
         while (recv(fd, chunk, sizeof chunk, 0) > 0) {
@@ -491,10 +493,82 @@
 
 // --- Worker -------------------------------------------------------------------------------------
 
+// The gangs at work. The members of one run of a gang work only while all of them are present.
+class Gangs {
+ public:
+  static constexpr std::int64_t kCheckpointMs = 1000;
+
+  // Registers the gang `step` (ID.K.STEP) of `count` tasks.
+  void Add(const std::string& step, int count) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    counts_[step] = count;
+  }
+  bool Has(const std::string& task) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return counts_.contains(StepOf(task));
+  }
+  void Join(const std::string& task, std::int64_t run, const std::string& checkpoint) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Run& it = runs_[{StepOf(task), run}];
+    it.members[task] = checkpoint;
+    if (static_cast<int>(it.members.size()) < counts_[StepOf(task)]) return;
+    it.began_at = NowMs();
+    // The value of any member is valid for the gang.
+    it.resumed_ms = std::atoll(it.members.begin()->second.c_str()) * kCheckpointMs;
+    for (const auto& [name, value] : it.members)
+      if (value != it.members.begin()->second) it.mixed = true;
+    if (it.mixed) {
+      mixed = true;
+      std::string text = "UNASKED: the members of " + StepOf(task) + " run " + std::to_string(run) +
+                         " carry different checkpoints:";
+      for (const auto& [name, value] : it.members) text += " " + name + "=\"" + value + "\"";
+      Note(text);
+    }
+  }
+  // A member has ended, but not as done: the others are broken.
+  void Break(const std::string& task, std::int64_t run) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    runs_[{StepOf(task), run}].broken = true;
+  }
+  struct State {
+    bool broken = false;
+    bool at_work = false;
+    std::int64_t worked_ms = 0;
+    std::string checkpoint;
+  };
+  State Get(const std::string& task, std::int64_t run) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const Run& it = runs_[{StepOf(task), run}];
+    State state;
+    state.broken = it.broken;
+    state.at_work = it.began_at >= 0;
+    if (state.at_work) state.worked_ms = it.resumed_ms + NowMs() - it.began_at;
+    const std::int64_t n = state.worked_ms / kCheckpointMs;
+    if (n > 0) state.checkpoint = std::to_string(n);
+    return state;
+  }
+  std::atomic<bool> mixed{false};  // Members of one run were started with different checkpoints.
+
+ private:
+  struct Run {
+    std::map<std::string, std::string> members;  // Checkpoints by task.
+    std::int64_t began_at = -1;
+    std::int64_t resumed_ms = 0;
+    bool broken = false;
+    bool mixed = false;
+  };
+  static std::string StepOf(const std::string& task) { return task.substr(0, task.rfind('.')); }
+
+  std::mutex mutex_;
+  std::map<std::string, int> counts_;
+  std::map<std::pair<std::string, std::int64_t>, Run> runs_;
+};
+
 // A minion. The payload of a job is "MS", the time that each of its tasks works.
 class Worker {
  public:
   static constexpr std::int64_t kMaxHoldMs = 10000;
+  static constexpr std::int64_t kGangTimeoutMs = 3000;
 
   Worker(std::string id, Store& store, int cpu, const std::string& rack)
       : id_(std::move(id)),
@@ -524,6 +598,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     down_ = true;
     ++life_;
+    for (const auto& [task, run] : running_)
+      if (run.gang) gangs->Break(task, run.run);
     running_.clear();
     ends_.clear();
     highest_ended_.clear();
@@ -553,8 +629,13 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     return running_.size();
   }
+  std::size_t unacknowledged_ends() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return ends_.size();
+  }
   // Called for each start and each end: task, run, "start" or how it ended.
   std::function<void(const Worker&, const std::string&, std::int64_t, const std::string&)> on_event;
+  Gangs* gangs = nullptr;
   std::int64_t task_cpu = 0;  // Of each task, if all need the same; the limit is checked then.
   std::atomic<bool> over_limit{false};
   std::atomic<bool> fails{false};  // All runs end failed at once.
@@ -565,18 +646,22 @@
     std::int64_t begun = 0;
     std::int64_t work_ms = 0;
     std::int64_t stop_at = -1;
+    bool gang = false;
   };
   struct End {
     std::int64_t n;
     std::string task;
     std::int64_t run;
     std::string how;
+    std::string saved;
   };
 
   std::int64_t ClockMs() const { return NowMs() - began_ + 1000; }
 
   void Finish(const std::string& task, const Run& run, const std::string& how) {
-    ends_.push_back({++last_end_, task, run.run, how});
+    const std::string saved = run.gang ? gangs->Get(task, run.run).checkpoint : "";
+    if (run.gang && how != "done") gangs->Break(task, run.run);
+    ends_.push_back({++last_end_, task, run.run, how, saved});
     highest_ended_[task] = std::max(highest_ended_[task], run.run);
     if (on_event) on_event(*this, task, run.run, how);
     changed_.notify_all();
@@ -596,6 +681,15 @@
           how = "stopped";
         } else if (fails) {
           how = "failed";
+        } else if (run.gang) {
+          const Gangs::State state = gangs->Get(it->first, run.run);
+          if (state.broken) {
+            how = "broken";
+          } else if (!state.at_work && now - run.begun >= kGangTimeoutMs) {
+            how = "alone";
+          } else if (state.worked_ms >= run.work_ms) {
+            how = "done";
+          }
         } else if (run.work_ms >= 0 && now - run.begun >= run.work_ms) {
           how = "done";
         }
@@ -627,7 +721,7 @@
     const json body = json::parse(request.body, nullptr, false);
     if (body.is_discarded()) return {400, "{}"};
     std::unique_lock<std::mutex> lock(mutex_);
-    if (down_) return Silent();
+    if (down_) return Reset();
     const std::int64_t token = body.value("fencingToken", std::int64_t{0});
     if (token < token_) return Refuse("fence");
     token_ = token;
@@ -649,15 +743,15 @@
       if (wait > 0)
         changed_.wait_for(lock, milliseconds(wait),
                           [&, life = life_] { return !ends_.empty() || life != life_; });
-      if (down_) return Silent();
+      if (down_) return Reset();
       return Report();
     }
     return {404, "{}"};
   }
 
-  static Response Silent() {
+  static Response Reset() {
     Response response;
-    response.silent = true;
+    response.reset = true;
     return response;
   }
 
@@ -680,7 +774,9 @@
     started.run = run;
     started.begun = NowMs();
     started.work_ms = std::atoll(body.value("spec", std::string()).c_str());
+    started.gang = gangs != nullptr && gangs->Has(task);
     running_[task] = started;
+    if (started.gang) gangs->Join(task, run, body.value("checkpoint", std::string()));
     if (on_event) on_event(*this, task, run, "start");
     const auto used = static_cast<std::int64_t>(running_.size()) * task_cpu;
     if (task_cpu > 0 && used > cpu_) {
@@ -696,12 +792,18 @@
     for (const auto& [task, run] : running_) {
       const std::int64_t percent =
           run.work_ms <= 0 ? 100 : std::min<std::int64_t>(99, (NowMs() - run.begun) * 100 / run.work_ms);
+      if (run.gang) {
+        const Gangs::State state = gangs->Get(task, run.run);
+        running.push_back({task, run.run, state.checkpoint,
+                           std::min<std::int64_t>(99, state.worked_ms * 100 / run.work_ms), 100});
+        continue;
+      }
       running.push_back({task, run.run, "", percent, 100});
     }
     json ended = json::array();
     for (const End& it : ends_) {
       if (ended.size() >= 500) break;
-      ended.push_back({it.n, it.task, it.run, it.how, ""});
+      ended.push_back({it.n, it.task, it.run, it.how, it.saved});
     }
     return {200, json{{"clockMs", ClockMs()},
                       {"born", born_},
