--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -834,16 +834,21 @@
 
 // --- Hosts --------------------------------------------------------------------------------------
 
+// A free port below those that the system gives to outgoing connections.
 inline int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-  socklen_t size = sizeof address;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  static std::set<int> used;
+  static unsigned seed = static_cast<unsigned>(getpid()) * 2654435761U;
+  for (;;) {
+    const int port = 20000 + rand_r(&seed) % 12000;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool is_free = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (is_free && used.insert(port).second) return port;
+  }
 }
 
 // One entry host: a process of cactusshelfd with the settings of deploy/jobs.toml.template.
