--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -5,6 +5,7 @@
 #define REVIEW_STANDINS_3_FLEET_H_
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -21,7 +22,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <fcntl.h>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -193,9 +193,9 @@
         }
         break;
       }
-      std::string text = "HTTP/1.1 " + std::to_string(response.status) + " X\r\nContent-Type: " +
-                         response.type + "\r\nContent-Length: " +
-                         std::to_string(response.body.size()) + "\r\n\r\n";
+      std::string text = "HTTP/1.1 " + std::to_string(response.status) +
+                         " X\r\nContent-Type: " + response.type +
+                         "\r\nContent-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
       text += response.body;
       if (!WriteAll(fd, text)) break;
     }
@@ -258,14 +258,16 @@
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  to.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + address.find(':') + 1)));
+  to.sin_port =
+      htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + address.find(':') + 1)));
   timeval timeout{timeout_ms / 1000, (timeout_ms % 1000) * 1000};
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
   if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0) {
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
-                       "\r\nX-Deadline-Ms: " + std::to_string(timeout_ms) +
-                       "\r\nContent-Type: application/json\r\nContent-Length: " +
-                       std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string text =
+        method + " " + path + " HTTP/1.1\r\nHost: " + host +
+        "\r\nX-Deadline-Ms: " + std::to_string(timeout_ms) +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
     std::string buffer, head, received;
     if (WriteAll(fd, text) && ReadMessage(fd, buffer, head, received)) {
       answer.status = std::atoi(head.c_str() + head.find(' ') + 1);
@@ -305,8 +307,8 @@
 
 // What becomes of a write.
 struct Fate {
-  bool lost = false;          // It is not answered.
-  std::int64_t late_ms = 0;   // It is carried out so much later, if it is lost.
+  bool lost = false;         // It is not answered.
+  std::int64_t late_ms = 0;  // It is carried out so much later, if it is lost.
 };
 struct AppendCall {
   std::string topic;
@@ -586,10 +588,18 @@
   const std::string& id() const { return id_; }
   void Register(const std::string& state) {
     store_.Put("keyed.servers", id_,
-               json{{"id", id_},       {"service", "avisos"},  {"address", server_.address()},
-                    {"zone", "norte"}, {"version", "1"},       {"slots", 8},
-                    {"state", state},  {"coldLeftMs", 0},      {"seq", 1},
-                    {"born", born_},   {"labels", {kind_, rack_}}, {"machine", "m-" + id_},
+               json{{"id", id_},
+                    {"service", "avisos"},
+                    {"address", server_.address()},
+                    {"zone", "norte"},
+                    {"version", "1"},
+                    {"slots", 8},
+                    {"state", state},
+                    {"coldLeftMs", 0},
+                    {"seq", 1},
+                    {"born", born_},
+                    {"labels", {kind_, rack_}},
+                    {"machine", "m-" + id_},
                     {"capacity", {{"cpu", cpu_}, {"memMb", 64000}, {"gpu", 0}}}}
                    .dump());
   }
@@ -791,7 +801,8 @@
     json running = json::array();
     for (const auto& [task, run] : running_) {
       const std::int64_t percent =
-          run.work_ms <= 0 ? 100 : std::min<std::int64_t>(99, (NowMs() - run.begun) * 100 / run.work_ms);
+          run.work_ms <= 0 ? 100
+                           : std::min<std::int64_t>(99, (NowMs() - run.begun) * 100 / run.work_ms);
       if (run.gang) {
         const Gangs::State state = gangs->Get(task, run.run);
         running.push_back({task, run.run, state.checkpoint,
@@ -805,11 +816,9 @@
       if (ended.size() >= 500) break;
       ended.push_back({it.n, it.task, it.run, it.how, it.saved});
     }
-    return {200, json{{"clockMs", ClockMs()},
-                      {"born", born_},
-                      {"running", running},
-                      {"finished", ended}}
-                     .dump()};
+    return {200,
+            json{{"clockMs", ClockMs()}, {"born", born_}, {"running", running}, {"finished", ended}}
+                .dump()};
   }
 
   std::string id_;
@@ -862,9 +871,10 @@
     const std::string peers = "127.0.0.1:" + std::to_string(FreePort());
     std::ofstream file(folder_ + "/" + name_ + ".toml");
     file << "service = \"jobs\"\nhost_name = \"" << name_ << "\"\ndomain = \"norte\"\n"
-         << "processors = 0.25\n\n[listen]\ncallers = \"" << front_ << "\"\nreadiness = \"" << ready_
-         << "\"\nmetrics = \"" << metrics << "\"\npeers = \"" << peers
-         << "\"\n\n[store]\naddress = \"" << store << "\"\n\n[workers]\nlongest_lease = \"10000ms\"\n";
+         << "processors = 0.25\n\n[listen]\ncallers = \"" << front_ << "\"\nreadiness = \""
+         << ready_ << "\"\nmetrics = \"" << metrics << "\"\npeers = \"" << peers
+         << "\"\n\n[store]\naddress = \"" << store
+         << "\"\n\n[workers]\nlongest_lease = \"10000ms\"\n";
   }
   const std::string& name() const { return name_; }
   const std::string& front() const { return front_; }
@@ -914,9 +924,9 @@
 constexpr char kPrefix[] = "/q/";
 
 inline void PutConfiguration(Store& store, int attempts) {
-  const json route = {{"name", "street"},     {"host", kHostHeader},   {"pathPrefix", kPrefix},
-                      {"service", "avisos"},  {"type", "non_idempotent"}, {"timeoutMs", 3000},
-                      {"priority", 0},        {"attempts", attempts},  {"stretch", 1.5},
+  const json route = {{"name", "street"},      {"host", kHostHeader},      {"pathPrefix", kPrefix},
+                      {"service", "avisos"},   {"type", "non_idempotent"}, {"timeoutMs", 3000},
+                      {"priority", 0},         {"attempts", attempts},     {"stretch", 1.5},
                       {"targetLatencyMs", 300}};
   store.Put("keyed.op", "config",
             json{{"version", 1},
--- a/review/standins-3/stale_confirmation.cc
+++ b/review/standins-3/stale_confirmation.cc
@@ -64,8 +64,8 @@
   PutConfiguration(store, 4);
   std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 1; i <= 4; ++i) {
-    workers.push_back(
-        std::make_unique<Worker>("i-" + std::to_string(i), store, 16000, "r1-" + std::to_string(i)));
+    workers.push_back(std::make_unique<Worker>("i-" + std::to_string(i), store, 16000,
+                                               "r1-" + std::to_string(i)));
     workers.back()->on_event = [](const Worker& worker, const std::string& task, std::int64_t run,
                                   const std::string& what) {
       Note("worker " + worker.id() + ": " + task + " run " + std::to_string(run) + " " + what);
@@ -138,8 +138,8 @@
   traffic.Run(1300);
   SleepMs(1000);
   armed = false;
-  Note("writes in " + std::to_string(NowMs() - window_began) + " ms: " +
-       std::to_string(store.writes - writes_before) + ", not answered " +
+  Note("writes in " + std::to_string(NowMs() - window_began) +
+       " ms: " + std::to_string(store.writes - writes_before) + ", not answered " +
        std::to_string(store.lost_writes));
   traffic.Join();
 
--- a/review/standins-3/wide_gang.cc
+++ b/review/standins-3/wide_gang.cc
@@ -55,7 +55,8 @@
   const std::string job = "00000000000000e1";
   const int count = trouble ? kManyTasks : kFewTasks;
   gangs.Add(job + ".0.0", count);
-  const json step = {{"count", count}, {"cpu", 50}, {"memMb", 64}, {"estimateMs", 500}, {"gang", true}};
+  const json step = {
+      {"count", count}, {"cpu", 50}, {"memMb", 64}, {"estimateMs", 500}, {"gang", true}};
   if (Ask(*hosts[0], "POST", job, json{{"spec", "500"}, {"steps", json::array({step})}}.dump())
           .status != 200)
     end(2);
