--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -348,6 +348,7 @@
   std::atomic<int> writes{0};
   std::atomic<int> lost_writes{0};
   std::atomic<int> refused_records{0};
+  std::atomic<std::size_t> largest_record{0};
 
  private:
   struct Producer {
@@ -382,6 +383,7 @@
     if (request.body.size() > kCallBytes) return {413, R"({"reason":"size"})"};
     for (std::size_t at = 0; at + 4 <= request.body.size();) {
       const std::size_t size = BigEndian(request.body, at, 4);
+      if (size > largest_record) largest_record = size;
       if (size > kRecordBytes) {
         ++refused_records;
         return {413, R"({"reason":"size"})"};
@@ -649,6 +651,8 @@
   std::int64_t task_cpu = 0;  // Of each task, if all need the same; the limit is checked then.
   std::atomic<bool> over_limit{false};
   std::atomic<bool> fails{false};  // All runs end failed at once.
+  // Decides whether a run that has worked to its end fails.
+  std::function<bool(const std::string& task)> fails_at_end;
 
  private:
   struct Run {
@@ -701,7 +705,7 @@
             how = "done";
           }
         } else if (run.work_ms >= 0 && now - run.begun >= run.work_ms) {
-          how = "done";
+          how = fails_at_end && fails_at_end(it->first) ? "failed" : "done";
         }
         if (how.empty()) {
           ++it;
@@ -904,6 +908,14 @@
     Note("kill " + name_);
     pid_ = -1;
   }
+  // A planned stop.
+  void Stop() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGTERM);
+    waitpid(pid_, nullptr, 0);
+    Note("stop " + name_);
+    pid_ = -1;
+  }
   // True if the process has ended by itself.
   bool HasEnded() {
     if (pid_ <= 0) return false;
