jobs: log who asked for a confirmation, and under which epoch it was given

The logs could not tell a confirmation for another process from one of the owner for what it has not stored, nor either from an append of the host.

A submission names the process that sends it, the confirmation repeats the name and has the owner's epoch, and the host logs both as submission_confirmed. Nothing acts on them yet. Hosts of earlier versions leave the fields out, and ignore them.

--- a/packages/jobs/include/cactusshelf/jobs/peer_messages.h
+++ b/packages/jobs/include/cactusshelf/jobs/peer_messages.h
@@ -48,8 +48,9 @@
 struct Submission {
   std::string reply_address;  // Empty if the sender is the owner's own process.
   int cell = 0;
-  std::uint64_t id = 0;  // Chosen by the sender.
+  std::uint64_t id = 0;  // Chosen by the sender; each process begins with 1.
   std::vector<KeyedRecord> records;
+  std::string member;  // The process that sends it; empty if it is of an earlier version.
 };
 
 // Sent by the owner after the records of a submission have been stored.
@@ -57,6 +58,8 @@
   int cell = 0;
   std::uint64_t id = 0;
   std::int64_t offset = 0;  // Offset of the first record.
+  std::string asker;        // Submission::member.
+  std::int64_t epoch = 0;   // Of the owner.
 };
 
 // Sent by an owner of a cell to all other hosts. Tells them its epoch and asks for the highest one
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -534,6 +534,7 @@
                                                                     : "");
   for (Submission& submission : request_handler_.TakeSubmissions()) {
     submission.cell = index_;
+    submission.member = options_.member;
     if (scheduler_) {
       OnSubmission(std::move(submission));
     } else if (known) {
@@ -570,7 +571,8 @@
 void JobCell::ConfirmSubmissions(std::int64_t offset, const Now& now) {
   std::int64_t next = offset + static_cast<std::int64_t>(records_before_submissions_);
   for (Submission& submission : std::exchange(submissions_in_flight_, {})) {
-    const SubmissionStored stored{index_, submission.id, next};
+    const SubmissionStored stored{index_, submission.id, next, submission.member,
+                                  ownership_.epoch};
     for (KeyedRecord& record : submission.records) {
       record.offset = next++;
       ApplyRecord(record, now);
--- a/packages/jobs/src/job_request_handler.cc
+++ b/packages/jobs/src/job_request_handler.cc
@@ -190,7 +190,15 @@
 
 void JobRequestHandler::OnSubmissionStored(const SubmissionStored& stored, const Now& now) {
   const auto it = submitted_batches_.find(stored.id);
-  if (it == submitted_batches_.end()) return;
+  const bool known = it != submitted_batches_.end();
+  effects_.emplace_back(
+      job_effect::WriteLogEvent{LogEvent(LogLevel::kInfo, "submission_confirmed")
+                                    .With("submission", stored.id)
+                                    .With("asked_by", stored.asker)
+                                    .With("epoch", stored.epoch)
+                                    .With("offset", stored.offset)
+                                    .With("requests", known ? it->second.writes.size() : 0)});
+  if (!known) return;
   for (const PendingWrite& write : it->second.writes)
     ReplyStored(write, stored.offset, now.monotonic);
   submitted_batches_.erase(it);
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -264,15 +264,31 @@
           std::chrono::milliseconds(value.at(1).get<std::int64_t>())};
 }
 
+// Numbers of fields of messages from hosts of earlier versions, which do not name the process that
+// has sent a submission.
+constexpr std::size_t kSubmissionFieldsWithoutMember = 5;
+constexpr std::size_t kSubmissionStoredFieldsWithoutAsker = 4;
+
 Submission DecodeSubmission(const json& value) {
-  Submission submission{value.at(1), value.at(2), value.at(3), {}};
+  Submission submission{value.at(1), value.at(2), value.at(3), {}, {}};
   for (const json& row : value.at(4)) {
     const auto& bytes = row.at(1).get_binary();
     submission.records.push_back({row.at(0), std::string(bytes.begin(), bytes.end()), 0});
   }
+  if (value.size() > kSubmissionFieldsWithoutMember)
+    submission.member = value.at(kSubmissionFieldsWithoutMember);
   return submission;
 }
 
+SubmissionStored DecodeSubmissionStored(const json& value) {
+  SubmissionStored stored{value.at(1), value.at(2), value.at(3), {}, 0};
+  if (value.size() > kSubmissionStoredFieldsWithoutAsker) {
+    stored.asker = value.at(kSubmissionStoredFieldsWithoutAsker);
+    stored.epoch = value.at(kSubmissionStoredFieldsWithoutAsker + 1);
+  }
+  return stored;
+}
+
 // Sums of such amounts do not overflow.
 bool IsPossibleAmount(std::int64_t n) { return n >= 0 && n <= kMaxAmount; }
 
@@ -307,7 +323,7 @@
   if (type == kCellRoom) return DecodeCellRoom(value);
   if (type == kHandOverNotice) return HandOverNotice{value.at(1)};
   if (type == kSubmission) return DecodeSubmission(value);
-  if (type == kSubmissionStored) return SubmissionStored{value.at(1), value.at(2), value.at(3)};
+  if (type == kSubmissionStored) return DecodeSubmissionStored(value);
   if (type == kOrderBatch) {
     OrderBatch batch;
     batch.owner_address = value.at(1);
@@ -358,12 +374,13 @@
     const std::vector<std::uint8_t> bytes(record.value.begin(), record.value.end());
     records.push_back(json::array({record.key, json::binary(bytes)}));
   }
-  return ToBytes(json::array(
-      {kSubmission, submission.reply_address, submission.cell, submission.id, std::move(records)}));
+  return ToBytes(json::array({kSubmission, submission.reply_address, submission.cell, submission.id,
+                              std::move(records), submission.member}));
 }
 
 std::string Encode(const SubmissionStored& stored) {
-  return ToBytes(json::array({kSubmissionStored, stored.cell, stored.id, stored.offset}));
+  return ToBytes(json::array({kSubmissionStored, stored.cell, stored.id, stored.offset,
+                              stored.asker, stored.epoch}));
 }
 
 std::string Encode(const OwnershipNotice& notice) {
--- a/packages/jobs/tests/job_cell_test.cc
+++ b/packages/jobs/tests/job_cell_test.cc
@@ -162,7 +162,7 @@
   for (int i = 0; i < 300; ++i) {
     SubmittedJob job{JobKey("00000000000000aa"), fixture.state.queues.routes().front().policy,
                      SimpleJob(1, 1000), WallTime{}};
-    fixture.cell.OnSubmission({"x:1", 0, static_cast<std::uint64_t>(i) + 1, {Encode(job)}});
+    fixture.cell.OnSubmission({"x:1", 0, static_cast<std::uint64_t>(i) + 1, {Encode(job)}, "x/1"});
     const std::size_t stored = fixture.store.log(0).size();
     fixture.Step();
     const auto& log = fixture.store.log(0);
--- a/packages/jobs/tests/malformed_input_test.cc
+++ b/packages/jobs/tests/malformed_input_test.cc
@@ -72,11 +72,11 @@
   hold.worker = SampleStart().worker;
   hold.lease_end = WorkerClock(4000);
   orders.orders.emplace_back(hold);
-  const Submission submission{"10.0.0.2:70", 0, 1, {{std::string("c/") + kJob, "\x80"}}};
+  const Submission submission{"10.0.0.2:70", 0, 1, {{std::string("c/") + kJob, "\x80"}}, "h1/2"};
   return {Encode(orders),
           Encode(SampleAnswers()),
           Encode(submission),
-          Encode(SubmissionStored{0, 1, 17}),
+          Encode(SubmissionStored{0, 1, 17, "h1/2", 3}),
           Encode(OwnershipNotice{"10.0.0.2:70", 0, 3, std::chrono::seconds(9)}),
           Encode(OwnershipAnswer{"h1", "h1/2", 0, 3, std::chrono::seconds(5),
                                  std::chrono::seconds(2), std::chrono::seconds(9)})};
--- a/packages/jobs/tests/submission_test.cc
+++ b/packages/jobs/tests/submission_test.cc
@@ -124,7 +124,8 @@
   CHECK(submissions[0].records.size() == 1);
   CHECK(fixture.Pass(milliseconds(500)).empty());
   CHECK(fixture.replies.empty());
-  fixture.request_handler.OnSubmissionStored({0, submissions[0].id, 9}, NowAt(fixture.now));
+  fixture.request_handler.OnSubmissionStored({0, submissions[0].id, 9, "host/1", 1},
+                                             NowAt(fixture.now));
   CHECK(fixture.TakeAppends().empty());
   REQUIRE(fixture.replies.size() == 1);
   CHECK(fixture.replies[0].kind == ReplyKind::kAccepted);
@@ -202,19 +203,22 @@
 }
 
 TEST_CASE("submissions and confirmations lose no field when they are encoded and decoded") {
-  const Submission sent{"h:1", 2, 77, {{"j/a", std::string("\0\xff", 2), 0}}};
+  const Submission sent{"h:1", 2, 77, {{"j/a", std::string("\0\xff", 2), 0}}, "h/1"};
   const auto read = std::get<Submission>(DecodePeerMessage(Encode(sent)));
   CHECK(read.reply_address == "h:1");
   CHECK(read.cell == 2);
   CHECK(read.id == 77);
+  CHECK(read.member == "h/1");
   REQUIRE(read.records.size() == 1);
   CHECK(read.records[0].key == "j/a");
   CHECK(read.records[0].value == sent.records[0].value);
   const auto stored =
-      std::get<SubmissionStored>(DecodePeerMessage(Encode(SubmissionStored{1, 2, 3})));
+      std::get<SubmissionStored>(DecodePeerMessage(Encode(SubmissionStored{1, 2, 3, "h/1", 4})));
   CHECK(stored.cell == 1);
   CHECK(stored.id == 2);
   CHECK(stored.offset == 3);
+  CHECK(stored.asker == "h/1");
+  CHECK(stored.epoch == 4);
 }
 
 TEST_CASE("jobs are accepted and run while only the owner can reach the store") {
