jobs: call numbers of two cells of one process do not collide

With more cells than owners, tasks did not start for 12 s beside workers with room for them.

Cause: call numbers begin with the owner's epoch, which is an offset of the cell's own log. The first owners of two cells both have epoch 1. If one process owns both, RelayPool takes the answer to a call of one cell for that to the call of the other, and one is lost.

Change: call numbers have the cell above the epoch. The counter of one ownership can't run into the numbers of another cell any more either.

--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -254,7 +254,7 @@
   SendOwnershipNotices(state, now);
   if (scheduler_) {
     const bool may_hand_over = multiple_cells_ && state.hosts_hand_over_jobs;
-    scheduler_->SetCells(index_, may_hand_over ? &cell_choice_ : nullptr);
+    scheduler_->SetOtherCells(may_hand_over ? &cell_choice_ : nullptr);
     TakeOverJobs(now);
     if (!releasing_) scheduler_->Decide(now);
     for (WorkerOrder& order : scheduler_->TakeOrders()) Emit(job_effect::Order{std::move(order)});
@@ -406,7 +406,7 @@
   next_hand_over_check_ = {};
   BeginVoting(now);
   scheduler_ = std::make_unique<Scheduler>(
-      options_.scheduler, ownership_.epoch, ownership_.generation,
+      options_.scheduler, index_, ownership_.epoch, ownership_.generation,
       EarlierOwners{predecessor_ended_, last_other_owner_record_at_, host_votes_.get()}, log_view_,
       now);
   scheduler_->ConfirmOwnership(follower_.fresh_at());
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -18,7 +18,6 @@
 constexpr Duration kInitialWorkerListPeriod = milliseconds(150);
 // The number of cells is decided once the list of workers has not changed for this time.
 constexpr Duration kWorkerListSettleTime = milliseconds(600);
-constexpr int kMaxCells = 32;
 // A count of pending jobs is answered from a view of the log no older than this, or from any view
 // after the timeout.
 constexpr Duration kMaxPendingCountAge = milliseconds(1200);
@@ -36,7 +35,7 @@
   if (workers <= options.single_cell_max_workers) return 1;
   const std::size_t each = options.multi_cell_target_workers;
   const std::size_t cells = (workers + each - 1) / each;
-  return std::min(static_cast<int>(cells), kMaxCells);
+  return std::min(static_cast<int>(cells), Scheduler::kMaxCells);
 }
 
 }  // namespace
@@ -386,13 +385,13 @@
 }
 
 void JobNode::Impl::OnCellRoom(CellRoom room, const Now& now) {
-  if (room.cell < 0 || room.cell >= kMaxCells)
+  if (room.cell < 0 || room.cell >= Scheduler::kMaxCells)
     throw DecodeError("cell room: no cell " + std::to_string(room.cell));
   cell_choice_.OnReport(std::move(room), now.monotonic);
 }
 
 void JobNode::Impl::OnOwnershipNotice(const OwnershipNotice& notice, const Now& now) {
-  if (notice.cell < 0 || notice.cell >= kMaxCells)
+  if (notice.cell < 0 || notice.cell >= Scheduler::kMaxCells)
     throw DecodeError("ownership notice: no cell " + std::to_string(notice.cell));
   // No vote is given for a cell that this process does not follow yet.
   if (static_cast<std::size_t>(notice.cell) >= cells_.size()) return;
--- a/packages/jobs/src/peer_messages.cc
+++ b/packages/jobs/src/peer_messages.cc
@@ -345,7 +345,8 @@
   using Asker = std::optional<std::string>;
 
   Asker operator()(const SubmissionStored& stored) const { return stored.asker; }
-  // Numbers of calls begin with the owner's epoch, which one process has for one ownership.
+  // Numbers of calls begin with the cell and the owner's epoch, which one process has for one
+  // ownership.
   Asker operator()(const AnswerBatch& /*batch*/) const { return std::nullopt; }
   // Names the epoch that was asked about.
   Asker operator()(const OwnershipAnswer& /*answer*/) const { return std::nullopt; }
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -22,9 +22,17 @@
 constexpr Duration kFirstTakeoverReportDelay = std::chrono::milliseconds(500);
 // Time for other hosts to answer before the first of them are stored as voters.
 constexpr Duration kFirstVotingHostsDelay = std::chrono::seconds(1);
-// Number of bits of a call number below the owner's token, so that call numbers of different owners
-// in one process do not collide.
-constexpr int kCallNumberBits = 24;
+// A call number consists of a zero bit, the cell, the owner's token and a counter, from the highest
+// bit to the lowest. So it belongs to one ownership of one cell: a process may own two cells under
+// the same token, since each cell has a log of its own.
+constexpr int kCallTokenShift = 24;
+constexpr int kCallCellShift = 58;
+static_assert(Scheduler::kMaxCells <= 1 << (63 - kCallCellShift));
+
+std::uint64_t FirstCallNumber(int cell, std::int64_t token) {
+  return (static_cast<std::uint64_t>(cell) << kCallCellShift) |
+         (static_cast<std::uint64_t>(token) << kCallTokenShift);
+}
 
 // True if every owner since the one that stored the lease record has granted bound leases only.
 bool EarlierLeasesBound(const JobLogView& log_view, std::int64_t generation) {
@@ -48,15 +56,16 @@
 
 }  // namespace
 
-Scheduler::Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
-                     const EarlierOwners& earlier_owners, const JobLogView& log_view,
-                     const Now& now)
+Scheduler::Scheduler(const SchedulerOptions& options, int cell, std::int64_t token,
+                     std::int64_t generation, const EarlierOwners& earlier_owners,
+                     const JobLogView& log_view, const Now& now)
     : options_(options),
       log_view_(log_view),
       token_(token),
       placer_(options_, interference_),
       tracker_((generation - 1) * kRunsPerOwner),
-      next_call_(static_cast<std::uint64_t>(token) << kCallNumberBits),
+      cell_(cell),
+      next_call_(FirstCallNumber(cell, token)),
       taking_over_(generation > 1),
       gained_at_(now.monotonic),
       last_earlier_record_at_(std::min(earlier_owners.last_record_read_at, now.monotonic)),
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -49,19 +49,19 @@
 // The end of a run is acknowledged to the worker only after its effect is stored. Not thread-safe.
 class Scheduler {
  public:
-  // `log_view` is the state of the job log, read at least up to the record that made this process
-  // the owner. It and the votes of `earlier_owners` must outlive the scheduler.
-  Scheduler(const SchedulerOptions& options, std::int64_t token, std::int64_t generation,
+  // Upper bound on the number of cells.
+  static constexpr int kMaxCells = 32;
+
+  // `cell` is the index of the cell, at most kMaxCells - 1. `log_view` is the state of the job log,
+  // read at least up to the record that made this process the owner. It and the votes of
+  // `earlier_owners` must outlive the scheduler.
+  Scheduler(const SchedulerOptions& options, int cell, std::int64_t token, std::int64_t generation,
             const EarlierOwners& earlier_owners, const JobLogView& log_view, const Now& now);
 
   void OnJob(const std::shared_ptr<const SubmittedJob>& job, const Now& now);
   void OnJobDropped(const JobKey& key) { tracker_.Forget(key); }
-  // Sets the index of this cell, and where jobs of which nothing was started may be handed over;
-  // null for nowhere.
-  void SetCells(int own_cell, CellChoice* other_cells) {
-    own_cell_ = own_cell;
-    other_cells_ = other_cells;
-  }
+  // Sets where jobs of which nothing was started may be handed over; null for nowhere.
+  void SetOtherCells(CellChoice* other_cells) { other_cells_ = other_cells; }
   void OnCancel(const JobKey& key, const Now& now);
   void OnWorkerListed(WorkerEntry entry, const Now& now);
   void OnWorkerUnlisted(const std::string& id, const Now& now);
@@ -388,14 +388,14 @@
   BestEffortThrottle throttle_;
   std::map<std::string, WorkerState> workers_;
   std::map<std::string, std::string> queue_services_;
-  int own_cell_ = 0;
+  int cell_;
   CellChoice* other_cells_ = nullptr;
   // Jobs that may be handed over and had no start by the last pass.
   std::set<JobKey> unstarted_jobs_;
   std::set<int> hand_over_targets_;
   std::set<int> read_home_logs_;  // Other cells of which OnHomeLogRead was called.
   std::unordered_map<std::uint64_t, PendingOrder> pending_;
-  std::uint64_t next_call_ = 1;
+  std::uint64_t next_call_;
   std::vector<WorkerOrder> orders_;
   std::vector<LogEvent> log_;
   Counters counters_;
--- a/packages/jobs/src/scheduler_hand_over.cc
+++ b/packages/jobs/src/scheduler_hand_over.cc
@@ -62,7 +62,7 @@
 
 CellRoom Scheduler::MeasureRoomForUnstartedJobs(const Now& now) {
   CellRoom room;
-  room.cell = own_cell_;
+  room.cell = cell_;
   for (const auto& [id, worker] : workers_) {
     if (IsPlaceable(worker))
       room.pools[worker.entry().pool].AddWorker(worker.Free(), worker.entry().capacity);
@@ -102,7 +102,7 @@
       return false;
     }
     tracker_.HandOver(key, choice->cell);
-    other_cells_->OnHandedOver(own_cell_, choice->cell, demand, now.monotonic);
+    other_cells_->OnHandedOver(cell_, choice->cell, demand, now.monotonic);
     hand_over_targets_.insert(choice->cell);
     const std::string reason(ToString(choice->reason));
     counters_.Add("cactusshelf_jobs_handed_over_total", reason);
--- a/packages/jobs/tests/host_votes_fault_test.cc
+++ b/packages/jobs/tests/host_votes_fault_test.cc
@@ -140,7 +140,7 @@
   own.bound_since = own.limits_since = own.host_votes_since = 1;
   view.Apply(own, 6);
   HostVotes votes("a", "a/2", 7, gained, gained);
-  Scheduler scheduler({}, 7, 6, EarlierOwners{true, gained, &votes}, view, NowAt(gained));
+  Scheduler scheduler({}, 0, 7, 6, EarlierOwners{true, gained, &votes}, view, NowAt(gained));
   const Time later = gained + milliseconds(100);
   for (const std::string host : {"b", "c"})
     votes.OnAnswer({host, host + "/2", 0, 7, seconds(60), seconds(60), gained.time_since_epoch()},
--- a/packages/jobs/tests/scheduler_test.cc
+++ b/packages/jobs/tests/scheduler_test.cc
@@ -35,7 +35,7 @@
       : SchedulerFixture(generation, ViewOf(leases)) {}
   SchedulerFixture(std::int64_t generation, JobLogView view)
       : log_view(std::move(view)),
-        scheduler({}, kToken, generation, EarlierOwners{true}, log_view, Clock()) {}
+        scheduler({}, 0, kToken, generation, EarlierOwners{true}, log_view, Clock()) {}
 
   static JobLogView ViewOf(const LeaseRecord& leases) {
     JobLogView view;
