jobs: the progress of a job fits into a record, whatever its size

Cause: the record of progress had a row for each step of each occurrence with an end. Beyond 256 KiB the store refuses it, and the whole append with it. The owner repeats that append, so that it stores nothing else, and each owner after it meets the same record.

Evidence: with a store that takes 2,000 bytes, 600 occurrences of four steps stop all progress of this and another job (new test, failed with the earlier records).

Change: tasks are numbered over all occurrences; the record holds the number before which all are done and a bitmap after it, 25 KB at most for the largest job that is accepted. Failed runs of tasks that are not done are bounded too. Owners write this once all announced hosts read it. The fake store refuses large records as the real one does.

--- a/packages/jobs/include/cactusshelf/jobs/job.h
+++ b/packages/jobs/include/cactusshelf/jobs/job.h
@@ -96,7 +96,8 @@
   TaskId id;
   bool done = false;
   // Highest number of a run that ended. Not stored for a task that is done and has never failed,
-  // since no further run of it starts.
+  // and neither this nor failed_runs for one that is done if step_counts is set, since no further
+  // run of it starts.
   std::int64_t last_run = 0;
   std::vector<std::int64_t> failed_runs;  // Unordered; run ends may be reported repeatedly.
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
@@ -106,6 +107,9 @@
 struct JobProgress {
   JobState state = JobState::kQueued;
   std::vector<TaskProgress> tasks;  // Only tasks with at least one ended run.
+  // Number of tasks of each step. If set, the record has one bit for each task that is done, and
+  // none for those before the first that is not; hosts of earlier versions can't read that.
+  std::vector<int> step_counts = {};
   friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
 
--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -97,6 +97,9 @@
   bool binds_orders = true;
   // The host understands HandOverRecord. Hosts of earlier versions do not.
   bool hands_over_jobs = true;
+  // The host reads progress records with JobProgress::step_counts. Hosts of earlier versions take
+  // their tasks for not done.
+  bool reads_task_numbers = true;
   friend bool operator==(const HostRecord&, const HostRecord&) = default;
 };
 
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -255,6 +255,7 @@
   if (scheduler_) {
     const bool may_hand_over = multiple_cells_ && state.hosts_hand_over_jobs;
     scheduler_->SetOtherCells(may_hand_over ? &cell_choice_ : nullptr);
+    scheduler_->StoreTaskNumbers(state.hosts_read_task_numbers);
     TakeOverJobs(now);
     if (!releasing_) scheduler_->Decide(now);
     for (WorkerOrder& order : scheduler_->TakeOrders()) Emit(job_effect::Order{std::move(order)});
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -31,6 +31,8 @@
   const std::map<std::string, HostRecord>* hosts = nullptr;
   // All of them understand HandOverRecord.
   bool hosts_hand_over_jobs = false;
+  // All of them read JobProgress::step_counts.
+  bool hosts_read_task_numbers = false;
 };
 
 // One process's view of one cell. A cell is a partition of the jobs and workers with its own job
--- a/packages/jobs/src/job_node_impl.cc
+++ b/packages/jobs/src/job_node_impl.cc
@@ -413,7 +413,7 @@
   CreateCells();
   node_state_.cell_count = static_cast<int>(cells_.size());
   node_state_.hosts = &cells_.front()->log_view().hosts();
-  CheckHostsHandOverJobs();
+  CheckVersionsOfHosts();
   ChooseCellCount(now);
   node_state_.claimed_cells = static_cast<int>(std::count_if(
       cells_.begin(), cells_.end(), [](const auto& it) { return it->owned_or_claimed(); }));
@@ -436,12 +436,14 @@
   StopIfDrained(now);
 }
 
-void JobNode::Impl::CheckHostsHandOverJobs() {
+void JobNode::Impl::CheckVersionsOfHosts() {
   const std::uint64_t announcements = cells_.front()->log_view().host_announcement_count();
   if (std::exchange(announcements_checked_, announcements) == announcements) return;
   const auto& hosts = *node_state_.hosts;
   node_state_.hosts_hand_over_jobs = std::all_of(
       hosts.begin(), hosts.end(), [](const auto& it) { return it.second.hands_over_jobs; });
+  node_state_.hosts_read_task_numbers = std::all_of(
+      hosts.begin(), hosts.end(), [](const auto& it) { return it.second.reads_task_numbers; });
 }
 
 void JobNode::Impl::ConnectCells(const Now& now) {
--- a/packages/jobs/src/job_node_impl.h
+++ b/packages/jobs/src/job_node_impl.h
@@ -78,7 +78,7 @@
   void DetectPause(const Now& now);
   void Advance(const Now& now);
   void CreateCells();
-  void CheckHostsHandOverJobs();
+  void CheckVersionsOfHosts();
   void ChooseCellCount(const Now& now);
   void IssueReads(const Now& now);
   void AdvanceRelaying(const Now& now);
@@ -126,7 +126,7 @@
   Announcement announcement_ = Announcement::kWanted;
   Time next_announcement_at_;
   std::uint64_t announcements_applied_ = 0;  // Announcements that the pool has been given.
-  std::uint64_t announcements_checked_ = 0;  // As above, for NodeState::hosts_hand_over_jobs.
+  std::uint64_t announcements_checked_ = 0;  // As above, for CheckVersionsOfHosts.
   bool uses_relays_ = false;                 // This process owns or claims a cell.
 
   Time started_at_;
--- a/packages/jobs/src/job_record.cc
+++ b/packages/jobs/src/job_record.cc
@@ -1,6 +1,8 @@
 #include "cactusshelf/jobs/job_record.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -124,6 +126,8 @@
 constexpr std::size_t kBitsPerByte = 8;
 // Number of fields of a row that holds a bitmap. A row with one task has more.
 constexpr std::size_t kDoneTasksRowSize = 3;
+// Number of fields of a progress record without JobProgress::step_counts.
+constexpr std::size_t kProgressFieldsWithoutNumbers = 2;
 
 bool IsDoneWithoutFailure(const TaskProgress& task) {
   return task.done && task.failed_runs.empty();
@@ -144,6 +148,90 @@
   }
 }
 
+// Numbers the tasks of all occurrences of a job one after the other.
+class TaskNumbering {
+ public:
+  // Precondition: `counts` is not empty and has positive numbers only.
+  explicit TaskNumbering(const std::vector<int>& counts) {
+    for (const int count : counts) {
+      first_of_step_.push_back(tasks_per_occurrence_);
+      tasks_per_occurrence_ += static_cast<std::size_t>(count);
+    }
+  }
+
+  std::size_t NumberOf(const TaskId& id) const {
+    return static_cast<std::size_t>(id.occurrence) * tasks_per_occurrence_ +
+           first_of_step_[static_cast<std::size_t>(id.step)] + static_cast<std::size_t>(id.index);
+  }
+
+  TaskId IdOf(std::size_t number) const {
+    const std::size_t in_occurrence = number % tasks_per_occurrence_;
+    const auto after =
+        std::upper_bound(first_of_step_.begin(), first_of_step_.end(), in_occurrence);
+    const auto step = std::prev(after);
+    return {static_cast<int>(number / tasks_per_occurrence_),
+            static_cast<int>(step - first_of_step_.begin()),
+            static_cast<int>(in_occurrence - *step)};
+  }
+
+ private:
+  std::vector<std::size_t> first_of_step_;
+  std::size_t tasks_per_occurrence_ = 0;
+};
+
+// Done tasks as the number of those before the first that is not done, and a bitmap from there on.
+struct DoneNumbers {
+  std::size_t first_open = 0;
+  std::vector<std::uint8_t> bitmap;
+};
+
+// Precondition: `numbers` is in order.
+DoneNumbers PackNumbers(const std::vector<std::size_t>& numbers) {
+  DoneNumbers done;
+  for (const std::size_t n : numbers) {
+    if (n == done.first_open && done.bitmap.empty()) {
+      ++done.first_open;
+      continue;
+    }
+    const std::size_t bit = n - done.first_open;
+    done.bitmap.resize(bit / kBitsPerByte + 1);
+    done.bitmap[bit / kBitsPerByte] |= static_cast<std::uint8_t>(1U << (bit % kBitsPerByte));
+  }
+  return done;
+}
+
+// Bound on the numbers of tasks in a record, which may be damaged: a job has at most 200,000.
+constexpr std::size_t kMaxTaskNumber = 1'000'000;
+
+void DecodeDoneNumbers(const json& value, JobProgress& progress) {
+  progress.step_counts = value.at(0).get<std::vector<int>>();
+  const std::vector<int>& counts = progress.step_counts;
+  const auto first_open = value.at(1).get<std::size_t>();
+  const auto& bitmap = value.at(2).get_binary();
+  const bool possible =
+      !counts.empty() && std::all_of(counts.begin(), counts.end(), [](int n) { return n > 0; }) &&
+      first_open <= kMaxTaskNumber && bitmap.size() * kBitsPerByte <= kMaxTaskNumber;
+  if (!possible) throw DecodeError("progress record with impossible tasks");
+  const TaskNumbering numbering(counts);
+  for (std::size_t n = 0; n < first_open; ++n)
+    progress.tasks.push_back({numbering.IdOf(n), true, 0, {}});
+  for (std::size_t bit = 0; bit < bitmap.size() * kBitsPerByte; ++bit) {
+    if ((bitmap[bit / kBitsPerByte] >> (bit % kBitsPerByte) & 1U) != 0)
+      progress.tasks.push_back({numbering.IdOf(first_open + bit), true, 0, {}});
+  }
+}
+
+json EncodeDoneNumbers(const JobProgress& progress) {
+  const TaskNumbering numbering(progress.step_counts);
+  std::vector<std::size_t> numbers;
+  for (const TaskProgress& task : progress.tasks) {
+    if (task.done) numbers.push_back(numbering.NumberOf(task.id));
+  }
+  std::sort(numbers.begin(), numbers.end());
+  DoneNumbers done = PackNumbers(numbers);
+  return json::array({progress.step_counts, done.first_open, json::binary(std::move(done.bitmap))});
+}
+
 TaskProgress DecodeTask(const json& row) {
   TaskProgress task;
   task.id = {row.at(0), row.at(1), row.at(2)};
@@ -164,6 +252,8 @@
       record.progress.tasks.push_back(DecodeTask(row));
     }
   }
+  if (value.size() > kProgressFieldsWithoutNumbers)
+    DecodeDoneNumbers(value.at(kProgressFieldsWithoutNumbers), record.progress);
   return record;
 }
 
@@ -192,6 +282,7 @@
   HostRecord record{host, value.at(0), value.at(1), value.at(2)};
   record.binds_orders = value.size() > 3 && value.at(3).get<bool>();
   record.hands_over_jobs = value.size() > 4 && value.at(4).get<bool>();
+  record.reads_task_numbers = value.size() > 5 && value.at(5).get<bool>();
   return record;
 }
 
@@ -318,7 +409,8 @@
 KeyedRecord Encode(const HostRecord& record) {
   return {KeyOf(kHostPrefix, record.host),
           ToBytes(json::array({record.peer_address, record.domain, record.milliprocessors,
-                               record.binds_orders, record.hands_over_jobs}))};
+                               record.binds_orders, record.hands_over_jobs,
+                               record.reads_task_numbers}))};
 }
 
 KeyedRecord Encode(const SubmittedJob& record) {
@@ -343,7 +435,9 @@
 KeyedRecord Encode(const ProgressRecord& record) {
   json rows = json::array();
   DoneTasks done;
+  const bool numbered = !record.progress.step_counts.empty();
   for (const TaskProgress& task : record.progress.tasks) {
+    if (numbered && task.done) continue;
     if (IsDoneWithoutFailure(task)) {
       AddDoneTask(task.id, done);
     } else {
@@ -354,8 +448,9 @@
   for (auto& [step, bitmap] : done) {
     rows.push_back(json::array({step.first, step.second, json::binary(std::move(bitmap))}));
   }
-  return {KeyOf(kProgressPrefix, record.key.str()),
-          ToBytes(json::array({static_cast<int>(record.progress.state), rows}))};
+  json value = json::array({static_cast<int>(record.progress.state), rows});
+  if (numbered) value.push_back(EncodeDoneNumbers(record.progress));
+  return {KeyOf(kProgressPrefix, record.key.str()), ToBytes(value)};
 }
 
 std::vector<KeyedRecord> EncodeDrop(const JobKey& key) {
--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -14,6 +14,13 @@
 // which the order of jobs no longer matters and a multiple would not fit into Duration.
 constexpr Duration kMaxObjective = std::chrono::hours(24 * 365);
 
+// Bound on the failed runs in one record of progress, which the store takes up to 256 KiB. The rest
+// of the record has a bit for each task.
+constexpr std::size_t kMaxFailedRunBytes = 200'000;
+// Upper bounds on the encoded sizes of a failed run and of what else is stored of its task.
+constexpr std::size_t kFailedRunBytes = 9;
+constexpr std::size_t kFailedTaskBytes = 28;
+
 std::size_t Index(int n) { return static_cast<std::size_t>(n); }
 
 OccurrenceStatus MakeOccurrence(const JobSpec& spec, Time now) {
@@ -309,18 +316,29 @@
   return changes;
 }
 
-JobProgress JobTracker::ProgressOf(const TrackedJob& job) const {
+JobProgress JobTracker::ProgressOf(const TrackedJob& job) {
   JobProgress progress;
+  std::size_t failed_bytes = 0;
   progress.state = job.state;
+  if (stores_task_numbers_) {
+    for (const StepSpec& step : job.job->spec.steps) progress.step_counts.push_back(step.count);
+  }
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     const std::vector<StepStatus>& steps = job.occurrences[k].steps;
     for (std::size_t s = 0; s < steps.size(); ++s) {
       for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
         const TaskStatus& task = steps[s].tasks[i];
-        if (task.failed_runs.empty() && task.phase != TaskPhase::kDone) continue;
+        const bool done = task.phase == TaskPhase::kDone;
+        if (task.failed_runs.empty() && !done) continue;
+        if (stores_task_numbers_ && !done) {
+          failed_bytes += kFailedTaskBytes + kFailedRunBytes * task.failed_runs.size();
+          if (failed_bytes > kMaxFailedRunBytes) {
+            ++omitted_failed_tasks_[job.job->key];
+            continue;
+          }
+        }
         const TaskId id{static_cast<int>(k), static_cast<int>(s), static_cast<int>(i)};
-        progress.tasks.push_back(
-            {id, task.phase == TaskPhase::kDone, task.last_ended_run, task.failed_runs});
+        progress.tasks.push_back({id, done, task.last_ended_run, task.failed_runs});
       }
     }
   }
--- a/packages/jobs/src/job_tracker.h
+++ b/packages/jobs/src/job_tracker.h
@@ -2,6 +2,7 @@
 #define CACTUSSHELF_JOBS_SRC_JOB_TRACKER_H_
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -139,6 +140,13 @@
 
   // Returns and clears the progress to be stored.
   std::vector<ProgressRecord> TakeChanges();
+  // Returns and clears the number of failed tasks of each job whose failures did not fit into its
+  // record. A later owner does not count these failures.
+  std::map<JobKey, std::size_t> TakeOmittedFailures() {
+    return std::exchange(omitted_failed_tasks_, {});
+  }
+  // Sets whether that has JobProgress::step_counts.
+  void StoreTaskNumbers(bool numbered) { stores_task_numbers_ = numbered; }
   // Returns and clears the hand-overs to be stored.
   std::vector<HandOverRecord> TakeHandOvers() { return std::exchange(hand_overs_, {}); }
   bool has_changes() const {
@@ -159,14 +167,16 @@
   void FinishGang(TrackedJob& job, const TaskId& task, Time now);
   int FailureCount(TrackedJob& job, const TaskId& task) const;
   void EndJob(TrackedJob& job, JobState state);
-  JobProgress ProgressOf(const TrackedJob& job) const;
+  JobProgress ProgressOf(const TrackedJob& job);
   void Restore(TrackedJob& job, const JobProgress& progress);
 
   std::int64_t run_base_;
+  bool stores_task_numbers_ = false;
   std::unordered_map<JobKey, TrackedJob> jobs_;
   std::set<JobKey> changed_jobs_;
   std::vector<ProgressRecord> final_changes_;
   std::vector<HandOverRecord> hand_overs_;
+  std::map<JobKey, std::size_t> omitted_failed_tasks_;
   // Ended and handed over jobs, since a submission may arrive again after that.
   std::unordered_set<JobKey> ended_jobs_;
 };
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -260,6 +260,12 @@
   for (const ProgressRecord& record : tracker_.TakeChanges()) {
     batch.records.push_back(Encode(record));
   }
+  for (const auto& [job, tasks] : tracker_.TakeOmittedFailures()) {
+    counters_.Add("cactusshelf_unstored_failures_total", "record_full", tasks);
+    log_.push_back(LogEvent(LogLevel::kWarning, "failures_not_stored")
+                       .With("job", job.str())
+                       .With("tasks", tasks));
+  }
   if (now.monotonic >= next_interference_export_) {
     next_interference_export_ = now.monotonic + kInterferenceExportPeriod;
     const InterferenceRecord learned = interference_.Export();
--- a/packages/jobs/src/scheduler.h
+++ b/packages/jobs/src/scheduler.h
@@ -62,6 +62,8 @@
   void OnJobDropped(const JobKey& key) { tracker_.Forget(key); }
   // Sets where jobs of which nothing was started may be handed over; null for nowhere.
   void SetOtherCells(CellChoice* other_cells) { other_cells_ = other_cells; }
+  // Sets whether records of progress have JobProgress::step_counts, which all hosts must read.
+  void StoreTaskNumbers(bool numbered) { tracker_.StoreTaskNumbers(numbered); }
   void OnCancel(const JobKey& key, const Now& now);
   void OnWorkerListed(WorkerEntry entry, const Now& now);
   void OnWorkerUnlisted(const std::string& id, const Now& now);
--- a/packages/jobs/tests/fake_store.cc
+++ b/packages/jobs/tests/fake_store.cc
@@ -15,6 +15,14 @@
   done.outcome = AppendOutcome::kDone;
   done.reason = "fake";
   done.offset = static_cast<std::int64_t>(log.size());
+  const auto too_large = [this](const KeyedRecord& it) {
+    return 1 + it.key.size() + it.value.size() > max_record_bytes_;
+  };
+  if (std::any_of(append.records.begin(), append.records.end(), too_large)) {
+    done.outcome = AppendOutcome::kRefused;
+    done.reason = "record too large";
+    return done;
+  }
   if (!append.producer.empty()) {
     Producer& producer = producers_[{append.cell, append.producer}];
     if (append.epoch < producer.epoch) {
--- a/packages/jobs/tests/fake_store.h
+++ b/packages/jobs/tests/fake_store.h
@@ -18,6 +18,7 @@
 class FakeStore {
  public:
   static constexpr std::size_t kMaxPageRecords = 500;
+  static constexpr std::size_t kMaxRecordBytes = 262'144;  // With its key.
 
   job_event::AppendDone Append(const job_effect::Append& append);
   job_event::StreamRead Read(const job_effect::ReadRecords& read);
@@ -28,6 +29,8 @@
   void UnlistWorker(const std::string& id);
   bool IsListed(const std::string& id) const { return listed_.contains(id); }
 
+  // Appends with a larger record are refused.
+  void SetMaxRecordBytes(std::size_t n) { max_record_bytes_ = n; }
   // Limits the pages of newest records.
   void SetMaxPageRecords(std::size_t n) { max_page_records_ = n; }
   // From now on only the newest record of each key is left of the records stored so far. A read
@@ -61,6 +64,7 @@
   std::vector<WorkerEntry> worker_entries_;
   std::set<std::string> listed_;
   std::size_t max_page_records_ = kMaxPageRecords;
+  std::size_t max_record_bytes_ = kMaxRecordBytes;
 };
 
 }  // namespace cactusshelf::jobs
--- a/packages/jobs/tests/job_record_test.cc
+++ b/packages/jobs/tests/job_record_test.cc
@@ -100,6 +100,54 @@
   CHECK(decoded.progress.tasks.front() == TaskProgress{{0, 0, 5}, true, 2, {}});
 }
 
+TEST_CASE("the record of a job with many occurrences outgrows what the store takes") {
+  // Guards against an owner that can store nothing any more: it repeated an append with a record
+  // that the store refuses for its size, and so did each owner after it.
+  constexpr int kOccurrences = 50'000;
+  ProgressRecord record{JobKey(kJob), {JobState::kRunning, {}, {1, 2, 1}}};
+  // Every second task of each occurrence is done, which is the worst case.
+  for (int k = 0; k < kOccurrences; ++k) {
+    record.progress.tasks.push_back({{k, 0, 0}, true, 0, {}});
+    record.progress.tasks.push_back({{k, 1, 1}, true, 0, {}});
+  }
+  CHECK(Encode(record).value.size() <= kOccurrences * 4 / 8 + 100);
+  CHECK(DecodedProgress(Encode(record)).progress == record.progress);
+  // Tasks that are done up to some occurrence take no room.
+  record.progress.tasks.clear();
+  for (int k = 0; k < kOccurrences; ++k) {
+    for (const TaskId& id : {TaskId{k, 0, 0}, TaskId{k, 1, 0}, TaskId{k, 1, 1}, TaskId{k, 2, 0}})
+      record.progress.tasks.push_back({id, true, 0, {}});
+  }
+  CHECK(Encode(record).value.size() <= 50);
+  CHECK(DecodedProgress(Encode(record)).progress == record.progress);
+}
+
+TEST_CASE("a record with task numbers loses the failures of a task that is not done") {
+  ProgressRecord record{JobKey(kJob), {JobState::kRunning, {}, {2, 3}}};
+  record.progress.tasks = {{{4, 1, 2}, false, 9, {8, 9}},
+                           {{0, 0, 0}, true, 0, {}},
+                           {{0, 0, 1}, true, 0, {}},
+                           {{0, 1, 1}, true, 0, {}},
+                           {{7, 1, 2}, true, 0, {}}};
+  CHECK(DecodedProgress(Encode(record)).progress == record.progress);
+  // A done task is stored without its runs.
+  record.progress.tasks = {{{0, 0, 0}, true, 7, {6}}};
+  CHECK(DecodedProgress(Encode(record)).progress.tasks.front() ==
+        TaskProgress{{0, 0, 0}, true, 0, {}});
+}
+
+TEST_CASE("a record with impossible task numbers is accepted") {
+  using nlohmann::json;
+  const json bitmap = json::binary({1});
+  const json negative = json::array({json::array({-1}), 0, bitmap});
+  const json none = json::array({json::array(), 0, bitmap});
+  const json many = json::array({json::array({1}), 2'000'000'000, bitmap});
+  for (const json& numbers : {negative, none, many}) {
+    const json value = json::array({1, json::array(), numbers});
+    CHECK_THROWS_AS(DecodeJobLogRecord(RecordOf(value)), DecodeError);
+  }
+}
+
 TEST_CASE("a record with a malformed row is rejected") {
   for (const auto& row : {nlohmann::json::array({0, 0, 5}), nlohmann::json::array({0, 0, "text"}),
                           nlohmann::json::array({0, 0}), nlohmann::json::array({0, 0, 5, 1})}) {
--- /dev/null
+++ b/packages/jobs/tests/large_record_test.cc
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include "job_simulation.h"
+
+// Records that may grow beyond what the store takes.
+namespace cactusshelf::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A job whose steps run one after the other, at many times.
+JobSpec ManyTimesJob(int occurrences, Duration period) {
+  JobSpec spec = SimpleJob(1, 200);
+  spec.payload = "duration=20";
+  spec.occurrences = occurrences;
+  spec.period = period;
+  for (int i = 1; i < 4; ++i) {
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().depends_on = {i - 1};
+  }
+  return spec;
+}
+
+}  // namespace
+
+TEST_CASE("the progress of one job outgrows a record and ends all writes of the owner") {
+  // Guards against accepted jobs that do not run: each end made the record of a scheduled job
+  // longer, until the store refused it. Owners repeated that append, and stored nothing else.
+  JobSimulation simulation(81, 3, 6, {});
+  simulation.store().SetMaxRecordBytes(2000);
+  simulation.RunFor(seconds(4));
+  const JobKey scheduled = simulation.Submit(ManyTimesJob(600, milliseconds(50)));
+  simulation.RunFor(seconds(40));
+  const JobKey other = simulation.Submit(SimpleJob(2, 500));
+  simulation.RunFor(seconds(10));
+  CHECK(simulation.StateOf(other) == JobState::kCompleted);
+  CHECK(simulation.StateOf(scheduled) == JobState::kCompleted);
+  CheckNoViolations(simulation);
+}
+
+TEST_CASE("the progress of a scheduled job is lost with its owner") {
+  // Guards against occurrences that run again: a later owner takes them for done by their numbers.
+  JobSimulation simulation(82, 3, 6, {});
+  simulation.RunFor(seconds(4));
+  const JobKey key = simulation.Submit(ManyTimesJob(100, milliseconds(100)));
+  for (int n = 0; n < 3; ++n) {
+    simulation.RunFor(seconds(3));
+    simulation.KillNode(simulation.OwnerIndex());
+    AwaitOwner(simulation);
+  }
+  simulation.RunFor(seconds(30));
+  CHECK(simulation.StateOf(key) == JobState::kCompleted);
+  CheckNoViolations(simulation);
+}
+
+}  // namespace cactusshelf::jobs
