jobs: a submission that no record can hold does not cost the owner its cell

A caller whose job takes more than 256 KiB to store made the owner repeat an append that the store refuses for its size. It stored nothing else, not even its heartbeat, and another host took the cell over; each repeat of the request did the same to the next owner.

Change: the entry host answers such a job with 400 and the sizes, and an owner takes none from a host of an earlier version. The test fails without it (no refusal, owner_lost).

--- a/packages/jobs/include/cactusshelf/jobs/job_record.h
+++ b/packages/jobs/include/cactusshelf/jobs/job_record.h
@@ -22,6 +22,15 @@
   std::int64_t offset = 0;  // Set for records that were read.
 };
 
+// Largest record that the store takes, with its key and one byte for the length of the key.
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{256} << 10;
+
+// False for a record that the store refuses, and with it all others of the same append.
+// Thread-safe.
+inline bool IsStorable(const KeyedRecord& record) {
+  return 1 + record.key.size() + record.value.size() <= kMaxRecordBytes;
+}
+
 // Ownership of a cell, or a claim to it. Of the claims of one generation the first in the log is
 // valid. The epoch is the offset of that claim plus one and serves as the fencing token of the
 // owner's orders.
--- a/packages/jobs/src/job_cell.cc
+++ b/packages/jobs/src/job_cell.cc
@@ -486,7 +486,16 @@
 }
 
 void JobCell::OnSubmission(Submission submission) {
-  if (scheduler_ && !releasing_) queued_submissions_.push_back(std::move(submission));
+  if (!scheduler_ || releasing_) return;
+  if (!std::all_of(submission.records.begin(), submission.records.end(), IsStorable)) {
+    counters_.Add("cactusshelf_submissions_refused_total", "record_too_large");
+    Log(LogEvent(LogLevel::kWarning, "submission_refused")
+            .With("submission", submission.id)
+            .With("asked_by", submission.member)
+            .With("reason", "record_too_large"));
+    return;
+  }
+  queued_submissions_.push_back(std::move(submission));
 }
 
 void JobCell::OnSubmissionStored(const SubmissionStored& stored, const Now& now) {
--- a/packages/jobs/src/job_cell.h
+++ b/packages/jobs/src/job_cell.h
@@ -55,7 +55,8 @@
   void OnAppendDone(const job_event::AppendDone& done, const NodeState& state, const Now& now);
   void OnPaused(const Now& now);
   // Queues records of callers' requests, of this or another host, to be stored and confirmed.
-  // Dropped unless this process is the owner; the sender then times out and stores them itself.
+  // Dropped unless this process is the owner and the store can take them; the sender then times out
+  // and stores them itself.
   void OnSubmission(Submission submission);
   void OnSubmissionStored(const SubmissionStored& stored, const Now& now);
   void OnOwnershipAnswer(const OwnershipAnswer& answer, const Now& now);
--- a/packages/jobs/src/job_request_handler.cc
+++ b/packages/jobs/src/job_request_handler.cc
@@ -8,6 +8,11 @@
 
 constexpr std::size_t kJobKeyDigits = 16;
 
+std::string TooLargeMessage(const KeyedRecord& record) {
+  return "body: the job takes " + std::to_string(record.value.size()) +
+         " bytes to store, more than a record of " + std::to_string(kMaxRecordBytes) + " holds";
+}
+
 }  // namespace
 
 bool IsJobKey(std::string_view text) {
@@ -47,22 +52,27 @@
     Reply(request.caller, key, ReplyKind::kNotAccepted, arrived, arrived, "store_unreachable");
     return;
   }
-  effects_.emplace_back(job_effect::WriteLogEvent{LogEvent(LogLevel::kInfo, "submission")
-                                                      .With("job", key.str())
-                                                      .With("queue", route.policy.name)
-                                                      .With("steps", spec->steps.size())});
   SubmittedJob job;
   job.key = key;
   job.queue = route.policy;
   job.spec = *spec;
   job.accepted = now.wall;
+  KeyedRecord record = Encode(job);
+  if (!IsStorable(record)) {
+    Reply(request.caller, key, ReplyKind::kMalformed, arrived, arrived, TooLargeMessage(record));
+    return;
+  }
+  effects_.emplace_back(job_effect::WriteLogEvent{LogEvent(LogLevel::kInfo, "submission")
+                                                      .With("job", key.str())
+                                                      .With("queue", route.policy.name)
+                                                      .With("steps", spec->steps.size())});
   PendingWrite write;
   write.caller = request.caller;
   write.key = key;
   write.verb = Verb::kSubmit;
   write.arrived = arrived;
   write.deadline = arrived + request.timeout - options_.reply_margin;
-  write.record = Encode(job);
+  write.record = std::move(record);
   EnqueueWrite(std::move(write), now);
 }
 
--- a/packages/jobs/src/job_tracker.cc
+++ b/packages/jobs/src/job_tracker.cc
@@ -14,9 +14,10 @@
 // which the order of jobs no longer matters and a multiple would not fit into Duration.
 constexpr Duration kMaxObjective = std::chrono::hours(24 * 365);
 
-// Bound on the failed runs in one record of progress, which the store takes up to 256 KiB. The rest
-// of the record has a bit for each task.
+// Bound on the failed runs in one record of progress. The rest of the record has a bit for each
+// task.
 constexpr std::size_t kMaxFailedRunBytes = 200'000;
+static_assert(kMaxFailedRunBytes < kMaxRecordBytes);
 // Upper bounds on the encoded sizes of a failed run and of what else is stored of its task.
 constexpr std::size_t kFailedRunBytes = 9;
 constexpr std::size_t kFailedTaskBytes = 28;
--- a/packages/jobs/tests/fake_store.h
+++ b/packages/jobs/tests/fake_store.h
@@ -18,7 +18,6 @@
 class FakeStore {
  public:
   static constexpr std::size_t kMaxPageRecords = 500;
-  static constexpr std::size_t kMaxRecordBytes = 262'144;  // With its key.
 
   job_event::AppendDone Append(const job_effect::Append& append);
   job_event::StreamRead Read(const job_effect::ReadRecords& read);
--- a/packages/jobs/tests/large_record_test.cc
+++ b/packages/jobs/tests/large_record_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "cactusshelf/jobs/job_record.h"
+#include "cactusshelf/jobs/peer_messages.h"
 #include "job_simulation.h"
 
 // Records that may grow beyond what the store takes.
@@ -39,6 +41,30 @@
   CheckNoViolations(simulation);
 }
 
+TEST_CASE("a submission that no record can hold ends the ownership") {
+  // Guards against a caller that costs each owner its cell: the owner repeated the append with the
+  // large record, stored nothing else, and was replaced.
+  JobSimulation simulation(83, 3, 6, {});
+  simulation.RunFor(seconds(4));
+  JobSpec large = SimpleJob(1, 500);
+  large.steps.front().image = std::string(kMaxRecordBytes, 'x');
+  const JobKey refused = simulation.SubmitTo(0, large);
+  simulation.RunFor(seconds(1));
+  CHECK(simulation.LogLines("job=" + refused.str() + " outcome=malformed").find("body: the job") !=
+        std::string::npos);
+  // A host of an earlier version hands it to the owner all the same.
+  SubmittedJob job;
+  job.key = JobKey("00000000000000aa");
+  job.spec = large;
+  const Submission submission{"h0", 0, 1, {Encode(job)}, "h0/9"};
+  simulation.DeliverPeerMessage(simulation.OwnerIndex(), Encode(submission));
+  const JobKey other = simulation.Submit(SimpleJob(2, 500));
+  simulation.RunFor(seconds(10));
+  CHECK(simulation.StateOf(other) == JobState::kCompleted);
+  CHECK(simulation.LogLines("owner_lost").empty());
+  CheckNoViolations(simulation);
+}
+
 TEST_CASE("the progress of a scheduled job is lost with its owner") {
   // Guards against occurrences that run again: a later owner takes them for done by their numbers.
   JobSimulation simulation(82, 3, 6, {});
