--- a/packages/jobs/tests/stored_answer_test.cc
+++ b/packages/jobs/tests/stored_answer_test.cc
@@ -105,6 +105,7 @@
   RestartedHost fixture;
   JobSimulation& simulation = fixture.simulation;
   std::vector<JobKey> keys;
+  keys.reserve(100);
   for (int n = 0; n < 100; ++n) keys.push_back(simulation.Submit(LongRunningJob(1, 10)));
   simulation.RunFor(seconds(3));
   REQUIRE(simulation.accepted_jobs().size() == 100);
