--- a/packages/jobs/tests/uneven_cells_test.cc
+++ b/packages/jobs/tests/uneven_cells_test.cc
@@ -194,4 +194,24 @@
   CHECK(handed_over > static_cast<int>(seeds) / 2);
 }
 
+TEST_CASE("jobs that leave a cell with room wait in one that fills up meanwhile", "[!shouldfail]") {
+  // Guards against jobs that wait beside empty workers: an owner left jobs to freer cells, which
+  // had got as many jobs as workers by then, and no job is handed over twice. See KNOWN-RED.txt.
+  constexpr int kWorkers = 24;
+  SimulationOptions options = TwoCells();
+  options.node.multi_cell_target_workers = 8;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    JobSimulation simulation(seed, 2, kWorkers, {}, options);
+    simulation.RunFor(seconds(12));
+    REQUIRE(simulation.CellCount() == 3);
+    for (int cell = 0; cell < 3; ++cell) {
+      for (int n = 0; n < simulation.WorkersOfCell(cell); ++n)
+        simulation.SubmitInCell(cell, LongRunningJob(1, kMoreThanHalfWorker));
+    }
+    simulation.RunFor(seconds(12));
+    UNSCOPED_INFO("seed " << seed);
+    CHECK(simulation.running_tasks() == kWorkers);
+  }
+}
+
 }  // namespace cactusshelf::jobs
